Lay out the workspace and the interfaces between its crates

Cause: the parts are to be written side by side, so their narrow interfaces have to exist first. Decision code takes time as a TimePoint argument and depends on no socket or clock; adapters (KvStore, the upstream calls, ReplicaRouter) are traits or plain types.

Shown by: the check script runs formatter, linter and the model's tests; nothing serves a query yet.

--- /dev/null
+++ b/crates/admin/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators remote procedure calls.
--- /dev/null
+++ b/crates/membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of nodes by probing and gossip.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,20 @@
+//! Identifiers, verdicts, time and shard maps shared by all parts of mustardmux.
+
+mod call;
+mod coverage;
+mod fast_map;
+mod ids;
+mod shard_map;
+mod time_point;
+mod verdict;
+
+pub use call::{CallFailure, CallId, NotRunReason};
+pub use coverage::Coverage;
+pub use fast_map::{FastHasher, FastMap, FastSet};
+pub use ids::{
+    AvailabilityZone, ChangeId, NodeId, NodeIncarnation, RequestId, RevisionNumber, ServiceName,
+    ShardIndex, SnapshotId, UpstreamId,
+};
+pub use shard_map::SnapshotMap;
+pub use time_point::TimePoint;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/model/tests/verdict.rs
@@ -0,0 +1,29 @@
+//! Rules of the shared types.
+
+use googletest::prelude::*;
+use mux_model::{Coverage, Verdict};
+
+#[gtest]
+fn not_run_needs_both_attempts_unrun() {
+    let cases = [
+        (Verdict::NotRun, Verdict::NotRun, Verdict::NotRun),
+        (Verdict::NotRun, Verdict::MayHaveRun, Verdict::MayHaveRun),
+        (Verdict::MayHaveRun, Verdict::NotRun, Verdict::MayHaveRun),
+        (Verdict::Done, Verdict::MayHaveRun, Verdict::MayHaveRun),
+        (Verdict::Done, Verdict::Done, Verdict::Done),
+    ];
+
+    for (lhs, rhs, expected) in cases {
+        let combined = lhs.combine(rhs);
+
+        expect_that!(combined, eq(expected), "{lhs} and {rhs}");
+    }
+}
+
+#[gtest]
+fn coverage_of_an_empty_map_is_zero() {
+    let coverage = Coverage { contributed: 0, total: 0 };
+
+    expect_that!(coverage.share(), eq(0.0));
+    expect_that!(coverage.meets(0.5), eq(false));
+}
--- /dev/null
+++ b/crates/mustardmux/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point.
+
+fn main() {}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One node: listeners, drivers and wiring.
--- /dev/null
+++ b/crates/placement/src/lib.rs
@@ -0,0 +1,1 @@
+//! Home nodes of services and the answers to address questions.
--- /dev/null
+++ b/crates/platform/src/kv_store.rs
@@ -0,0 +1,81 @@
+//! The operations of the platform's key-value service.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{StoreError, VmList};
+
+/// Version of a stored value; each write of a key takes a higher one. Zero: no value.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ValueVersion(pub u64);
+
+/// Identity of a lease granted by the key-value service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct LeaseId(pub u64);
+
+/// A value with the version under which it is stored.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredValue {
+    /// The value; at most one megabyte.
+    pub value: String,
+    /// Its version.
+    pub version: ValueVersion,
+}
+
+/// The platform's key-value service and VM list.
+///
+/// Every method fails with [`StoreError`]; only `StoreError::Unknown` leaves open whether the
+/// call took effect. Each call is bounded in time by the implementation.
+pub trait KvStore: Clone + Send + Sync + 'static {
+    /// Reads a key.
+    fn get(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send;
+
+    /// Lists the keys that start with `prefix`.
+    fn list(&self, prefix: &str) -> impl Future<Output = Result<Vec<String>, StoreError>> + Send;
+
+    /// Writes a key if its version is `expected`, and returns the new version.
+    ///
+    /// With a lease, the write also fails unless that lease is still held.
+    fn compare_and_swap(
+        &self,
+        key: &str,
+        value: &str,
+        expected: ValueVersion,
+        lease: Option<LeaseId>,
+    ) -> impl Future<Output = Result<ValueVersion, StoreError>> + Send;
+
+    /// Deletes a key if its version is `expected`.
+    fn delete(
+        &self,
+        key: &str,
+        expected: ValueVersion,
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Waits until a key has a version above `after`, or until `limit` is over (`None`).
+    fn watch(
+        &self,
+        key: &str,
+        after: ValueVersion,
+        limit: Duration,
+    ) -> impl Future<Output = Result<Option<StoredValue>, StoreError>> + Send;
+
+    /// Asks for a lease that lapses `ttl` after its last renewal.
+    fn grant_lease(
+        &self,
+        ttl: Duration,
+    ) -> impl Future<Output = Result<LeaseId, StoreError>> + Send;
+
+    /// Renews a lease.
+    fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Reads the list of live and leaving VMs; it lags behind reality.
+    fn list_vms(&self) -> impl Future<Output = Result<VmList, StoreError>> + Send;
+}
--- /dev/null
+++ b/crates/standins/src/relay/mod.rs
@@ -0,0 +1,8 @@
+//! Relays between two ends of a link.
+
+use std::{io, path::Path};
+
+/// Runs until the process is ended.
+pub(crate) async fn run(settings: &Path) -> io::Result<()> {
+    Err(io::Error::other(format!("nothing to run for {}", settings.display())))
+}
--- /dev/null
+++ b/crates/timer/src/timer_service.rs
@@ -0,0 +1,125 @@
+//! Ticks, deadlines and the detection of pauses of this process.
+
+#![expect(clippy::disallowed_methods, reason = "the one place that waits on the runtime's clock")]
+
+use std::{fmt, sync::Arc, time::Duration};
+
+use mux_model::TimePoint;
+use tokio::{
+    sync::watch,
+    time::{self, Instant, MissedTickBehavior},
+};
+
+const HEARTBEAT_PERIOD: Duration = Duration::from_millis(50);
+
+/// Says that a wait ended because its time was over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ElapsedError;
+
+impl fmt::Display for ElapsedError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("the time for the operation is over")
+    }
+}
+
+/// Monotonic clock and timer that the parts of a process subscribe to.
+///
+/// A background heartbeat compares when it ran with when it should have run. A gap means that
+/// the process was paused, so that leases and cached facts may be outdated.
+#[derive(Debug, Clone)]
+pub struct TimerService {
+    inner: Arc<TimerState>,
+}
+
+#[derive(Debug)]
+struct TimerState {
+    origin: Instant,
+    pauses: watch::Sender<u64>,
+}
+
+impl TimerService {
+    /// Starts the clock and the heartbeat that reports pauses longer than `pause_limit`.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn start(pause_limit: Duration) -> Self {
+        let inner = Arc::new(TimerState { origin: Instant::now(), pauses: watch::Sender::new(0) });
+        tokio::spawn(watch_pauses(Arc::downgrade(&inner), pause_limit));
+        Self { inner }
+    }
+
+    /// Returns the current moment.
+    pub fn now(&self) -> TimePoint {
+        TimePoint::ZERO + self.inner.origin.elapsed()
+    }
+
+    /// Subscribes to ticks every `period`; ticks missed during a pause are skipped.
+    pub fn subscribe(&self, period: Duration) -> TickStream {
+        let mut interval = time::interval(period);
+        interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        TickStream { timer: self.clone(), interval }
+    }
+
+    /// Subscribes to the count of pauses seen so far.
+    pub fn subscribe_pauses(&self) -> watch::Receiver<u64> {
+        self.inner.pauses.subscribe()
+    }
+
+    /// Waits for `duration`.
+    pub async fn sleep(&self, duration: Duration) {
+        time::sleep(duration).await;
+    }
+
+    /// Waits until `moment`; returns at once if it has passed.
+    pub async fn sleep_until(&self, moment: TimePoint) {
+        let offset = moment.since(TimePoint::ZERO);
+        match self.inner.origin.checked_add(offset) {
+            Some(instant) => time::sleep_until(instant).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Runs `operation` for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ElapsedError`] if the operation did not finish in time; it is then dropped.
+    pub async fn timeout<F: Future>(
+        &self,
+        limit: Duration,
+        operation: F,
+    ) -> Result<F::Output, ElapsedError> {
+        time::timeout(limit, operation).await.map_err(|_| ElapsedError)
+    }
+}
+
+/// Periodic ticks of a [`TimerService`].
+#[derive(Debug)]
+pub struct TickStream {
+    timer: TimerService,
+    interval: time::Interval,
+}
+
+impl TickStream {
+    /// Waits for the next tick and returns the moment at which it was delivered.
+    pub async fn next(&mut self) -> TimePoint {
+        self.interval.tick().await;
+        self.timer.now()
+    }
+}
+
+async fn watch_pauses(state: std::sync::Weak<TimerState>, pause_limit: Duration) {
+    let mut last = Instant::now();
+    loop {
+        time::sleep(HEARTBEAT_PERIOD).await;
+        let Some(state) = state.upgrade() else {
+            return;
+        };
+        let now = Instant::now();
+        if pause_limit < now.duration_since(last) {
+            state.pauses.send_modify(|count| *count += 1);
+        }
+        last = now;
+    }
+}
