Route by what the node sees: limits, budgets, ejection, admission

Cause: the first router only counted calls in flight, so it sent work to slow, shedding and dead upstreams and admitted queries that could not get their slots.

Change: replica choice by smoothed latency and calls in flight, zone and reported load as tie-breakers; an adaptive limit per upstream within its share of the slots; pauses after sheds; ejection with backoff and single probe calls; a hedge delay from a measured quantile, raised to what the budget pays for; a token bucket for hedges and retries that pays nothing under overload; a query limit that follows the time that calls wait for slots; a report for status pages.

--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -1,152 +1,232 @@
 //! Routing of one service: replica choice, limits, admission and hedging.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError, RwLock},
     time::Duration,
 };
 
-use mux_model::{FastMap, TimePoint, UpstreamId};
+use mux_model::{CallFailure, TimePoint, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    AcquireError, CallKind, CallOutcome, HedgePolicy, QueryRefusal, ReplicaRouter, RoutingPolicy,
-    SlotShare, UpstreamHint, UpstreamPlace,
+    AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, RouterReport, RoutingPolicy,
+    UpstreamHint, UpstreamPlace, call_accounts::CallAccounts, candidate_survey::CandidateSurvey,
+    hedge_timer::HedgeTimer, query_admission::QueryAdmission, router_settings::RouterSettings,
+    upstream_state::Availability, upstream_table::UpstreamTable,
 };
 
-const SATURATED_RETRY: Duration = Duration::from_millis(2);
-const REFUSED_RETRY: Duration = Duration::from_millis(100);
+/// Surveys of the candidates for one call, as another call may take the chosen slot in between.
+const MAX_SURVEYS: u32 = 3;
+/// Time to ask again after every chosen slot was taken in between.
+const CONTENDED_RETRY_MS: u64 = 1;
 
-/// Chooses replicas for one service and keeps its limits.
+/// Chooses replicas for the calls of one service and keeps its limits.
+///
+/// Each kind of state has its own lock, and no lock is held while another thread is waited for.
+/// Where two are held, the one of the admission is taken first.
 #[derive(Debug)]
 pub struct ServiceRouter {
-    state: Mutex<RouterState>,
+    settings: RwLock<RouterSettings>,
+    upstreams: UpstreamTable,
+    admission: Mutex<QueryAdmission>,
+    accounts: Mutex<CallAccounts>,
+    hedges: Mutex<HedgeTimer>,
+    rng: Mutex<SmallRng>,
 }
 
-#[derive(Debug)]
-struct RouterState {
-    policy: RoutingPolicy,
-    upstreams: FastMap<UpstreamId, UpstreamState>,
-    queries: u32,
-    rng: SmallRng,
-}
+impl ServiceRouter {
+    /// Creates a router for `places`; `seed` starts its random choices.
+    pub fn new(policy: RoutingPolicy, places: &[UpstreamPlace], seed: u64) -> Self {
+        let upstreams = UpstreamTable::new();
+        upstreams.update(places, &policy.availability_zone);
+        Self {
+            settings: RwLock::new(RouterSettings::new(&policy)),
+            upstreams,
+            admission: Mutex::new(QueryAdmission::new()),
+            accounts: Mutex::new(CallAccounts::new()),
+            hedges: Mutex::new(HedgeTimer::new()),
+            rng: Mutex::new(SmallRng::seed_from_u64(seed)),
+        }
+    }
 
-#[derive(Debug, Default)]
-struct UpstreamState {
-    in_flight: u32,
-    draining: bool,
-    member: bool,
-}
+    /// Replaces the policy and the set of upstreams.
+    ///
+    /// Upstreams that stay keep their state. Those that are left out get no new calls, and are
+    /// forgotten when the last call in flight there has ended.
+    pub fn update(&self, policy: RoutingPolicy, places: &[UpstreamPlace]) {
+        *self.settings.write().unwrap_or_else(PoisonError::into_inner) =
+            RouterSettings::new(&policy);
+        self.upstreams.update(places, &policy.availability_zone);
+    }
 
-impl ServiceRouter {
-    /// Creates a router for `upstreams`; `seed` starts its random choices.
-    pub fn new(policy: RoutingPolicy, upstreams: &[UpstreamPlace], seed: u64) -> Self {
-        let rng = SmallRng::seed_from_u64(seed);
-        let state =
-            RouterState { policy: policy.clone(), upstreams: FastMap::default(), queries: 0, rng };
-        let router = Self { state: Mutex::new(state) };
-        router.update(policy, upstreams);
-        router
-    }
-
-    /// Replaces the policy and the set of upstreams; upstreams that stay keep their state.
-    pub fn update(&self, policy: RoutingPolicy, upstreams: &[UpstreamPlace]) {
-        let mut state = self.lock();
-        state.policy = policy;
-        state.upstreams.retain(|_, it| {
-            it.member = false;
-            0 < it.in_flight
-        });
-        for place in upstreams {
-            state.upstreams.entry(place.upstream).or_default().member = true;
+    /// Describes what the router is doing.
+    pub fn report(&self, now: TimePoint) -> RouterReport {
+        let settings = self.settings();
+        let upstreams = self.upstreams.report(now, settings.share);
+        let admission = *lock(&self.admission);
+        let hedge_delay = self.hedge_delay(now);
+        let mut accounts = lock(&self.accounts);
+        RouterReport {
+            upstreams,
+            queries_in_flight: admission.in_flight(),
+            query_limit: admission.limit(&settings),
+            budget_left: settings.budget.map(|_| accounts.tokens()),
+            hedge_delay,
+            overloaded: accounts.is_overloaded(now),
+            counts: accounts.counts(),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, RouterState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    fn settings(&self) -> RouterSettings {
+        *self.settings.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn reserve(
+        &self,
+        now: TimePoint,
+        settings: &RouterSettings,
+        candidates: &[UpstreamId],
+        excluded: &[UpstreamId],
+        kind: CallKind,
+    ) -> Result<UpstreamId, AcquireError> {
+        let mut rng = self.fork_rng();
+        for _ in 0..MAX_SURVEYS {
+            let mut survey = CandidateSurvey::new(kind);
+            for &upstream in candidates.iter().filter(|it| !excluded.contains(it)) {
+                survey.add(upstream, self.availability(now, settings, upstream), &mut rng);
+            }
+            let chosen = survey.choose()?;
+            if self.try_reserve(now, settings, chosen) {
+                return Ok(chosen);
+            }
+        }
+        Err(AcquireError::Saturated { retry_after: Duration::from_millis(CONTENDED_RETRY_MS) })
+    }
+
+    fn availability(
+        &self,
+        now: TimePoint,
+        settings: &RouterSettings,
+        upstream: UpstreamId,
+    ) -> Availability {
+        let availability = self.upstreams.with(upstream, |it| it.availability(now, settings.share));
+        availability.unwrap_or(Availability::Closed)
     }
-}
 
-impl RouterState {
-    fn ceiling(&self) -> u32 {
-        let nodes = self.policy.sharing_nodes;
-        self.policy.slots_per_upstream.map_or(u32::MAX, |it| SlotShare::new(it, nodes).ceiling)
+    fn try_reserve(&self, now: TimePoint, settings: &RouterSettings, upstream: UpstreamId) -> bool {
+        let reserved = self.upstreams.with(upstream, |state| {
+            let is_free = state.availability(now, settings.share).is_free();
+            if is_free {
+                state.reserve(now);
+            }
+            is_free
+        });
+        reserved.unwrap_or(false)
     }
 
-    fn choose(&mut self, usable: &[UpstreamId]) -> Option<UpstreamId> {
-        let (&first, rest) = usable.split_first()?;
-        if rest.is_empty() {
-            return Some(first);
+    /// Divides the wait of a first call between the candidates that it waits for.
+    ///
+    /// Those that are paused serve none of the waiting calls, unless all are.
+    fn record_wait(
+        &self,
+        now: TimePoint,
+        settings: &RouterSettings,
+        candidates: &[UpstreamId],
+        wait: Duration,
+    ) {
+        let is_full = |it: &&UpstreamId| {
+            matches!(self.availability(now, settings, **it), Availability::Full(_))
+        };
+        let full: Vec<UpstreamId> = candidates.iter().filter(is_full).copied().collect();
+        let waited_for = if full.is_empty() { candidates } else { &full };
+        let part = wait / u32::try_from(waited_for.len()).unwrap_or(u32::MAX).max(1);
+        for &upstream in waited_for {
+            self.upstreams.with(upstream, |it| it.record_wait(part));
         }
-        let idx = self.rng.random_range(0..usable.len());
-        let step = self.rng.random_range(1..usable.len());
-        let lhs = usable[idx];
-        let rhs = usable[(idx + step) % usable.len()];
-        let in_flight =
-            |it: &UpstreamId| self.upstreams.get(it).map_or(u32::MAX, |it| it.in_flight);
-        Some(if in_flight(&rhs) < in_flight(&lhs) { rhs } else { lhs })
+    }
+
+    fn record_latency(&self, now: TimePoint, outcome: CallOutcome) {
+        let mut hedges = lock(&self.hedges);
+        match outcome {
+            CallOutcome::Replied(latency) => hedges.record(now, latency),
+            CallOutcome::Cancelled(elapsed)
+            | CallOutcome::Failed(CallFailure::Silent | CallFailure::DeadlinePassed, elapsed) => {
+                hedges.record_at_least(now, elapsed);
+            }
+            CallOutcome::Failed(..) => {}
+        }
+    }
+
+    fn jitter(&self) -> f64 {
+        lock(&self.rng).random()
+    }
+
+    fn fork_rng(&self) -> SmallRng {
+        SmallRng::seed_from_u64(lock(&self.rng).random())
     }
 }
 
 impl ReplicaRouter for ServiceRouter {
-    fn admit(&self, _now: TimePoint) -> Result<(), QueryRefusal> {
-        let mut state = self.lock();
-        if state.policy.queries_in_flight <= state.queries {
-            return Err(QueryRefusal { retry_after: REFUSED_RETRY });
+    fn admit(&self, now: TimePoint) -> Result<(), QueryRefusal> {
+        let settings = self.settings();
+        let jitter = self.jitter();
+        let mut admission = lock(&self.admission);
+        if admission.is_due(now) {
+            let wait = self.upstreams.take_slot_wait(now);
+            let is_saturated = admission.adapt(now, wait, &settings);
+            lock(&self.accounts).set_saturated(is_saturated);
         }
-        state.queries += 1;
-        Ok(())
+        if admission.try_admit(now, &settings) {
+            return Ok(());
+        }
+        let retry_after = admission.time_to_return(now, jitter);
+        drop(admission);
+        lock(&self.accounts).record_refused_query();
+        Err(QueryRefusal { retry_after })
     }
 
-    fn finish(&self, _now: TimePoint) {
-        let mut state = self.lock();
-        state.queries = state.queries.saturating_sub(1);
+    fn finish(&self, now: TimePoint) {
+        lock(&self.admission).finish(now);
     }
 
     fn acquire(
         &self,
-        _now: TimePoint,
+        now: TimePoint,
         candidates: &[UpstreamId],
         excluded: &[UpstreamId],
-        _kind: CallKind,
+        kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
-        let mut state = self.lock();
-        let ceiling = state.ceiling();
-        let up: Vec<UpstreamId> = candidates
-            .iter()
-            .filter(|it| !excluded.contains(it))
-            .filter(|it| state.upstreams.get(it).is_some_and(|it| it.member && !it.draining))
-            .copied()
-            .collect();
-        if up.is_empty() {
-            return Err(AcquireError::NoReplica);
+        let settings = self.settings();
+        if !lock(&self.accounts).try_pay(now, kind, &settings) {
+            return Err(AcquireError::BudgetEmpty);
         }
-        let free: Vec<UpstreamId> =
-            up.into_iter().filter(|it| state.upstreams[it].in_flight < ceiling).collect();
-        let chosen =
-            state.choose(&free).ok_or(AcquireError::Saturated { retry_after: SATURATED_RETRY })?;
-        if let Some(upstream) = state.upstreams.get_mut(&chosen) {
-            upstream.in_flight += 1;
+        let acquired = self.reserve(now, &settings, candidates, excluded, kind);
+        if let (CallKind::First, Err(AcquireError::Saturated { retry_after })) = (kind, acquired) {
+            self.record_wait(now, &settings, candidates, retry_after);
         }
-        Ok(chosen)
+        lock(&self.accounts).record_acquire(now, kind, acquired, &settings);
+        acquired
     }
 
-    fn release(&self, _now: TimePoint, upstream: UpstreamId, _outcome: CallOutcome) {
-        let mut state = self.lock();
-        if let Some(upstream) = state.upstreams.get_mut(&upstream) {
-            upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        }
+    fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
+        let settings = self.settings();
+        let jitter = self.jitter();
+        self.upstreams.with(upstream, |it| it.release(now, settings.share, outcome, jitter));
+        self.upstreams.remove_if_over(upstream);
+        self.record_latency(now, outcome);
+        lock(&self.accounts).record_outcome(now, outcome);
     }
 
-    fn hedge_delay(&self, _now: TimePoint) -> Option<Duration> {
-        match self.lock().policy.hedge {
-            HedgePolicy::Fixed(delay) => Some(delay),
-            HedgePolicy::Off | HedgePolicy::Quantile(_) => None,
-        }
+    fn hedge_delay(&self, now: TimePoint) -> Option<Duration> {
+        let settings = self.settings();
+        lock(&self.hedges).delay(now, settings.hedge, settings.budget)
     }
 
-    fn observe(&self, _now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
-        if let Some(upstream) = self.lock().upstreams.get_mut(&upstream) {
-            upstream.draining = hint.draining;
-        }
+    fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
+        self.upstreams.with(upstream, |it| it.observe(now, hint));
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/routing/src/slot_share.rs
+++ b/crates/routing/src/slot_share.rs
@@ -20,7 +20,7 @@
     pub fn new(slots: u32, sharing_nodes: u32) -> Self {
         let nodes = sharing_nodes.max(1);
         let working = slots.div_ceil(nodes).max(1);
-        let ceiling = slots.saturating_mul(IN_FLIGHT_PER_SLOT).div_ceil(nodes).max(working);
+        let ceiling = slots.saturating_mul(IN_FLIGHT_PER_SLOT).div_ceil(nodes).max(working).max(2);
         Self { working, ceiling }
     }
 }
--- /dev/null
+++ b/crates/routing/src/upstream_table.rs
@@ -0,0 +1,118 @@
+//! The upstreams of one service, divided into parts with a lock each.
+
+use std::{
+    hash::BuildHasher,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use mux_model::{AvailabilityZone, FastHasher, FastMap, TimePoint, UpstreamId};
+
+use crate::{
+    SlotShare, UpstreamPlace, UpstreamReport, query_admission::SlotWait,
+    upstream_state::UpstreamState,
+};
+
+const PART_COUNT: usize = 16;
+/// Shortest wait for a slot that counts as overload.
+const MIN_TARGET_WAIT_MS: u64 = 5;
+
+type TablePart = FastMap<UpstreamId, UpstreamState>;
+
+/// The state of every upstream that is a member or has calls in flight.
+#[derive(Debug)]
+pub(crate) struct UpstreamTable {
+    parts: [Mutex<TablePart>; PART_COUNT],
+}
+
+impl UpstreamTable {
+    /// Creates a table without upstreams.
+    pub(crate) fn new() -> Self {
+        Self { parts: std::array::from_fn(|_| Mutex::default()) }
+    }
+
+    /// Makes `places` the members; upstreams that stay keep their state.
+    pub(crate) fn update(&self, places: &[UpstreamPlace], own_zone: &AvailabilityZone) {
+        let members: FastMap<UpstreamId, bool> =
+            places.iter().map(|it| (it.upstream, it.availability_zone == *own_zone)).collect();
+        for part in &self.parts {
+            let mut part = lock(part);
+            for (upstream, state) in part.iter_mut() {
+                if !members.contains_key(upstream) {
+                    state.leave();
+                }
+            }
+            part.retain(|_, state| !state.is_over());
+        }
+        for (upstream, same_zone) in members {
+            let mut part = self.part(upstream);
+            part.entry(upstream).or_insert_with(UpstreamState::new).join(same_zone);
+        }
+    }
+
+    /// Calls `f` with the state of `upstream`; `None` if it is not known.
+    pub(crate) fn with<T>(
+        &self,
+        upstream: UpstreamId,
+        f: impl FnOnce(&mut UpstreamState) -> T,
+    ) -> Option<T> {
+        self.part(upstream).get_mut(&upstream).map(f)
+    }
+
+    /// Forgets `upstream` if nothing depends on it any more.
+    pub(crate) fn remove_if_over(&self, upstream: UpstreamId) {
+        let mut part = self.part(upstream);
+        if part.get(&upstream).is_some_and(UpstreamState::is_over) {
+            part.remove(&upstream);
+        }
+    }
+
+    /// Sums up the waits for slots since the last time, and forgets them.
+    pub(crate) fn take_slot_wait(&self, now: TimePoint) -> SlotWait {
+        let mut longest = Duration::ZERO;
+        let mut latencies = Vec::new();
+        let mut open_count = 0;
+        let mut pause_ends = Vec::new();
+        for part in &self.parts {
+            for state in lock(part).values_mut() {
+                longest = longest.max(state.take_waits().mean());
+                if state.is_open() {
+                    open_count += 1;
+                    latencies.push(state.latency(now));
+                    pause_ends.extend(state.paused_until(now));
+                }
+            }
+        }
+        latencies.retain(|it| !it.is_zero());
+        let known_count = u32::try_from(latencies.len()).unwrap_or(u32::MAX);
+        let mean = latencies.iter().sum::<Duration>() / known_count.max(1);
+        let is_blocked = open_count == pause_ends.len();
+        SlotWait {
+            longest,
+            target: (mean * 3 / 2).max(Duration::from_millis(MIN_TARGET_WAIT_MS)),
+            blocked_until: pause_ends.into_iter().min().filter(|_| is_blocked),
+        }
+    }
+
+    /// Describes all upstreams in the order of their addresses.
+    pub(crate) fn report(&self, now: TimePoint, share: Option<SlotShare>) -> Vec<UpstreamReport> {
+        let mut reports = Vec::new();
+        for part in &self.parts {
+            let part = lock(part);
+            reports.extend(part.iter().map(|(upstream, it)| it.report(now, *upstream, share)));
+        }
+        reports.sort_by_key(|it| it.upstream);
+        reports
+    }
+
+    fn part(&self, upstream: UpstreamId) -> MutexGuard<'_, TablePart> {
+        let hash = FastHasher::default().hash_one(upstream);
+        // The upper bits are the well mixed ones.
+        let idx = usize::try_from(hash >> 32).unwrap_or(0) % PART_COUNT;
+        lock(&self.parts[idx])
+    }
+}
+
+fn lock(part: &Mutex<TablePart>) -> MutexGuard<'_, TablePart> {
+    part.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/routing/tests/router/hedging.rs
@@ -0,0 +1,95 @@
+//! When a second replica is asked.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mux_model::TimePoint;
+use mux_routing::{CallOutcome, HedgePolicy, ReplicaRouter, RoutingPolicy, ServiceRouter};
+
+use crate::fixtures::{at_ms, call_in_turn, ms, policy, router};
+
+const T0: TimePoint = TimePoint::ZERO;
+
+/// Makes 1000 calls, of which each hundredth is slow.
+fn call_with_tail(router: &ServiceRouter, now: TimePoint, usual: Duration, slow: Duration) {
+    for _ in 0..10 {
+        call_in_turn(router, now, 0, CallOutcome::Replied(usual), 99);
+        call_in_turn(router, now, 0, CallOutcome::Replied(slow), 1);
+    }
+}
+
+#[gtest]
+fn the_policy_sets_the_delay() {
+    let fixed = HedgePolicy::Fixed(ms(7));
+    let cases = [
+        ("off", HedgePolicy::Off, Some(0.04), None),
+        ("fixed", fixed, None, Some(7..=7)),
+        ("median", HedgePolicy::Quantile(0.5), None, Some(10..=11)),
+        ("tail", HedgePolicy::Quantile(0.995), None, Some(200..=205)),
+        (
+            "raised to what the budget pays",
+            HedgePolicy::Quantile(0.5),
+            Some(0.005),
+            Some(200..=205),
+        ),
+    ];
+
+    for (name, hedge, extra_load_budget, expected) in cases {
+        let router = router(&RoutingPolicy { hedge, extra_load_budget, ..policy() }, 1);
+        call_with_tail(&router, T0, ms(10), ms(200));
+
+        let delay = router.hedge_delay(at_ms(1)).map(|it| it.as_millis());
+
+        let is_expected = match (&expected, delay) {
+            (Some(range), Some(delay)) => range.contains(&delay),
+            (expected, delay) => expected.is_none() && delay.is_none(),
+        };
+        expect_that!(is_expected, eq(true), "{name}: {delay:?}");
+    }
+}
+
+#[gtest]
+fn few_samples_give_no_delay_and_short_ones_a_bounded_one() {
+    let router = router(&policy(), 1);
+
+    call_in_turn(&router, T0, 0, CallOutcome::Replied(Duration::from_micros(50)), 49);
+    let before = router.hedge_delay(T0);
+    call_in_turn(&router, T0, 0, CallOutcome::Replied(Duration::from_micros(50)), 1);
+    let after = router.hedge_delay(at_ms(500));
+
+    expect_that!(before, none());
+    expect_that!(after, some(eq(ms(1))));
+}
+
+#[gtest]
+fn the_delay_follows_a_change() {
+    let router = router(&policy(), 1);
+    call_with_tail(&router, T0, ms(40), ms(40));
+    call_with_tail(&router, at_ms(15_000), ms(10), ms(10));
+
+    let later = router.hedge_delay(at_ms(21_000));
+    let much_later = router.hedge_delay(at_ms(60_000));
+
+    expect_that!(later, some(le(ms(11))));
+    expect_that!(much_later, none());
+}
+
+#[gtest]
+fn cancelled_losers_do_not_shorten_the_delay() {
+    let router = router(&policy(), 1);
+    let mut delays = Vec::new();
+
+    for round in 0..30 {
+        let now = at_ms(round * 1_000);
+        call_in_turn(&router, now, 0, CallOutcome::Replied(ms(10)), 90);
+        let slow = router
+            .hedge_delay(now)
+            .map_or(CallOutcome::Replied(ms(100)), |it| CallOutcome::Cancelled(it + ms(10)));
+        call_in_turn(&router, now, 0, slow, 10);
+        delays.push(router.hedge_delay(now + ms(500)));
+    }
+
+    for delay in delays {
+        expect_that!(delay, some(ge(ms(20))));
+    }
+}
