--- /dev/null
+++ b/crates/query/src/call_table.rs
@@ -0,0 +1,173 @@
+//! The calls of one fan-out and what became of each shard.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
+
+/// One call to an upstream.
+#[derive(Debug)]
+pub(crate) struct CallState {
+    pub(crate) shard: ShardIndex,
+    pub(crate) upstream: UpstreamId,
+    pub(crate) sent_at: TimePoint,
+    pub(crate) open: bool,
+    previous: Option<CallId>,
+}
+
+impl CallState {
+    /// Returns the time since the call was sent.
+    pub(crate) fn age(&self, now: TimePoint) -> Duration {
+        now.since(self.sent_at)
+    }
+}
+
+/// What became of one shard so far.
+#[derive(Debug, Clone, Default)]
+pub(crate) enum ShardPhase {
+    /// Waits for a call to be sent or to end.
+    #[default]
+    Pending,
+    /// Contributed this result.
+    Answered(Bytes),
+    /// Cannot contribute any more.
+    Lost,
+}
+
+/// One shard of the pinned snapshot.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ShardState {
+    pub(crate) phase: ShardPhase,
+    pub(crate) open_calls: u32,
+    pub(crate) snapshot_missing: bool,
+    last_call: Option<CallId>,
+}
+
+impl ShardState {
+    /// Returns whether a call was ever made to the shard.
+    pub(crate) fn was_called(&self) -> bool {
+        self.last_call.is_some()
+    }
+}
+
+/// The calls of one fan-out, numbered in the order in which they were sent.
+///
+/// The calls of a shard are linked from the newest to the oldest, so that no event scans all calls
+/// or allocates.
+#[derive(Debug)]
+pub(crate) struct CallTable {
+    calls: Vec<CallState>,
+    shards: Vec<ShardState>,
+    tried: Vec<UpstreamId>,
+    open_calls: u32,
+}
+
+impl CallTable {
+    /// Creates a table without calls for `shard_count` shards.
+    pub(crate) fn new(shard_count: u32) -> Self {
+        let len = idx(shard_count);
+        Self {
+            calls: Vec::with_capacity(len + len / 8 + 1),
+            shards: vec![ShardState::default(); len],
+            tried: Vec::new(),
+            open_calls: 0,
+        }
+    }
+
+    /// Returns the number of calls ever opened.
+    pub(crate) fn call_count(&self) -> u32 {
+        u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns whether a call is still open.
+    pub(crate) fn has_open_calls(&self) -> bool {
+        0 < self.open_calls
+    }
+
+    /// Returns a call; `None` if it was never opened.
+    pub(crate) fn call(&self, call: CallId) -> Option<&CallState> {
+        self.calls.get(idx(call.0))
+    }
+
+    /// Returns a call that is still open.
+    pub(crate) fn open_call(&self, call: CallId) -> Option<&CallState> {
+        self.call(call).filter(|it| it.open)
+    }
+
+    /// Returns the state of a shard.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the pinned snapshot has no such shard.
+    pub(crate) fn shard(&self, shard: ShardIndex) -> &ShardState {
+        &self.shards[idx(shard.0)]
+    }
+
+    /// Returns the state of a shard for change.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the pinned snapshot has no such shard.
+    pub(crate) fn shard_mut(&mut self, shard: ShardIndex) -> &mut ShardState {
+        &mut self.shards[idx(shard.0)]
+    }
+
+    /// Returns all shards in order, for taking out their results.
+    pub(crate) fn shards_mut(&mut self) -> &mut [ShardState] {
+        &mut self.shards
+    }
+
+    /// Returns the replicas of `shard` that were called before.
+    pub(crate) fn tried(&mut self, shard: ShardIndex) -> &[UpstreamId] {
+        self.tried.clear();
+        let mut next = self.shards[idx(shard.0)].last_call;
+        while let Some(call) = next {
+            let call = &self.calls[idx(call.0)];
+            self.tried.push(call.upstream);
+            next = call.previous;
+        }
+        &self.tried
+    }
+
+    /// Records a new call and returns its identity.
+    pub(crate) fn open(
+        &mut self,
+        now: TimePoint,
+        shard: ShardIndex,
+        upstream: UpstreamId,
+    ) -> CallId {
+        let call = CallId(self.call_count());
+        let state = &mut self.shards[idx(shard.0)];
+        let previous = state.last_call.replace(call);
+        state.open_calls += 1;
+        self.open_calls += 1;
+        self.calls.push(CallState { shard, upstream, sent_at: now, open: true, previous });
+        call
+    }
+
+    /// Marks a call as ended; returns it if it was open.
+    pub(crate) fn close(&mut self, call: CallId) -> Option<&CallState> {
+        let call = self.calls.get_mut(idx(call.0)).filter(|it| it.open)?;
+        call.open = false;
+        self.shards[idx(call.shard.0)].open_calls -= 1;
+        self.open_calls -= 1;
+        Some(call)
+    }
+
+    /// Returns the newest call to `shard` that is open.
+    pub(crate) fn newest_open(&self, shard: ShardIndex) -> Option<CallId> {
+        let mut next = self.shards[idx(shard.0)].last_call;
+        while let Some(call) = next {
+            let state = &self.calls[idx(call.0)];
+            if state.open {
+                return Some(call);
+            }
+            next = state.previous;
+        }
+        None
+    }
+}
+
+fn idx(number: u32) -> usize {
+    usize::try_from(number).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -0,0 +1,185 @@
+//! Which calls a fan-out sends, and when.
+
+use std::{mem, time::Duration};
+
+use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
+use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter};
+
+use crate::{
+    FanOutAction,
+    call_table::{CallTable, ShardPhase},
+    fan_out::{FanOut, WaitingShard},
+};
+
+/// Shortest time between two requests for a slot of one shard.
+const SLOT_POLL_MS: u64 = 1;
+
+impl FanOut {
+    pub(super) fn ask<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        shard: ShardIndex,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        if let Some(call) = self.reserve(now, router, shard) {
+            self.send(call, actions);
+        }
+    }
+
+    /// Reserves a slot at a replica not called before, or notes why there is none.
+    pub(super) fn reserve<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        shard: ShardIndex,
+    ) -> Option<CallId> {
+        let was_called = self.table.shard(shard).was_called();
+        let kind = if was_called { CallKind::Retry } else { CallKind::First };
+        match self.acquire(now, router, shard, kind) {
+            Ok(upstream) => Some(self.table.open(now, shard, upstream)),
+            Err(AcquireError::Saturated { retry_after }) => {
+                self.wait_for_slot(now, shard, retry_after);
+                None
+            }
+            Err(AcquireError::NoReplica | AcquireError::BudgetEmpty) => {
+                self.lose(shard);
+                None
+            }
+        }
+    }
+
+    fn acquire<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        shard: ShardIndex,
+        kind: CallKind,
+    ) -> Result<UpstreamId, AcquireError> {
+        let candidates = self.plan.map.replicas(shard);
+        let tried = self.table.tried(shard);
+        if candidates.len() <= tried.len() {
+            return Err(AcquireError::NoReplica);
+        }
+        router.acquire(now, candidates, tried, kind)
+    }
+
+    fn wait_for_slot(&mut self, now: TimePoint, shard: ShardIndex, retry_after: Duration) {
+        self.retry_after = self.retry_after.max(Some(retry_after));
+        let ask_at = now + retry_after.max(Duration::from_millis(SLOT_POLL_MS));
+        if self.plan.deadline <= ask_at {
+            self.lost.saturated += 1;
+            self.lose(shard);
+        } else {
+            self.waiting.push(WaitingShard { shard, ask_at });
+        }
+    }
+
+    pub(super) fn lose(&mut self, shard: ShardIndex) {
+        let state = self.table.shard_mut(shard);
+        state.phase = ShardPhase::Lost;
+        self.lost.total += 1;
+        self.lost.snapshot_missing += u32::from(state.snapshot_missing);
+    }
+
+    fn send(&self, call: CallId, actions: &mut Vec<FanOutAction>) {
+        let Some(state) = self.table.call(call) else {
+            return;
+        };
+        actions.push(FanOutAction::Send {
+            call,
+            shard: state.shard,
+            upstream: state.upstream,
+            deadline: self.plan.deadline,
+        });
+    }
+
+    pub(super) fn send_reserved(&self, actions: &mut Vec<FanOutAction>) {
+        for number in 0..self.table.call_count() {
+            self.send(CallId(number), actions);
+        }
+    }
+
+    pub(super) fn withdraw_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
+        for number in 0..self.table.call_count() {
+            if let Some(state) = self.table.close(CallId(number)) {
+                router.release(now, state.upstream, CallOutcome::Cancelled(Duration::ZERO));
+            }
+        }
+        self.table = CallTable::new(self.goal.total);
+    }
+
+    /// Asks again for the shards whose waiting time is over.
+    pub(super) fn ask_waiting<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        if self.next_ask().is_none_or(|it| now < it) {
+            return;
+        }
+        for waiting in mem::take(&mut self.waiting) {
+            if waiting.ask_at <= now {
+                self.ask(now, router, waiting.shard, actions);
+            } else {
+                self.waiting.push(waiting);
+            }
+        }
+    }
+
+    /// Returns when a slot is asked for again.
+    pub(super) fn next_ask(&self) -> Option<TimePoint> {
+        self.waiting.iter().map(|it| it.ask_at).min()
+    }
+
+    /// Asks second replicas for the shards whose only call is due for a hedge.
+    pub(super) fn hedge_due<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        while let Some(due) = self.next_hedge_time() {
+            if now < due {
+                return;
+            }
+            self.hedge(now, router, self.next_hedge, actions);
+            self.next_hedge.0 += 1;
+        }
+    }
+
+    /// Returns when the oldest open call that was not looked at yet is due for a hedge.
+    ///
+    /// Calls are numbered in the order of their send times, so that one cursor serves all.
+    pub(super) fn next_hedge_time(&mut self) -> Option<TimePoint> {
+        let delay = self.hedge_delay?;
+        while let Some(state) = self.table.call(self.next_hedge) {
+            if state.open {
+                return Some(state.sent_at + delay);
+            }
+            self.next_hedge.0 += 1;
+        }
+        None
+    }
+
+    fn hedge<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        slow: CallId,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        let Some(shard) = self.table.open_call(slow).map(|it| it.shard) else {
+            return;
+        };
+        if 1 < self.table.shard(shard).open_calls {
+            return;
+        }
+        let Ok(upstream) = self.acquire(now, router, shard, CallKind::Hedge) else {
+            return;
+        };
+        let call = self.table.open(now, shard, upstream);
+        self.send(call, actions);
+    }
+}
--- a/crates/query/src/fan_out_events.rs
+++ b/crates/query/src/fan_out_events.rs
@@ -82,6 +82,8 @@
     SnapshotGone,
     /// Every usable replica is at its limit.
     Saturated,
+    /// The caller has gone.
+    Abandoned,
 }
 
 /// The end of a fan-out.
