Add the platform stand-in: key-value service and VM list over HTTP

Cause: the store client, the configuration and the process tests need a platform to talk to.

Change: an in-memory service by hyper with compare-and-swap, leases, watches, a VM list, faults that tests steer (down, slow, lost replies, silent watches) and counters by kind of call.

--- /dev/null
+++ b/crates/standins/src/kv/kv_settings.rs
@@ -0,0 +1,34 @@
+//! Settings of the stand-in.
+
+use std::{fs, io, net::SocketAddr, path::Path};
+
+use mux_platform::VmEntry;
+use serde::Deserialize;
+
+use super::FaultPlan;
+
+/// Settings of the platform stand-in.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct KvSettings {
+    /// Address on which calls are accepted.
+    pub(crate) listen: SocketAddr,
+    /// Faults from the start.
+    #[serde(default)]
+    pub(crate) faults: FaultPlan,
+    /// VMs listed from the start.
+    #[serde(default)]
+    pub(crate) vms: Vec<VmEntry>,
+}
+
+impl KvSettings {
+    /// Reads the settings from a JSON file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be read or is malformed.
+    pub(crate) fn load(path: &Path) -> io::Result<Self> {
+        let text = fs::read_to_string(path)?;
+        serde_json::from_str(&text).map_err(io::Error::other)
+    }
+}
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -1,8 +1,74 @@
-//! The key-value service.
+//! Stand-in of the platform: the key-value service and the VM list, in memory, over HTTP/1.1.
+//!
+//! Bodies are JSON. A key consists of ASCII letters, digits and `. _ - /`.
+//!
+//! | Request | Reply |
+//! |---|---|
+//! | `GET /v1/kv/{key}` | 200 `{value, version}`, 404 |
+//! | `PUT /v1/kv/{key}` `{value, expected_version, lease?}` | 200 `{version}`, 409 `{current_version}`, 410 lease lapsed, 413 |
+//! | `DELETE /v1/kv/{key}?expected_version=` | 200 `{version}`, 409 `{current_version}` |
+//! | `GET /v1/keys?prefix=` | 200 `{keys}` |
+//! | `GET /v1/watch?key=&after=&limit_ms=` | 200 `{value, version}`, 204 when the limit is over |
+//! | `POST /v1/leases` `{ttl_ms}` | 200 `{lease}` |
+//! | `POST /v1/leases/{lease}/renew` | 200 `{lease}`, 410 |
+//! | `GET /v1/vms` | 200 `{vms}` |
+//!
+//! These steer the stand-in, and faults do not apply to them:
+//!
+//! | Request | Effect |
+//! |---|---|
+//! | `PUT /v1/vms` `{vms}` | replaces the VM list |
+//! | `PUT /v1/faults` [`FaultPlan`] | replaces the faults |
+//! | `GET /v1/counters` | 200 [`CallCounters`]; a waiting watch counts as one call |
 
-use std::{io, path::Path};
+mod call_counters;
+mod fault_plan;
+mod http_routes;
+mod kv_settings;
+mod kv_state;
 
-/// Runs until the process is ended.
-pub(crate) async fn run(settings: &Path) -> io::Result<()> {
-    Err(io::Error::other(format!("nothing to run for {}", settings.display())))
+use std::{io, path::Path, sync::Arc, time::Duration};
+
+use hyper::{server::conn::http1, service::service_fn};
+use hyper_util::rt::TokioIo;
+use mux_timer::TimerService;
+use tokio::net::TcpListener;
+
+pub(crate) use self::{
+    call_counters::CallCounters, fault_plan::FaultPlan, http_routes::HttpRoutes,
+    kv_settings::KvSettings,
+};
+
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Runs the stand-in with the settings in `path` until the process is stopped.
+///
+/// # Errors
+///
+/// Returns an error if the settings cannot be read or the address cannot be bound.
+pub(crate) async fn run(path: &Path) -> io::Result<()> {
+    let settings = KvSettings::load(path)?;
+    let listener = TcpListener::bind(settings.listen).await?;
+    println!("kv: listening on {}", listener.local_addr()?);
+    serve(listener, settings).await
+}
+
+/// Serves calls on `listener` until accepting fails.
+///
+/// # Errors
+///
+/// Returns the error with which accepting a connection failed.
+pub(crate) async fn serve(listener: TcpListener, settings: KvSettings) -> io::Result<()> {
+    let timer = TimerService::start(PAUSE_LIMIT);
+    let routes = Arc::new(HttpRoutes::new(timer, settings));
+    loop {
+        let (stream, _) = listener.accept().await?;
+        stream.set_nodelay(true)?;
+        let routes = Arc::clone(&routes);
+        let service = service_fn(move |request| {
+            let routes = Arc::clone(&routes);
+            async move { routes.answer(request).await }
+        });
+        tokio::spawn(http1::Builder::new().serve_connection(TokioIo::new(stream), service));
+    }
 }
