Add gossip membership of nodes

Nodes need to know one another without a coordination service, so membership is by probing and gossip over UDP. The decisions are a state machine without sockets or clocks; a thin service puts it on a socket.

--- /dev/null
+++ b/crates/membership/src/codec.rs
@@ -0,0 +1,62 @@
+//! Encoding of messages as datagrams.
+
+use serde::Serialize;
+
+use crate::{errors::CodecError, message::GossipMessage};
+
+/// Longest datagram that is sent.
+pub(crate) const DATAGRAM_LIMIT_BYTES: usize = 1_200;
+
+const PROTOCOL_VERSION: u8 = 1;
+const FRAME_BYTES: usize = 5;
+const FNV_OFFSET: u32 = 0x811c_9dc5;
+const FNV_PRIME: u32 = 0x0100_0193;
+
+/// Encodes and decodes the datagrams of one cluster.
+#[derive(Debug)]
+pub(crate) struct GossipCodec {
+    frame: [u8; FRAME_BYTES],
+}
+
+impl GossipCodec {
+    /// Creates the codec of the cluster named `cluster`.
+    pub(crate) fn new(cluster: &str) -> Self {
+        let [a, b, c, d] = stable_hash(cluster.as_bytes()).to_le_bytes();
+        Self { frame: [PROTOCOL_VERSION, a, b, c, d] }
+    }
+
+    /// Encodes `message`; returns `None` if it cannot be represented.
+    pub(crate) fn encode(&self, message: &GossipMessage) -> Option<Vec<u8>> {
+        let bytes = Vec::with_capacity(DATAGRAM_LIMIT_BYTES);
+        let bytes = postcard::to_extend(&self.frame, bytes).ok()?;
+        postcard::to_extend(message, bytes).ok()
+    }
+
+    /// Decodes a datagram.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the datagram is to be dropped.
+    pub(crate) fn decode(&self, bytes: &[u8]) -> Result<GossipMessage, CodecError> {
+        let Some((frame, rest)) = bytes.split_first_chunk::<FRAME_BYTES>() else {
+            return Err(CodecError::Malformed);
+        };
+        if *frame != self.frame {
+            return Err(CodecError::Stranger);
+        }
+        match postcard::take_from_bytes(rest) {
+            Ok((message, [])) => Ok(message),
+            _ => Err(CodecError::Malformed),
+        }
+    }
+}
+
+/// Returns the encoded length of `value` in bytes.
+pub(crate) fn encoded_len<T: Serialize>(value: &T) -> usize {
+    postcard::experimental::serialized_size(value).unwrap_or(DATAGRAM_LIMIT_BYTES)
+}
+
+/// Returns a hash that is the same in every build.
+pub(crate) fn stable_hash(bytes: &[u8]) -> u32 {
+    bytes.iter().fold(FNV_OFFSET, |hash, it| (hash ^ u32::from(*it)).wrapping_mul(FNV_PRIME))
+}
--- /dev/null
+++ b/crates/membership/src/gossip_counters.rs
@@ -0,0 +1,76 @@
+//! Counts of gossip traffic.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Counters that grow for as long as the process lives.
+#[derive(Debug, Default)]
+pub struct GossipCounters {
+    datagrams_in: AtomicU64,
+    datagrams_out: AtomicU64,
+    bytes_in: AtomicU64,
+    bytes_out: AtomicU64,
+    send_failures: AtomicU64,
+    events_lost: AtomicU64,
+}
+
+/// The values of [`GossipCounters`] at one moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CounterReading {
+    /// Datagrams received.
+    pub datagrams_in: u64,
+    /// Datagrams sent.
+    pub datagrams_out: u64,
+    /// Payload bytes received, without IP and UDP headers.
+    pub bytes_in: u64,
+    /// Payload bytes sent, without IP and UDP headers.
+    pub bytes_out: u64,
+    /// Datagrams that the socket did not take.
+    pub send_failures: u64,
+    /// Datagrams that were malformed.
+    pub malformed: u64,
+    /// Datagrams of another cluster or protocol version.
+    pub strangers: u64,
+    /// Events dropped because the receiver did not keep up.
+    pub events_lost: u64,
+}
+
+impl GossipCounters {
+    /// Counts a datagram received.
+    pub(crate) fn count_received(&self, len: usize) {
+        add(&self.datagrams_in, 1);
+        add(&self.bytes_in, len);
+    }
+
+    /// Counts a datagram sent.
+    pub(crate) fn count_sent(&self, len: usize) {
+        add(&self.datagrams_out, 1);
+        add(&self.bytes_out, len);
+    }
+
+    /// Counts a datagram that the socket did not take.
+    pub(crate) fn count_send_failure(&self) {
+        add(&self.send_failures, 1);
+    }
+
+    /// Counts an event that was dropped.
+    pub(crate) fn count_event_lost(&self) {
+        add(&self.events_lost, 1);
+    }
+
+    /// Returns the values; the machine's own counts are left at zero.
+    pub(crate) fn read(&self) -> CounterReading {
+        CounterReading {
+            datagrams_in: self.datagrams_in.load(Ordering::Relaxed),
+            datagrams_out: self.datagrams_out.load(Ordering::Relaxed),
+            bytes_in: self.bytes_in.load(Ordering::Relaxed),
+            bytes_out: self.bytes_out.load(Ordering::Relaxed),
+            send_failures: self.send_failures.load(Ordering::Relaxed),
+            events_lost: self.events_lost.load(Ordering::Relaxed),
+            ..CounterReading::default()
+        }
+    }
+}
+
+fn add(counter: &AtomicU64, count: usize) {
+    counter.fetch_add(count as u64, Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/membership/src/gossip_machine.rs
@@ -0,0 +1,296 @@
+//! The gossip protocol as a state machine.
+
+mod probing;
+mod receiving;
+mod spreading;
+mod syncing;
+
+use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
+
+use mux_model::{FastSet, NodeId, NodeIncarnation, RevisionNumber, TimePoint, UpstreamId};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    CounterReading, GossipAction, GossipEvent, GossipSettings, MemberRecord, MemberState,
+    MemberView, NodeIdentity, UpstreamNote,
+    codec::GossipCodec,
+    member_table::{MemberTable, TableChange},
+    message::{GossipBody, MemberClaim},
+    note_table::NoteTable,
+    probe_book::ProbeBook,
+    retransmit_queue::RetransmitQueue,
+    revision_spread::RevisionSpread,
+    sync_cycle::SyncCycle,
+};
+
+const HOUSEKEEPING_PERIOD: Duration = Duration::from_secs(10);
+
+/// One node's part in the gossip protocol.
+///
+/// The machine opens no socket and reads no clock: it receives datagrams and the current time, and
+/// returns datagrams to send and events for the rest of the node.
+#[derive(Debug)]
+pub struct GossipMachine {
+    settings: GossipSettings,
+    codec: GossipCodec,
+    rng: StdRng,
+    local: MemberRecord,
+    started_at: TimePoint,
+    table: MemberTable,
+    probes: ProbeBook,
+    sync: SyncCycle,
+    spread: RevisionSpread,
+    notes: NoteTable,
+    member_news: RetransmitQueue<MemberNews>,
+    note_news: RetransmitQueue<UpstreamId>,
+    report_ring: Vec<NodeId>,
+    /// Claims that are put to the member itself before they are believed.
+    doubts: VecDeque<MemberClaim>,
+    view: Arc<MemberView>,
+    view_outdated: bool,
+    push_notes: bool,
+    verified: bool,
+    last_contact: TimePoint,
+    last_tick: TimePoint,
+    next_probe: TimePoint,
+    next_inquiry: TimePoint,
+    next_doubt: TimePoint,
+    next_refutation: TimePoint,
+    next_housekeeping: TimePoint,
+    /// Until this moment, claims against members are put to them before they are believed.
+    reunion_until: TimePoint,
+    malformed: u64,
+    strangers: u64,
+}
+
+/// A member about whom others are told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum MemberNews {
+    /// The full record, because others may not know the member.
+    Record(NodeId),
+    /// State and incarnation only.
+    Claim(NodeId),
+}
+
+impl GossipMachine {
+    /// Creates the machine of a node that starts at `now`.
+    ///
+    /// `run` must be higher than that of any earlier process with the same name, for example the
+    /// Unix time in milliseconds. `seed` seeds the machine's random choices.
+    pub fn new(
+        settings: GossipSettings,
+        identity: NodeIdentity,
+        run: NodeIncarnation,
+        now: TimePoint,
+        seed: u64,
+    ) -> Self {
+        let codec = GossipCodec::new(&settings.cluster);
+        let local = MemberRecord::starting(identity, run);
+        let mut machine = Self {
+            codec,
+            rng: StdRng::seed_from_u64(seed),
+            local,
+            started_at: now,
+            table: MemberTable::default(),
+            probes: ProbeBook::default(),
+            sync: SyncCycle::default(),
+            spread: RevisionSpread::default(),
+            notes: NoteTable::default(),
+            member_news: RetransmitQueue::default(),
+            note_news: RetransmitQueue::default(),
+            report_ring: Vec::new(),
+            doubts: VecDeque::new(),
+            view: Arc::default(),
+            view_outdated: true,
+            push_notes: false,
+            verified: false,
+            last_contact: now,
+            last_tick: now,
+            next_probe: now,
+            next_inquiry: now,
+            next_doubt: now,
+            next_refutation: now,
+            next_housekeeping: now,
+            reunion_until: now,
+            malformed: 0,
+            strangers: 0,
+            settings,
+        };
+        machine.member_news.push(MemberNews::Record(machine.local.node().clone()));
+        machine
+    }
+
+    /// Sets the addresses that are asked for members, and asks them.
+    ///
+    /// The addresses may be outdated; the caller repeats the call when its list changes.
+    pub fn join(&mut self, now: TimePoint, seeds: &[SocketAddr], actions: &mut Vec<GossipAction>) {
+        self.sync.set_seeds(now, seeds);
+        self.ask_seeds(now, actions);
+    }
+
+    /// Announces a planned stop; the node stays a member until [`Self::depart`].
+    pub fn leave(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        if self.local.state != MemberState::Alive {
+            return;
+        }
+        self.local.state = MemberState::Leaving;
+        self.tell_about_local(now, actions);
+    }
+
+    /// Tells the members that this node, which announced its stop, is gone.
+    pub fn depart(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        self.local.state = MemberState::Dead;
+        self.tell_about_local(now, actions);
+    }
+
+    /// Sets the revision that this node has applied, and tells a few members; lower ones are
+    /// ignored.
+    pub fn set_revision(
+        &mut self,
+        now: TimePoint,
+        revision: RevisionNumber,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if revision <= self.local.revision {
+            return;
+        }
+        self.local.revision = revision;
+        self.view_outdated = true;
+        self.adopt_pending(now, actions);
+        self.push_news(now, actions);
+    }
+
+    /// Announces a revision that this node has applied; the members acknowledge it to this node.
+    pub fn announce_revision(
+        &mut self,
+        now: TimePoint,
+        revision: RevisionNumber,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        self.start_announcement(now, revision);
+        self.local.revision = self.local.revision.max(revision);
+        self.view_outdated = true;
+        self.push_news(now, actions);
+    }
+
+    /// Sets the number of queries in flight that this node reports.
+    pub fn set_load(&mut self, load: u16) {
+        self.local.load = load;
+    }
+
+    /// Tells all members that `upstream` started or stopped draining, unless that is known.
+    pub fn note_upstream(&mut self, now: TimePoint, upstream: UpstreamId, draining: bool) {
+        let known = self.notes.get(upstream);
+        if known.is_some_and(|it| it.draining == draining) {
+            return;
+        }
+        let after_known = known.map_or(0, |it| it.version + 1);
+        let version = after_known.max(self.unix_ms(now));
+        self.spread_note(now, UpstreamNote { upstream, draining, version });
+    }
+
+    /// Returns the notes on upstreams that are in force.
+    pub fn upstream_notes(&self) -> Vec<UpstreamNote> {
+        self.notes.iter().copied().collect()
+    }
+
+    /// Processes a datagram; malformed ones and those of strangers are counted and dropped.
+    pub fn on_datagram(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        bytes: &[u8],
+        actions: &mut Vec<GossipAction>,
+    ) {
+        match self.codec.decode(bytes) {
+            Ok(message) => self.receive(now, from, message, actions),
+            Err(error) => self.count_dropped(error),
+        }
+    }
+
+    /// Does what has become due; to be called about every 100 ms.
+    pub fn on_tick(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        if self.settings.pause_limit < now.since(self.last_tick) {
+            self.on_pause(now, actions);
+        }
+        self.last_tick = now;
+        self.end_probes(now, actions);
+        self.start_probes(now, actions);
+        self.sweep_suspects(now, actions);
+        self.tick_sync(now, actions);
+        self.tick_news(now, actions);
+        self.tick_housekeeping(now);
+    }
+
+    /// Handles a pause of this process: others are not held responsible for its length, and the
+    /// members are unverified until one of them answers.
+    pub fn on_pause(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        self.last_tick = now;
+        self.verified = false;
+        self.view_outdated = true;
+        self.probes.cancel_all();
+        self.table.restart_suspicions(now);
+        self.inquire_at_random(now, actions);
+    }
+
+    /// Returns the members; cheap unless something changed.
+    pub fn members(&mut self) -> Arc<MemberView> {
+        if self.view_outdated {
+            self.view = Arc::new(self.build_view());
+            self.view_outdated = false;
+        }
+        Arc::clone(&self.view)
+    }
+
+    /// Returns the records of all known members, this node included, for an exchange over TCP.
+    pub fn export(&self) -> Vec<MemberRecord> {
+        self.table.iter().map(|it| &it.record).chain([&self.local]).cloned().collect()
+    }
+
+    /// Merges the records that another member exported.
+    pub fn import(
+        &mut self,
+        now: TimePoint,
+        records: &[MemberRecord],
+        actions: &mut Vec<GossipAction>,
+    ) {
+        self.merge_page(now, records, actions);
+    }
+
+    /// Adds the machine's counts of dropped datagrams to `reading`.
+    pub fn add_counts(&self, reading: &mut CounterReading) {
+        reading.malformed += self.malformed;
+        reading.strangers += self.strangers;
+    }
+
+    fn build_view(&self) -> MemberView {
+        let records = self.table.live().map(|it| &it.record);
+        let mut members: Vec<_> = records.chain([&self.local]).cloned().collect();
+        members.sort_unstable_by(|lhs, rhs| lhs.node().cmp(rhs.node()));
+        MemberView { members, verified: self.verified, last_contact: self.last_contact }
+    }
+
+    fn tick_housekeeping(&mut self, now: TimePoint) {
+        if now < self.next_housekeeping {
+            return;
+        }
+        self.next_housekeeping = now + HOUSEKEEPING_PERIOD;
+        self.notes.expire(now, self.settings.note_retention);
+        let retention = self.settings.dead_retention;
+        self.table.forget(|it| retention <= now.since(it.since));
+    }
+
+    fn unix_ms(&self, now: TimePoint) -> u64 {
+        let elapsed = now.since(self.started_at).as_millis();
+        self.local.run.0.saturating_add(u64::try_from(elapsed).unwrap_or(u64::MAX))
+    }
+
+    fn member_count(&self) -> usize {
+        self.table.live_count() + 1
+    }
+}
+
+/// Appends `event` to `actions`.
+fn emit(event: GossipEvent, actions: &mut Vec<GossipAction>) {
+    actions.push(GossipAction::Event(event));
+}
--- /dev/null
+++ b/crates/membership/src/gossip_machine/probing.rs
@@ -0,0 +1,208 @@
+//! Probes, suspicion and removal.
+
+use std::{net::SocketAddr, time::Duration};
+
+use mux_model::{NodeId, TimePoint};
+use rand::seq::IteratorRandom;
+
+use super::*;
+use crate::{
+    member_table::claim_of,
+    probe_book::{IndirectProbe, Probe, ProbeKind},
+};
+
+const INQUIRY_PERIOD_MIN: Duration = Duration::from_secs(2);
+const INQUIRY_PERIOD_PER_MEMBER: Duration = Duration::from_millis(50);
+const DOUBT_PERIOD: Duration = Duration::from_millis(200);
+const ISOLATED_SUSPICION_LIMIT: Duration = Duration::from_secs(60);
+const REUNION_PERIOD: Duration = Duration::from_secs(15);
+
+impl GossipMachine {
+    /// Handles the probes whose direct answer or whole period is overdue.
+    pub(super) fn end_probes(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        for probe in self.probes.take_indirect(now) {
+            self.probe_indirectly(now, &probe, actions);
+        }
+        for probe in self.probes.take_expired(now) {
+            self.on_probe_failed(now, &probe, actions);
+        }
+    }
+
+    /// Sends the probes that are due.
+    pub(super) fn start_probes(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        if self.next_probe <= now {
+            self.next_probe = now + self.settings.probe_period;
+            self.probe_next(now, actions);
+        }
+        if self.next_inquiry <= now {
+            let count = u32::try_from(self.member_count()).unwrap_or(u32::MAX);
+            let period = INQUIRY_PERIOD_PER_MEMBER.saturating_mul(count).max(INQUIRY_PERIOD_MIN);
+            self.next_inquiry = now + period;
+            self.inquire_of_dead(now, actions);
+        }
+        if self.next_doubt <= now && !self.doubts.is_empty() {
+            self.next_doubt = now + DOUBT_PERIOD;
+            self.check_doubt(now, actions);
+        }
+    }
+
+    /// Probes a few live members, to verify that this node's view still holds.
+    pub(super) fn inquire_at_random(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        for (node, peer) in self.random_members(self.settings.fanout, None) {
+            self.send_ping(now, ProbeKind::Inquiry, (node, peer), None, actions);
+        }
+    }
+
+    /// Sends a probe; `claim` is put to the target, or else what the table holds against it.
+    pub(super) fn send_ping(
+        &mut self,
+        now: TimePoint,
+        kind: ProbeKind,
+        target: (NodeId, SocketAddr),
+        claim: Option<MemberClaim>,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let (node, peer) = target.clone();
+        let claim = claim.or_else(|| self.charge_against(&node));
+        let (ack_timeout, period) = (self.settings.ack_timeout, self.settings.probe_period);
+        let sequence = self.probes.start(now, kind, target, ack_timeout, period);
+        self.send(now, peer, GossipBody::Ping { sequence, target: node }, claim, actions);
+    }
+
+    /// Handles the answer to a probe.
+    pub(super) fn on_ack(
+        &mut self,
+        now: TimePoint,
+        sequence: u32,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let Some(probe) = self.probes.complete(sequence) else {
+            return;
+        };
+        if let ProbeKind::Relay { peer, sequence } = probe.kind {
+            self.send(now, peer, GossipBody::IndirectAck { sequence }, None, actions);
+        }
+        self.on_contact(now, actions);
+    }
+
+    /// Removes the members whose suspicion has lasted long enough.
+    pub(super) fn sweep_suspects(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        if !self.verified {
+            return;
+        }
+        let timeout = self.settings.suspicion_timeout(self.member_count());
+        let suspects = self.table.iter().filter(|it| it.record.state == MemberState::Suspect);
+        let overdue = suspects.filter(|it| {
+            let limit = match it.since < self.last_contact {
+                true => timeout,
+                false => timeout.max(ISOLATED_SUSPICION_LIMIT),
+            };
+            limit <= now.since(it.since)
+        });
+        let overdue: Vec<_> = overdue.map(|it| it.record.node().clone()).collect();
+        for node in overdue {
+            let change = self.table.bury(now, &node);
+            self.on_change(now, &node, change, actions);
+        }
+    }
+
+    /// Returns the claim that this node's table holds against a member.
+    pub(super) fn charge_against(&self, node: &NodeId) -> Option<MemberClaim> {
+        let entry = self.table.get(node)?;
+        (MemberState::Suspect <= entry.record.state).then(|| claim_of(&entry.record))
+    }
+
+    /// Puts claims against members to them before they are believed, for a while.
+    pub(super) fn start_reunion(&mut self, now: TimePoint) {
+        self.reunion_until = now + REUNION_PERIOD;
+    }
+
+    /// Returns up to `amount` random live members, without `except`.
+    pub(super) fn random_members(
+        &mut self,
+        amount: usize,
+        except: Option<&NodeId>,
+    ) -> Vec<(NodeId, SocketAddr)> {
+        let live = self.table.live().map(|it| &it.record.identity);
+        let others = live.filter(|it| Some(&it.node) != except);
+        let sample = others.sample(&mut self.rng, amount);
+        sample.into_iter().map(|it| (it.node.clone(), it.peer)).collect()
+    }
+
+    fn probe_next(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        let Some(target) = self.probes.next_target(&self.table, &mut self.rng) else {
+            return;
+        };
+        self.send_ping(now, ProbeKind::Verdict, target, None, actions);
+    }
+
+    fn probe_indirectly(
+        &mut self,
+        now: TimePoint,
+        probe: &IndirectProbe,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        for (_, peer) in self.random_members(self.settings.indirect_probes, Some(&probe.target)) {
+            let body = GossipBody::PingRequest {
+                sequence: probe.sequence,
+                target: probe.target.clone(),
+                peer: probe.peer,
+            };
+            self.send(now, peer, body, None, actions);
+        }
+    }
+
+    fn inquire_of_dead(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        let dead = self.table.iter().filter(|it| it.record.state == MemberState::Dead);
+        let Some(entry) = dead.choose(&mut self.rng) else {
+            return;
+        };
+        let target = (entry.record.node().clone(), entry.record.identity.peer);
+        self.send_ping(now, ProbeKind::Inquiry, target, None, actions);
+    }
+
+    fn check_doubt(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        let Some(claim) = self.doubts.pop_front() else {
+            return;
+        };
+        let Some(entry) = self.table.live_entry(&claim.node) else {
+            return;
+        };
+        if claim.incarnation < entry.record.incarnation || self.probes.is_probing(&claim.node) {
+            return;
+        }
+        let target = (claim.node.clone(), entry.record.identity.peer);
+        self.send_ping(now, ProbeKind::Verdict, target, Some(claim), actions);
+    }
+
+    fn on_probe_failed(&mut self, now: TimePoint, probe: &Probe, actions: &mut Vec<GossipAction>) {
+        if probe.kind != ProbeKind::Verdict {
+            return;
+        }
+        let change = self.table.suspect(now, &probe.target);
+        self.on_change(now, &probe.target, change, actions);
+    }
+
+    fn on_contact(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        let silence = now.since(self.last_contact);
+        let isolated = !self.verified || self.settings.probe_period * 4 < silence;
+        if isolated {
+            self.absolve_suspects(now, actions);
+            self.start_reunion(now);
+        }
+        self.verified = true;
+        self.last_contact = now;
+        self.view_outdated = true;
+    }
+
+    /// Takes back the suspicions that this node raised while it reached nobody.
+    fn absolve_suspects(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
+        let last_contact = self.last_contact;
+        let raised = self.table.iter().filter(|it| it.suspected_here && last_contact < it.since);
+        let nodes: Vec<_> = raised.map(|it| it.record.node().clone()).collect();
+        for node in nodes {
+            let change = self.table.absolve(now, &node);
+            self.on_change(now, &node, change, actions);
+        }
+    }
+}
--- /dev/null
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -0,0 +1,330 @@
+//! Processing of received messages.
+
+use std::net::SocketAddr;
+
+use mux_model::{NodeId, TimePoint};
+
+use super::*;
+use crate::{
+    errors::CodecError,
+    member_table::{claim_of, report_key},
+    message::{GossipMessage, MemberReport, SenderHeader},
+    probe_book::ProbeKind,
+};
+
+const DOUBTS_MAX: usize = 512;
+const REFUTATION_PERIOD: Duration = Duration::from_millis(200);
+
+/// How far a claim against a member is believed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ClaimSource {
+    /// The member itself.
+    Member,
+    /// A member in good standing.
+    Peer,
+    /// A sender that may have been cut off until now.
+    Doubtful,
+}
+
+impl GossipMachine {
+    /// Processes a message.
+    pub(super) fn receive(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        message: GossipMessage,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let source = self.judge_source(now, &message.sender.node);
+        for record in &message.records {
+            self.on_record(now, record, source, actions);
+        }
+        self.on_sender(now, from, &message.sender, actions);
+        for claim in &message.claims {
+            self.on_claim(now, claim, source, actions);
+        }
+        for report in &message.reports {
+            self.on_report(report, actions);
+        }
+        for note in &message.notes {
+            self.on_note(now, *note, actions);
+        }
+        if let Some(announcement) = message.announcement {
+            self.on_announcement(now, from, announcement, actions);
+        }
+        self.on_body(now, from, &message.sender, message.body, actions);
+    }
+
+    /// Counts a datagram that was dropped.
+    pub(super) fn count_dropped(&mut self, error: CodecError) {
+        match error {
+            CodecError::Malformed => self.malformed += 1,
+            CodecError::Stranger => self.strangers += 1,
+        }
+    }
+
+    /// Merges a record received from `source`.
+    pub(super) fn on_record(
+        &mut self,
+        now: TimePoint,
+        record: &MemberRecord,
+        source: ClaimSource,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if record.node() == self.local.node() {
+            self.on_own_record(now, record, actions);
+            return;
+        }
+        let known_run = self.table.get(record.node()).map(|it| it.record.run);
+        if known_run == Some(record.run) {
+            self.on_claim(now, &claim_of(record), source, actions);
+            self.on_report(&report_of(record), actions);
+            return;
+        }
+        let change = self.table.apply_record(now, record);
+        self.on_change(now, record.node(), change, actions);
+    }
+
+    /// Publishes a change of the table and passes it on.
+    pub(super) fn on_change(
+        &mut self,
+        now: TimePoint,
+        node: &NodeId,
+        change: TableChange,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if change == TableChange::Unchanged {
+            return;
+        }
+        let Some(entry) = self.table.get(node) else {
+            return;
+        };
+        let member = entry.record.clone();
+        self.view_outdated = true;
+        let news = match change {
+            TableChange::Up => MemberNews::Record(node.clone()),
+            _ => MemberNews::Claim(node.clone()),
+        };
+        self.queue_member(news);
+        if change == TableChange::Back {
+            self.start_reunion(now);
+        }
+        let event = match change {
+            TableChange::Up | TableChange::Back => GossipEvent::MemberUp { member },
+            TableChange::Down => GossipEvent::MemberDown { member },
+            _ => GossipEvent::MemberChanged { member },
+        };
+        emit(event, actions);
+    }
+
+    fn judge_source(&self, now: TimePoint, sender: &NodeId) -> ClaimSource {
+        let in_good_standing = self.table.get(sender).is_some_and(|it| {
+            it.record.state < MemberState::Suspect
+        });
+        match in_good_standing && self.reunion_until <= now {
+            true => ClaimSource::Peer,
+            false => ClaimSource::Doubtful,
+        }
+    }
+
+    fn on_sender(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        sender: &SenderHeader,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if sender.node == *self.local.node() {
+            return;
+        }
+        let Some(entry) = self.table.get(&sender.node) else {
+            self.start_sync(now, from, actions);
+            return;
+        };
+        let known = &entry.record;
+        if known.run != sender.run {
+            if known.incarnation < sender.incarnation {
+                self.start_sync(now, from, actions);
+            }
+            return;
+        }
+        let was_dead = known.state == MemberState::Dead;
+        self.on_claim(now, &claim_of_sender(sender), ClaimSource::Member, actions);
+        self.on_report(&report_of_sender(sender), actions);
+        self.offer_revision(sender, from, actions);
+        if was_dead && self.table.live_entry(&sender.node).is_some() {
+            self.start_sync(now, from, actions);
+        }
+    }
+
+    fn offer_revision(
+        &self,
+        sender: &SenderHeader,
+        peer: SocketAddr,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if sender.revision <= self.local.revision {
+            return;
+        }
+        let (node, revision) = (sender.node.clone(), sender.revision);
+        emit(GossipEvent::PeerHeard { node, peer, revision }, actions);
+    }
+
+    fn on_claim(
+        &mut self,
+        now: TimePoint,
+        claim: &MemberClaim,
+        source: ClaimSource,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        if claim.node == *self.local.node() {
+            self.refute(now, claim, actions);
+            return;
+        }
+        let Some(entry) = self.table.get(&claim.node) else {
+            return;
+        };
+        let held = (entry.record.incarnation, entry.record.state);
+        if (claim.incarnation, claim.state) <= held {
+            return;
+        }
+        let Some(state) = believed_state(held.1, claim.state, source) else {
+            self.doubt(claim.clone());
+            return;
+        };
+        let claim = MemberClaim { state, ..claim.clone() };
+        let change = self.table.apply_claim(now, &claim);
+        self.on_change(now, &claim.node, change, actions);
+    }
+
+    fn doubt(&mut self, claim: MemberClaim) {
+        let known = self.doubts.iter().any(|it| it.node == claim.node);
+        if !known && self.doubts.len() < DOUBTS_MAX {
+            self.doubts.push_back(claim);
+        }
+    }
+
+    fn on_report(&mut self, report: &MemberReport, actions: &mut Vec<GossipAction>) {
+        let rose = self.table.apply_report(report);
+        self.view_outdated = true;
+        if let Some((node, revision)) = rose {
+            emit(GossipEvent::RevisionAcked { node, revision }, actions);
+        }
+    }
+
+    fn on_own_record(
+        &mut self,
+        now: TimePoint,
+        record: &MemberRecord,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let other_runs = self.local.run < record.run && record.state != MemberState::Dead;
+        if other_runs {
+            emit(GossipEvent::NameConflict { other: record.clone() }, actions);
+        }
+        self.refute(now, &claim_of(record), actions);
+    }
+
+    /// Takes a higher incarnation if `claim` would replace what this node says about itself.
+    fn refute(&mut self, now: TimePoint, claim: &MemberClaim, actions: &mut Vec<GossipAction>) {
+        let own = (self.local.incarnation, self.local.state);
+        if self.local.state == MemberState::Dead || (claim.incarnation, claim.state) <= own {
+            return;
+        }
+        self.local.incarnation.0 = claim.incarnation.0 + 1;
+        if now < self.next_refutation {
+            self.queue_member(MemberNews::Claim(claim.node.clone()));
+            return;
+        }
+        self.next_refutation = now + REFUTATION_PERIOD;
+        self.tell_about_local(now, actions);
+    }
+
+    fn on_body(
+        &mut self,
+        now: TimePoint,
+        from: SocketAddr,
+        sender: &SenderHeader,
+        body: GossipBody,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        match body {
+            GossipBody::Ping { sequence, target } => {
+                if target == *self.local.node() {
+                    let correction = self.correction_for(sender);
+                    self.send(now, from, GossipBody::Ack { sequence }, correction, actions);
+                }
+            }
+            GossipBody::Ack { sequence } | GossipBody::IndirectAck { sequence } => {
+                self.on_ack(now, sequence, actions);
+            }
+            GossipBody::PingRequest { sequence, target, peer } => {
+                let kind = ProbeKind::Relay { peer: from, sequence };
+                self.send_ping(now, kind, (target, peer), None, actions);
+            }
+            GossipBody::SyncRequest { digest, after } => {
+                self.on_sync_request(now, from, digest, after.as_ref(), actions);
+            }
+            GossipBody::SyncPage { members, last } => {
+                self.on_sync_page(now, from, &members, last, actions);
+            }
+            GossipBody::RevisionAck { revision } => {
+                let body = GossipBody::RevisionAckSeen { revision };
+                self.send(now, from, body, None, actions);
+            }
+            GossipBody::RevisionAckSeen { revision } => self.spread.confirm_ack(revision),
+            GossipBody::News => {}
+        }
+    }
+
+    /// Returns what this node holds about the sender if that outranks the sender's own word.
+    fn correction_for(&self, sender: &SenderHeader) -> Option<MemberClaim> {
+        let entry = self.table.get(&sender.node)?;
+        let held = claim_of(&entry.record);
+        let outranks = (sender.incarnation, sender.state) < (held.incarnation, held.state);
+        outranks.then_some(held)
+    }
+}
+
+/// Returns the state in which a member is held after a claim that outranks the held state; `None`
+/// if the claim is to be put to the member first.
+fn believed_state(
+    held: MemberState,
+    claimed: MemberState,
+    source: ClaimSource,
+) -> Option<MemberState> {
+    let accuses = MemberState::Suspect <= claimed;
+    match source {
+        ClaimSource::Member => Some(claimed),
+        _ if !accuses => Some(claimed),
+        ClaimSource::Doubtful => None,
+        ClaimSource::Peer if held == MemberState::Alive => Some(MemberState::Suspect),
+        ClaimSource::Peer => Some(claimed),
+    }
+}
+
+fn claim_of_sender(sender: &SenderHeader) -> MemberClaim {
+    MemberClaim {
+        node: sender.node.clone(),
+        incarnation: sender.incarnation,
+        state: sender.state,
+    }
+}
+
+fn report_of_sender(sender: &SenderHeader) -> MemberReport {
+    MemberReport {
+        key: report_key(&sender.node, sender.run),
+        report: sender.report,
+        revision: sender.revision,
+        load: sender.load,
+    }
+}
+
+fn report_of(record: &MemberRecord) -> MemberReport {
+    MemberReport {
+        key: report_key(record.node(), record.run),
+        report: record.report,
+        revision: record.revision,
+        load: record.load,
+    }
+}
--- /dev/null
+++ b/crates/membership/src/gossip_service.rs
@@ -0,0 +1,283 @@
+//! The gossip machine on a UDP socket.
+
+use std::{
+    io,
+    net::{SocketAddr, UdpSocket},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, Weak},
+    time::Duration,
+};
+
+use mux_model::{NodeIncarnation, RevisionNumber, TimePoint, UpstreamId};
+use mux_timer::{TickStream, TimerService};
+use slog::{Logger, info, warn};
+use tokio::{net, sync::mpsc};
+
+use crate::{
+    CounterReading, GossipAction, GossipCounters, GossipError, GossipEvent, GossipMachine,
+    GossipSettings, MemberRecord, MemberView, NodeIdentity, UpstreamNote,
+};
+
+const TICK_PERIOD: Duration = Duration::from_millis(100);
+const WARNING_PERIOD: Duration = Duration::from_secs(10);
+const EVENT_CAPACITY: usize = 4_096;
+const RECEIVE_BUFFER_BYTES: usize = 2_048;
+
+/// Takes part in the gossip protocol for one node; clones share the same part.
+///
+/// The background task ends when the last clone is dropped.
+#[derive(Debug, Clone)]
+pub struct GossipService {
+    state: Arc<ServiceState>,
+}
+
+#[derive(Debug)]
+struct ServiceState {
+    machine: Mutex<GossipMachine>,
+    view: RwLock<Arc<MemberView>>,
+    counters: GossipCounters,
+    socket: UdpSocket,
+    local: SocketAddr,
+    events: mpsc::Sender<GossipEvent>,
+    timer: TimerService,
+    logger: Logger,
+    next_warning: Mutex<TimePoint>,
+}
+
+impl GossipService {
+    /// Binds the peer address of `identity` and starts the background task.
+    ///
+    /// A peer port of zero is replaced by the port that was bound. The receiver yields the events
+    /// for the rest of the node.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the UDP socket cannot be opened.
+    ///
+    /// # Panics
+    ///
+    /// Panics outside a tokio runtime.
+    pub fn start(
+        settings: GossipSettings,
+        mut identity: NodeIdentity,
+        run: NodeIncarnation,
+        timer: TimerService,
+        logger: Logger,
+    ) -> Result<(Self, mpsc::Receiver<GossipEvent>), GossipError> {
+        let address = identity.peer;
+        let (socket, receiver) =
+            open_sockets(address).map_err(|source| GossipError::Bind { address, source })?;
+        let local = receiver.local_addr().unwrap_or(address);
+        identity.peer = local;
+        info!(logger, "gossip: started at {}, run {}", local, run.0);
+        let seed = rand::random();
+        let machine = GossipMachine::new(settings, identity, run, timer.now(), seed);
+        let (events, event_receiver) = mpsc::channel(EVENT_CAPACITY);
+        let ticks = timer.subscribe(TICK_PERIOD);
+        let state = Arc::new(ServiceState {
+            machine: Mutex::new(machine),
+            view: RwLock::default(),
+            counters: GossipCounters::default(),
+            socket,
+            local,
+            events,
+            timer,
+            logger,
+            next_warning: Mutex::default(),
+        });
+        state.step(|_, _, _| ());
+        tokio::spawn(run_service(Arc::downgrade(&state), receiver, ticks));
+        Ok((Self { state }, event_receiver))
+    }
+
+    /// Returns the address that was bound.
+    pub fn local_address(&self) -> SocketAddr {
+        self.state.local
+    }
+
+    /// Returns the members.
+    pub fn members(&self) -> Arc<MemberView> {
+        let view = self.state.view.read().unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(&view)
+    }
+
+    /// Sets the addresses that are asked for members, and asks them.
+    pub fn join(&self, seeds: &[SocketAddr]) {
+        self.state.step(|machine, now, actions| machine.join(now, seeds, actions));
+    }
+
+    /// Announces a planned stop; the node stays a member.
+    pub fn leave(&self) {
+        self.state.step(GossipMachine::leave);
+    }
+
+    /// Tells the members that this node, which announced its stop, is gone.
+    pub fn depart(&self) {
+        self.state.step(GossipMachine::depart);
+    }
+
+    /// Sets the revision that this node has applied.
+    pub fn set_revision(&self, revision: RevisionNumber) {
+        self.state.step(|machine, now, actions| machine.set_revision(now, revision, actions));
+    }
+
+    /// Announces a revision that this node has applied and that others are to acknowledge to it.
+    pub fn announce_revision(&self, revision: RevisionNumber) {
+        self.state.step(|machine, now, actions| machine.announce_revision(now, revision, actions));
+    }
+
+    /// Sets the number of queries in flight that this node reports.
+    pub fn set_load(&self, load: u16) {
+        self.state.lock_machine().set_load(load);
+    }
+
+    /// Tells all members that `upstream` started or stopped draining, unless that is known.
+    pub fn note_upstream(&self, upstream: UpstreamId, draining: bool) {
+        self.state.step(|machine, now, _| machine.note_upstream(now, upstream, draining));
+    }
+
+    /// Returns the notes on upstreams that are in force.
+    pub fn upstream_notes(&self) -> Vec<UpstreamNote> {
+        self.state.lock_machine().upstream_notes()
+    }
+
+    /// Handles a pause of this process.
+    pub fn on_pause(&self) {
+        info!(self.state.logger, "gossip: members are unverified after a pause");
+        self.state.step(GossipMachine::on_pause);
+    }
+
+    /// Returns the records of all known members, for an exchange over TCP.
+    pub fn export(&self) -> Vec<MemberRecord> {
+        self.state.lock_machine().export()
+    }
+
+    /// Merges the records that another member exported.
+    pub fn import(&self, records: &[MemberRecord]) {
+        self.state.step(|machine, now, actions| machine.import(now, records, actions));
+    }
+
+    /// Returns the counts of traffic so far.
+    pub fn counters(&self) -> CounterReading {
+        let mut reading = self.state.counters.read();
+        self.state.lock_machine().add_counts(&mut reading);
+        reading
+    }
+}
+
+impl ServiceState {
+    /// Runs `operation` on the machine, publishes its view and carries out its actions.
+    fn step(
+        &self,
+        operation: impl FnOnce(&mut GossipMachine, TimePoint, &mut Vec<GossipAction>),
+    ) {
+        let mut actions = Vec::new();
+        let mut machine = self.lock_machine();
+        operation(&mut machine, self.timer.now(), &mut actions);
+        self.publish(machine.members());
+        drop(machine);
+        for action in actions {
+            self.carry_out(action);
+        }
+    }
+
+    fn lock_machine(&self) -> MutexGuard<'_, GossipMachine> {
+        self.machine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn publish(&self, view: Arc<MemberView>) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = view;
+    }
+
+    fn carry_out(&self, action: GossipAction) {
+        match action {
+            GossipAction::Send { to, bytes } => self.send(to, &bytes),
+            GossipAction::Event(event) => self.hand_over(event),
+        }
+    }
+
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        match self.socket.send_to(bytes, to) {
+            Ok(len) => self.counters.count_sent(len),
+            Err(error) => {
+                self.counters.count_send_failure();
+                self.warn_bounded(|logger| {
+                    warn!(logger, "gossip: cannot send to {}: {}", to, error);
+                });
+            }
+        }
+    }
+
+    fn hand_over(&self, event: GossipEvent) {
+        self.log_event(&event);
+        if self.events.try_send(event).is_err() {
+            self.counters.count_event_lost();
+            self.warn_bounded(|logger| warn!(logger, "gossip: an event was dropped"));
+        }
+    }
+
+    fn log_event(&self, event: &GossipEvent) {
+        let logger = &self.logger;
+        match event {
+            GossipEvent::MemberUp { member } => info!(logger, "gossip: {} is up", member.node()),
+            GossipEvent::MemberDown { member } => {
+                info!(logger, "gossip: {} is down", member.node());
+            }
+            GossipEvent::MemberChanged { member } => {
+                info!(logger, "gossip: {} is now {:?}", member.node(), member.state);
+            }
+            GossipEvent::NameConflict { other } => {
+                let peer = other.identity.peer;
+                self.warn_bounded(|logger| {
+                    warn!(logger, "gossip: this node's name is also in use at {}", peer);
+                });
+            }
+            _ => {}
+        }
+    }
+
+    /// Logs a warning unless one was logged a short while ago.
+    fn warn_bounded(&self, log: impl FnOnce(&Logger)) {
+        let now = self.timer.now();
+        let mut next = self.next_warning.lock().unwrap_or_else(PoisonError::into_inner);
+        if now < *next {
+            return;
+        }
+        *next = now + WARNING_PERIOD;
+        log(&self.logger);
+    }
+}
+
+/// Opens the socket and a second handle to it, which sends without waiting for readiness.
+fn open_sockets(address: SocketAddr) -> io::Result<(UdpSocket, net::UdpSocket)> {
+    let socket = UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let receiver = net::UdpSocket::from_std(socket.try_clone()?)?;
+    Ok((socket, receiver))
+}
+
+async fn run_service(state: Weak<ServiceState>, receiver: net::UdpSocket, mut ticks: TickStream) {
+    let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
+    loop {
+        let received = tokio::select! {
+            received = receiver.recv_from(&mut buffer) => Some(received),
+            _ = ticks.next() => None,
+        };
+        let Some(state) = state.upgrade() else {
+            return;
+        };
+        match received {
+            None => state.step(GossipMachine::on_tick),
+            Some(Ok((len, from))) => state.receive(from, &buffer[..len]),
+            Some(Err(error)) => {
+                state.warn_bounded(|logger| warn!(logger, "gossip: cannot receive: {}", error));
+            }
+        }
+    }
+}
+
+impl ServiceState {
+    fn receive(&self, from: SocketAddr, bytes: &[u8]) {
+        self.counters.count_received(bytes.len());
+        self.step(|machine, now, actions| machine.on_datagram(now, from, bytes, actions));
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -1,1 +1,28 @@
 //! Membership of nodes by probing and gossip.
+
+mod codec;
+mod errors;
+mod gossip_action;
+mod gossip_counters;
+mod gossip_machine;
+mod gossip_service;
+mod gossip_settings;
+mod member_record;
+mod member_table;
+mod member_view;
+mod message;
+mod note_table;
+mod probe_book;
+mod retransmit_queue;
+mod revision_spread;
+mod sync_cycle;
+
+pub use errors::GossipError;
+pub use gossip_action::{GossipAction, GossipEvent};
+pub use gossip_counters::{CounterReading, GossipCounters};
+pub use gossip_machine::GossipMachine;
+pub use gossip_service::GossipService;
+pub use gossip_settings::GossipSettings;
+pub use member_record::{MemberRecord, MemberState, NodeIdentity};
+pub use member_view::MemberView;
+pub use note_table::UpstreamNote;
