Run each request of a session at most once

Cause: a caller that repeats an order lookup, at this node or another, must not make it run again, and nodes keep nothing. Ruled out: one store write per request (the store takes several hundred writes a second); least-recently-used eviction (a forgotten session could run its request again). A session is kept until its token has expired, and a full ledger refuses new sessions as not run. Change: SessionToken names its owner and is signed with a random key of the incarnation; SessionLedger keeps a window of 64 sequences for each session, with verdicts and, within a byte limit, answers for repeats. Expiry is judged by the latest time seen under the lock, so that a thread that read the clock before a pause cannot revive a forgotten session. A token that fails the signature is answered as may-have-run: an earlier run of the node may have run its request. Conclusion: the ledger stands; killing processes is the node's test.

--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -4,8 +4,14 @@
 mod coverage_goal;
 mod fan_out;
 mod fan_out_events;
+mod ledger_shard;
+mod session_ledger;
+mod session_token;
+mod session_window;
 
 pub use fan_out::FanOut;
 pub use fan_out_events::{
     CallReply, FanOutAction, FanOutPlan, FanOutResult, FanOutStop, ShardResult,
 };
+pub use session_ledger::{BeginOutcome, LedgerLimits, RunTicket, SessionLedger};
+pub use session_token::{SessionId, SessionMint, SessionToken, TokenError};
