Call upstreams over HTTP/2 from a pool of shared connections

Cause: the query engine needs calls that can be cancelled without a new connection and whose failures say truthfully whether the request ran.

Ruled out: one exchange at a time on HTTP/1.1 connections, since a cancelled call costs its connection there and 25 connections per leaf are shared by all nodes; and claiming "not run" from a connection error, since only a request handed back by the library, REFUSED_STREAM, GOAWAY below the stream, or the upstream's own refusal is proof.

Change: UpstreamPool with call, status, set_limit, retain and report.

--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -1,5 +1,19 @@
 //! Connections to upstreams and the calls made on them.
 
+mod call_reply;
+mod call_request;
+mod dial_backoff;
+mod dial_task;
+mod pool_report;
+mod pool_settings;
+mod stream_fault;
 mod upstream_call;
+mod upstream_connection;
+mod upstream_pool;
+mod upstream_state;
+mod watched_stream;
 
+pub use pool_report::{PoolReport, UpstreamReport};
+pub use pool_settings::PoolSettings;
 pub use upstream_call::{CallHeader, HeldSnapshot, UpstreamReply, UpstreamStatus, header_names};
+pub use upstream_pool::UpstreamPool;
--- /dev/null
+++ b/crates/upstream/tests/support/leaf_server.rs
@@ -0,0 +1,162 @@
+//! An upstream whose replies follow a script.
+
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{BodyExt, StreamBody, combinators::BoxBody};
+use hyper::{
+    Request, Response,
+    body::{Frame, Incoming},
+    header::HeaderValue,
+    server::conn::http2,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioExecutor, TokioIo};
+use mux_upstream::header_names;
+use tokio::{net::TcpListener, sync::watch};
+
+type ReplyBody = BoxBody<Bytes, std::io::Error>;
+
+/// What the server does with each call.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum ScriptedReply {
+    /// Replies with this body.
+    Body(&'static str),
+    /// Replies with this body in two chunks and without a length.
+    Chunks(&'static str, &'static str),
+    /// Replies well, but with one header replaced, or removed if the value is empty.
+    Header(&'static str, &'static str),
+    /// Answers 503 with these headers.
+    Refusal(&'static [(&'static str, &'static str)]),
+    /// Never answers.
+    Hang,
+}
+
+/// Counts what the server sees.
+#[derive(Default)]
+pub(crate) struct ServerCounters {
+    pub(crate) accepted: AtomicU32,
+    pub(crate) open: AtomicU32,
+    pub(crate) begun: AtomicU32,
+    pub(crate) cancelled: AtomicU32,
+}
+
+/// HTTP/2 server on a loopback port.
+pub(crate) struct LeafServer {
+    pub(crate) address: SocketAddr,
+    pub(crate) counters: Arc<ServerCounters>,
+    script: watch::Sender<ScriptedReply>,
+}
+
+impl LeafServer {
+    pub(crate) async fn start(script: ScriptedReply) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
+        let address = listener.local_addr().expect("bound address");
+        let counters = Arc::new(ServerCounters::default());
+        let script = watch::Sender::new(script);
+        tokio::spawn(accept(listener, Arc::clone(&counters), script.subscribe()));
+        Self { address, counters, script }
+    }
+
+    pub(crate) fn set_script(&self, script: ScriptedReply) {
+        self.script.send_replace(script);
+    }
+}
+
+/// Counts one event for as long as it lives, or its end.
+struct EndCounter<F: FnMut()>(F);
+
+impl<F: FnMut()> Drop for EndCounter<F> {
+    fn drop(&mut self) {
+        (self.0)();
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    counters: Arc<ServerCounters>,
+    script: watch::Receiver<ScriptedReply>,
+) {
+    while let Ok((stream, _)) = listener.accept().await {
+        counters.accepted.fetch_add(1, Ordering::SeqCst);
+        counters.open.fetch_add(1, Ordering::SeqCst);
+        let (counters, script) = (Arc::clone(&counters), script.clone());
+        tokio::spawn(async move {
+            let _open = EndCounter(|| {
+                counters.open.fetch_sub(1, Ordering::SeqCst);
+            });
+            let service = service_fn(|request| answer(request, &counters, &script));
+            let server = http2::Builder::new(TokioExecutor::new());
+            let _ = server.serve_connection(TokioIo::new(stream), service).await;
+        });
+    }
+}
+
+fn answer(
+    request: Request<Incoming>,
+    counters: &Arc<ServerCounters>,
+    script: &watch::Receiver<ScriptedReply>,
+) -> impl Future<Output = Result<Response<ReplyBody>, Infallible>> + use<> {
+    let counters = Arc::clone(counters);
+    let script = script.borrow().clone();
+    async move {
+        counters.begun.fetch_add(1, Ordering::SeqCst);
+        if script == ScriptedReply::Hang {
+            let _cancelled = EndCounter(|| {
+                counters.cancelled.fetch_add(1, Ordering::SeqCst);
+            });
+            std::future::pending::<()>().await;
+        }
+        Ok(respond(&request, &script))
+    }
+}
+
+fn respond(request: &Request<Incoming>, script: &ScriptedReply) -> Response<ReplyBody> {
+    let body = match script {
+        ScriptedReply::Body(text) => chunks(vec![Ok(Bytes::from_static(text.as_bytes()))]),
+        ScriptedReply::Chunks(lhs, rhs) => chunks(vec![
+            Ok(Bytes::from_static(lhs.as_bytes())),
+            Ok(Bytes::from_static(rhs.as_bytes())),
+        ]),
+        _ => chunks(vec![Ok(Bytes::from_static(b"{}"))]),
+    };
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    for name in [header_names::REQUEST_ID, header_names::CALL_ID, header_names::SNAPSHOT] {
+        if let Some(value) = request.headers().get(name) {
+            headers.insert(name, value.clone());
+        }
+    }
+    headers.insert(header_names::SHARD, HeaderValue::from_static("3"));
+    headers.insert(header_names::IN_FLIGHT, HeaderValue::from_static("2"));
+    headers.insert(header_names::DRAINING, HeaderValue::from_static("true"));
+    headers.insert(header_names::NEWEST_SNAPSHOT, HeaderValue::from_static("9"));
+    match script {
+        ScriptedReply::Header(name, "") => {
+            headers.remove(*name);
+        }
+        ScriptedReply::Header(name, value) => {
+            headers.insert(*name, HeaderValue::from_static(value));
+        }
+        ScriptedReply::Refusal(refusal) => {
+            for (name, value) in *refusal {
+                headers.insert(*name, HeaderValue::from_static(value));
+            }
+            *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
+        }
+        _ => {}
+    }
+    response
+}
+
+fn chunks(chunks: Vec<std::io::Result<Bytes>>) -> ReplyBody {
+    BodyExt::boxed(StreamBody::new(stream::iter(chunks).map(|it| it.map(Frame::data))))
+}
