--- a/crates/standins/src/kv/kv_state.rs
+++ b/crates/platform/src/memory/kv_state.rs
@@ -1,16 +1,17 @@
-//! Contents of the stand-in: values, versions and leases.
+//! Values, versions and leases without any transport.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use mux_model::{FastMap, TimePoint};
-use mux_platform::{LeaseId, StoredValue, ValueVersion};
+
+use crate::{LeaseId, StoredValue, ValueVersion};
 
 /// Largest value that is accepted.
-pub(crate) const VALUE_LIMIT_BYTES: usize = 1_000_000;
+pub const VALUE_LIMIT_BYTES: usize = 1_000_000;
 
 /// Why a write was not applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum WriteRefusal {
+pub enum WriteRefusal {
     /// The key is at this version.
     Version(ValueVersion),
     /// The lease does not exist or has lapsed.
@@ -19,12 +20,12 @@
     TooLarge,
 }
 
-/// Values and leases of the stand-in.
+/// Values and leases of a key-value service; the caller owns the clock.
 ///
 /// Versions come from one counter, so that a key that is deleted and written again never shows
 /// an old version.
 #[derive(Debug, Default)]
-pub(crate) struct KvState {
+pub struct KvState {
     values: BTreeMap<String, StoredValue>,
     leases: FastMap<LeaseId, Lease>,
     last_version: u64,
@@ -39,12 +40,12 @@
 
 impl KvState {
     /// Reads a key.
-    pub(crate) fn get(&self, key: &str) -> Option<&StoredValue> {
+    pub fn get(&self, key: &str) -> Option<&StoredValue> {
         self.values.get(key)
     }
 
     /// Lists the keys that start with `prefix`.
-    pub(crate) fn keys(&self, prefix: &str) -> Vec<String> {
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
         let range = self.values.range(prefix.to_owned()..);
         range.map(|(key, _)| key).take_while(|key| key.starts_with(prefix)).cloned().collect()
     }
@@ -54,7 +55,7 @@
     /// # Errors
     ///
     /// Returns why nothing was written.
-    pub(crate) fn put(
+    pub fn put(
         &mut self,
         now: TimePoint,
         key: &str,
@@ -79,7 +80,7 @@
     /// # Errors
     ///
     /// Returns why nothing was deleted.
-    pub(crate) fn delete(
+    pub fn delete(
         &mut self,
         key: &str,
         expected: ValueVersion,
@@ -90,7 +91,7 @@
     }
 
     /// Grants a lease.
-    pub(crate) fn grant(&mut self, now: TimePoint, ttl: Duration) -> LeaseId {
+    pub fn grant(&mut self, now: TimePoint, ttl: Duration) -> LeaseId {
         self.last_lease += 1;
         let lease = LeaseId(self.last_lease);
         self.leases.insert(lease, Lease { ttl, lapses_at: now + ttl });
@@ -98,7 +99,7 @@
     }
 
     /// Renews a lease; returns whether it was still held.
-    pub(crate) fn renew(&mut self, now: TimePoint, lease: LeaseId) -> bool {
+    pub fn renew(&mut self, now: TimePoint, lease: LeaseId) -> bool {
         let Some(lease) = self.leases.get_mut(&lease) else {
             return false;
         };
--- /dev/null
+++ b/crates/platform/src/memory/memory_store.rs
@@ -0,0 +1,226 @@
+//! A store without a network, with faults that the caller injects.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use mux_model::TimePoint;
+use mux_timer::TimerService;
+use tokio::{sync::watch, task};
+
+use super::{KvState, WriteRefusal};
+use crate::{KvStore, LeaseId, StoreError, StoredValue, ValueVersion, VmList};
+
+/// In-memory [`KvStore`]; clones share the contents and the faults.
+///
+/// Each call gives way to other tasks before it takes effect, so that concurrent callers
+/// interleave even on one thread.
+#[derive(Debug, Clone)]
+pub struct MemoryStore {
+    timer: TimerService,
+    shared: Arc<SharedState>,
+}
+
+#[derive(Debug)]
+struct SharedState {
+    contents: Mutex<StoreContents>,
+    changes: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct StoreContents {
+    kv: KvState,
+    vms: VmList,
+    down: bool,
+    lost_replies: u32,
+    lost_writes: u32,
+    lost_key: Option<String>,
+    clock_advance: Duration,
+    calls: u64,
+}
+
+impl MemoryStore {
+    /// Creates an empty store.
+    pub fn new(timer: TimerService) -> Self {
+        let contents = Mutex::new(StoreContents::default());
+        let shared = SharedState { contents, changes: watch::Sender::new(0) };
+        Self { timer, shared: Arc::new(shared) }
+    }
+
+    /// Makes every call fail as unavailable, or ends that.
+    pub fn set_down(&self, down: bool) {
+        self.contents().down = down;
+        self.notify();
+    }
+
+    /// Applies the next `count` writes of `key` and reports their outcome as unknown.
+    pub fn lose_replies(&self, key: &str, count: u32) {
+        let mut contents = self.contents();
+        contents.lost_key = Some(key.to_owned());
+        contents.lost_replies = count;
+    }
+
+    /// Drops the next `count` writes of `key` and reports their outcome as unknown.
+    pub fn lose_writes(&self, key: &str, count: u32) {
+        let mut contents = self.contents();
+        contents.lost_key = Some(key.to_owned());
+        contents.lost_writes = count;
+    }
+
+    /// Moves the clock by which leases lapse.
+    pub fn advance_clock(&self, step: Duration) {
+        self.contents().clock_advance += step;
+    }
+
+    /// Replaces the VM list.
+    pub fn set_vms(&self, vms: VmList) {
+        self.contents().vms = vms;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.contents().calls
+    }
+
+    async fn begin(&self) -> Result<MutexGuard<'_, StoreContents>, StoreError> {
+        task::yield_now().await;
+        let mut contents = self.contents();
+        contents.calls += 1;
+        if contents.down {
+            return Err(unavailable());
+        }
+        Ok(contents)
+    }
+
+    async fn begin_write(&self, key: &str) -> Result<MutexGuard<'_, StoreContents>, StoreError> {
+        let mut contents = self.begin().await?;
+        if contents.lost_key.as_deref() == Some(key) && 0 < contents.lost_writes {
+            contents.lost_writes -= 1;
+            return Err(unknown());
+        }
+        Ok(contents)
+    }
+
+    fn finish_write<T>(&self, key: &str, value: T) -> Result<T, StoreError> {
+        self.notify();
+        let mut contents = self.contents();
+        if contents.lost_key.as_deref() == Some(key) && 0 < contents.lost_replies {
+            contents.lost_replies -= 1;
+            return Err(unknown());
+        }
+        Ok(value)
+    }
+
+    async fn wait_for(&self, key: &str, after: ValueVersion) -> Result<StoredValue, StoreError> {
+        let mut changes = self.shared.changes.subscribe();
+        loop {
+            changes.borrow_and_update();
+            if let Some(stored) = self.newer_value(key, after)? {
+                return Ok(stored);
+            }
+            changes.changed().await.map_err(|_| unavailable())?;
+        }
+    }
+
+    fn newer_value(
+        &self,
+        key: &str,
+        after: ValueVersion,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        let contents = self.contents();
+        if contents.down {
+            return Err(unavailable());
+        }
+        Ok(contents.kv.get(key).filter(|it| after < it.version).cloned())
+    }
+
+    fn lease_time(&self, contents: &StoreContents) -> TimePoint {
+        self.timer.now() + contents.clock_advance
+    }
+
+    fn contents(&self) -> MutexGuard<'_, StoreContents> {
+        self.shared.contents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn notify(&self) {
+        self.shared.changes.send_modify(|it| *it += 1);
+    }
+}
+
+impl KvStore for MemoryStore {
+    async fn get(&self, key: &str) -> Result<Option<StoredValue>, StoreError> {
+        Ok(self.begin().await?.kv.get(key).cloned())
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<String>, StoreError> {
+        Ok(self.begin().await?.kv.keys(prefix))
+    }
+
+    async fn compare_and_swap(
+        &self,
+        key: &str,
+        value: &str,
+        expected: ValueVersion,
+        lease: Option<LeaseId>,
+    ) -> Result<ValueVersion, StoreError> {
+        let version = {
+            let mut contents = self.begin_write(key).await?;
+            let now = self.lease_time(&contents);
+            contents.kv.put(now, key, value.to_owned(), expected, lease)?
+        };
+        self.finish_write(key, version)
+    }
+
+    async fn delete(&self, key: &str, expected: ValueVersion) -> Result<(), StoreError> {
+        self.begin_write(key).await?.kv.delete(key, expected)?;
+        self.finish_write(key, ())
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after: ValueVersion,
+        limit: Duration,
+    ) -> Result<Option<StoredValue>, StoreError> {
+        drop(self.begin().await?);
+        match self.timer.timeout(limit, self.wait_for(key, after)).await {
+            Ok(result) => result.map(Some),
+            Err(_) => Ok(None),
+        }
+    }
+
+    async fn grant_lease(&self, ttl: Duration) -> Result<LeaseId, StoreError> {
+        let mut contents = self.begin().await?;
+        let now = self.lease_time(&contents);
+        Ok(contents.kv.grant(now, ttl))
+    }
+
+    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreError> {
+        let mut contents = self.begin().await?;
+        let now = self.lease_time(&contents);
+        if contents.kv.renew(now, lease) { Ok(()) } else { Err(StoreError::LeaseLapsed) }
+    }
+
+    async fn list_vms(&self) -> Result<VmList, StoreError> {
+        Ok(self.begin().await?.vms.clone())
+    }
+}
+
+impl From<WriteRefusal> for StoreError {
+    fn from(refusal: WriteRefusal) -> Self {
+        match refusal {
+            WriteRefusal::Version(current) => Self::VersionMismatch { current },
+            WriteRefusal::Lease => Self::LeaseLapsed,
+            WriteRefusal::TooLarge => Self::Unavailable("the value is too large".to_owned()),
+        }
+    }
+}
+
+fn unavailable() -> StoreError {
+    StoreError::Unavailable("the store is down".to_owned())
+}
+
+fn unknown() -> StoreError {
+    StoreError::Unknown("no reply".to_owned())
+}
--- /dev/null
+++ b/crates/platform/src/memory/mod.rs
@@ -0,0 +1,7 @@
+//! In-memory store for tests and single-process trials.
+
+mod kv_state;
+mod memory_store;
+
+pub use kv_state::{KvState, VALUE_LIMIT_BYTES, WriteRefusal};
+pub use memory_store::MemoryStore;
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -9,16 +9,16 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use mux_platform::{LeaseId, StoredValue, ValueVersion, VmList};
+use mux_platform::{
+    LeaseId, StoredValue, ValueVersion, VmList,
+    memory::{KvState, WriteRefusal},
+};
 use mux_timer::TimerService;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::json;
 use tokio::sync::watch;
 
-use super::{
-    CallCounters, FaultPlan, KvSettings,
-    kv_state::{KvState, WriteRefusal},
-};
+use super::{CallCounters, FaultPlan, KvSettings};
 
 type Reply = Response<Full<Bytes>>;
 
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -25,7 +25,6 @@
 mod fault_plan;
 mod http_routes;
 mod kv_settings;
-mod kv_state;
 
 use std::{io, path::Path, sync::Arc, time::Duration};
 
