Prove connection share, cancellation and silence of the upstream pool

Change: tests with small loopback servers: calls stay within the share, a lower share lets calls finish, a refused dial is not repeated before its backoff is over and fails no call that has another connection, a dropped call resets its stream and keeps the connection, a silent connection is retired while new ones work, and a slow reply on an answering connection is waited for.

--- a/crates/upstream/tests/support/leaf_server.rs
+++ b/crates/upstream/tests/support/leaf_server.rs
@@ -36,7 +36,7 @@
     Header(&'static str, &'static str),
     /// Answers 503 with these headers.
     Refusal(&'static [(&'static str, &'static str)]),
-    /// Never answers.
+    /// Waits for another script and follows that.
     Hang,
 }
 
@@ -58,11 +58,16 @@
 
 impl LeafServer {
     pub(crate) async fn start(script: ScriptedReply) -> Self {
+        Self::start_limited(script, u32::MAX).await
+    }
+
+    /// Starts a server that closes connections beyond `connections`.
+    pub(crate) async fn start_limited(script: ScriptedReply, connections: u32) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
         let address = listener.local_addr().expect("bound address");
         let counters = Arc::new(ServerCounters::default());
         let script = watch::Sender::new(script);
-        tokio::spawn(accept(listener, Arc::clone(&counters), script.subscribe()));
+        tokio::spawn(accept(listener, connections, Arc::clone(&counters), script.subscribe()));
         Self { address, counters, script }
     }
 
@@ -82,11 +87,15 @@
 
 async fn accept(
     listener: TcpListener,
+    connections: u32,
     counters: Arc<ServerCounters>,
     script: watch::Receiver<ScriptedReply>,
 ) {
     while let Ok((stream, _)) = listener.accept().await {
         counters.accepted.fetch_add(1, Ordering::SeqCst);
+        if connections <= counters.open.load(Ordering::SeqCst) {
+            continue;
+        }
         counters.open.fetch_add(1, Ordering::SeqCst);
         let (counters, script) = (Arc::clone(&counters), script.clone());
         tokio::spawn(async move {
@@ -106,16 +115,16 @@
     script: &watch::Receiver<ScriptedReply>,
 ) -> impl Future<Output = Result<Response<ReplyBody>, Infallible>> + use<> {
     let counters = Arc::clone(counters);
-    let script = script.borrow().clone();
+    let mut script = script.clone();
     async move {
         counters.begun.fetch_add(1, Ordering::SeqCst);
-        if script == ScriptedReply::Hang {
-            let _cancelled = EndCounter(|| {
-                counters.cancelled.fetch_add(1, Ordering::SeqCst);
-            });
-            std::future::pending::<()>().await;
-        }
-        Ok(respond(&request, &script))
+        let cancelled = EndCounter(|| {
+            counters.cancelled.fetch_add(1, Ordering::SeqCst);
+        });
+        let reply = script.wait_for(|it| *it != ScriptedReply::Hang).await;
+        let reply = reply.expect("the test holds the script").clone();
+        std::mem::forget(cancelled);
+        Ok(respond(&request, &reply))
     }
 }
 
--- a/crates/upstream/tests/support/mod.rs
+++ b/crates/upstream/tests/support/mod.rs
@@ -9,10 +9,13 @@
 use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
-use mux_model::{CallId, RequestId, ServiceName, ShardIndex, SnapshotId, TimePoint, UpstreamId};
+use mux_model::{
+    CallFailure, CallId, RequestId, ServiceName, ShardIndex, SnapshotId, TimePoint, UpstreamId,
+};
 use mux_timer::TimerService;
-use mux_upstream::{CallHeader, PoolSettings, UpstreamPool, UpstreamReport};
+use mux_upstream::{CallHeader, PoolSettings, UpstreamPool, UpstreamReply, UpstreamReport};
 use slog::{Discard, Logger, o};
+use tokio::task::JoinHandle;
 
 pub(crate) use leaf_server::{LeafServer, ScriptedReply};
 pub(crate) use raw_server::{RawServer, frames};
@@ -70,13 +73,37 @@
         upstream: UpstreamId,
         condition: impl Fn(&UpstreamReport) -> bool,
     ) -> UpstreamReport {
-        let started = self.timer.now();
-        loop {
-            let report = self.report(upstream);
-            if condition(&report) {
-                return report;
+        self.wait_until(|| condition(&self.report(upstream))).await;
+        self.report(upstream)
+    }
+
+    /// Starts calls until `connections` connections, the upstream's limit, have `calls_each` calls.
+    pub(crate) async fn fill(
+        &self,
+        upstream: UpstreamId,
+        connections: u32,
+        calls_each: u32,
+    ) -> Vec<JoinHandle<Result<UpstreamReply, CallFailure>>> {
+        let mut calls = Vec::new();
+        for open in 1..=connections {
+            for _ in 0..calls_each {
+                let header = self.header(u32::try_from(calls.len()).expect("few calls"));
+                let pool = self.pool.clone();
+                calls
+                    .push(tokio::spawn(async move { pool.call(upstream, &header, query()).await }));
             }
-            assert!(self.timer.now().since(started) < OUTER_LIMIT, "never came: {report:?}");
+            // The calls of a round go to the newest connection and bring about the next one.
+            let report = (connections.min(open + 1), open * calls_each);
+            self.wait_for(upstream, |it| (it.open, it.calls_in_flight) == report).await;
+        }
+        calls
+    }
+
+    /// Waits until `condition` holds.
+    pub(crate) async fn wait_until(&self, condition: impl Fn() -> bool) {
+        let started = self.timer.now();
+        while !condition() {
+            assert!(self.timer.now().since(started) < OUTER_LIMIT, "the condition never came");
             self.timer.sleep(Duration::from_millis(5)).await;
         }
     }
