--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -24,6 +24,8 @@
     goal: CoverageGoal,
     table: CallTable,
     waiting: Vec<WaitingShard>,
+    next_ask: Option<TimePoint>,
+    started_at: TimePoint,
     answered: u32,
     lost: LostShards,
     hedge_delay: Option<Duration>,
@@ -58,6 +60,8 @@
             goal,
             table: CallTable::new(goal.total),
             waiting: Vec::new(),
+            next_ask: None,
+            started_at: TimePoint::ZERO,
             answered: 0,
             lost: LostShards::default(),
             hedge_delay: None,
@@ -93,6 +97,7 @@
         if self.try_finish(now, router, actions) {
             return;
         }
+        self.started_at = now;
         if self.plan.idempotent {
             self.hedge_delay = router.hedge_delay(now);
         }
@@ -167,7 +172,7 @@
         router: &R,
         actions: &mut Vec<FanOutAction>,
     ) {
-        self.wake_at = self.wake_at.filter(|it| now < *it);
+        self.wake_at = None;
         if self.try_finish(now, router, actions) {
             return;
         }
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -1,6 +1,6 @@
 //! Which calls a fan-out sends, and when.
 
-use std::{mem, time::Duration};
+use std::time::Duration;
 
 use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
 use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter};
@@ -13,6 +13,8 @@
 
 /// Shortest time between two requests for a slot of one shard.
 const SLOT_POLL_MS: u64 = 1;
+/// Requests for a slot that one shard makes, at most, while the age of the query doubles.
+const SLOT_POLLS_PER_AGE: u32 = 8;
 
 impl FanOut {
     pub(super) fn ask<R: ReplicaRouter>(
@@ -66,13 +68,20 @@
 
     fn wait_for_slot(&mut self, now: TimePoint, shard: ShardIndex, retry_after: Duration) {
         self.retry_after = self.retry_after.max(Some(retry_after));
-        let ask_at = now + retry_after.max(Duration::from_millis(SLOT_POLL_MS));
+        let ask_at = now + retry_after.max(self.shortest_wait(now));
         if self.plan.deadline <= ask_at {
             self.lost.saturated += 1;
             self.lose(shard);
-        } else {
-            self.waiting.push(WaitingShard { shard, ask_at });
+            return;
         }
+        self.waiting.push(WaitingShard { shard, ask_at });
+        self.next_ask = Some(self.next_ask.map_or(ask_at, |it| it.min(ask_at)));
+    }
+
+    /// Grows with the age of the query, so that a shard asks a limited number of times.
+    fn shortest_wait(&self, now: TimePoint) -> Duration {
+        let share_of_age = now.since(self.started_at) / SLOT_POLLS_PER_AGE;
+        share_of_age.max(Duration::from_millis(SLOT_POLL_MS))
     }
 
     pub(super) fn lose(&mut self, shard: ShardIndex) {
@@ -116,21 +125,16 @@
         router: &R,
         actions: &mut Vec<FanOutAction>,
     ) {
-        if self.next_ask().is_none_or(|it| now < it) {
+        if self.next_ask.is_none_or(|it| now < it) {
             return;
         }
-        for waiting in mem::take(&mut self.waiting) {
-            if waiting.ask_at <= now {
-                self.ask(now, router, waiting.shard, actions);
-            } else {
-                self.waiting.push(waiting);
+        for idx in (0..self.waiting.len()).rev() {
+            if self.waiting[idx].ask_at <= now {
+                let shard = self.waiting.swap_remove(idx).shard;
+                self.ask(now, router, shard, actions);
             }
         }
-    }
-
-    /// Returns when a slot is asked for again.
-    pub(super) fn next_ask(&self) -> Option<TimePoint> {
-        self.waiting.iter().map(|it| it.ask_at).min()
+        self.next_ask = self.waiting.iter().map(|it| it.ask_at).min();
     }
 
     /// Asks second replicas for the shards whose only call is due for a hedge.
--- a/crates/query/src/fan_out/ending.rs
+++ b/crates/query/src/fan_out/ending.rs
@@ -189,7 +189,7 @@
 
     fn next_wake(&mut self, now: TimePoint) -> TimePoint {
         let target = Some(self.plan.latency_target).filter(|it| now < *it);
-        let times = [target, self.next_ask(), self.next_hedge_time()];
+        let times = [target, self.next_ask, self.next_hedge_time()];
         times.into_iter().flatten().fold(self.plan.deadline, TimePoint::min)
     }
 }
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -8,6 +8,8 @@
 mod session_ledger;
 mod session_token;
 mod session_window;
+mod snapshot_catalog;
+mod snapshot_claims;
 
 pub use fan_out::FanOut;
 pub use fan_out_events::{
@@ -15,3 +17,4 @@
 };
 pub use session_ledger::{BeginOutcome, LedgerLimits, RunTicket, SessionLedger};
 pub use session_token::{SessionId, SessionMint, SessionToken, TokenError};
+pub use snapshot_catalog::{SnapshotCatalog, SnapshotClaim};
--- /dev/null
+++ b/crates/query/tests/snapshot_catalog.rs
@@ -0,0 +1,180 @@
+//! Which snapshot a query is pinned to when upstreams change, lag or mislead.
+
+mod fixtures;
+
+use std::sync::Arc;
+
+use fixtures::{millis, upstream};
+use googletest::prelude::*;
+use mux_model::{ShardIndex, SnapshotId, SnapshotMap};
+use mux_query::{SnapshotCatalog, SnapshotClaim};
+
+/// Upstream, snapshot, claimed shard count and held shards.
+type Claim = (u32, u64, u32, &'static [u32]);
+
+#[gtest]
+fn newest_complete_snapshot_is_pinned() {
+    let old: [Claim; 2] = [(0, 40, 2, &[0, 1]), (1, 40, 2, &[0, 1])];
+    let cases: [(&str, &[Claim], u64); 5] = [
+        ("only one", &[], 40),
+        ("newer in part", &[(2, 41, 3, &[0, 1]), (3, 41, 3, &[1])], 40),
+        ("newer whole", &[(2, 41, 3, &[0, 1]), (3, 41, 3, &[2])], 41),
+        ("newer by one upstream alone", &[(2, 99, 1, &[0])], 40),
+        ("shard beyond the count", &[(2, 41, 1, &[0, 2]), (3, 41, 1, &[0])], 40),
+    ];
+
+    for (name, newer, expected) in cases {
+        let catalog = catalog(&[&old, newer].concat());
+
+        let pinned = catalog.pin(1.0, &[]).map(|it| it.snapshot());
+
+        expect_that!(pinned, some(eq(SnapshotId(expected))), "{name}");
+    }
+}
+
+#[gtest]
+fn highest_share_is_pinned_when_none_is_complete() {
+    let catalog = catalog(&[
+        (0, 40, 4, &[0, 1, 2]),
+        (1, 40, 4, &[0, 1, 2]),
+        (2, 41, 4, &[0, 1]),
+        (3, 41, 4, &[0, 1]),
+    ]);
+
+    expect_that!(pin(&catalog, 1.0), some(eq((40, 3, 4))));
+    expect_that!(pin(&catalog, 0.5), some(eq((41, 2, 4))));
+}
+
+#[gtest]
+fn too_low_a_shard_count_never_raises_coverage() {
+    for claims in [
+        [(0, 40, 4, &[0, 1][..]), (1, 40, 2, &[0, 1])],
+        [(0, 40, 2, &[0, 1][..]), (1, 40, 4, &[0, 1])],
+    ] {
+        let mut catalog = catalog(&claims);
+        catalog.remove_upstream(upstream(0));
+
+        let pinned = pin(&catalog, 1.0);
+
+        expect_that!(pinned, some(eq((40, 2, 4))), "{claims:?}");
+        expect_that!(catalog.shard_count(SnapshotId(40)), some(eq(4)));
+    }
+}
+
+#[gtest]
+fn shard_count_beyond_bounds_is_not_believed() {
+    let catalog = catalog(&[(0, 40, 65_537, &[0]), (1, 40, 2, &[65_536])]);
+
+    expect_that!(catalog.pin(0.0, &[]), none());
+}
+
+#[gtest]
+fn proved_wrong_status_is_not_believed_for_a_while() {
+    let mut catalog = catalog(&[(0, 40, 1, &[0]), (1, 40, 1, &[0])]);
+
+    catalog.on_missing(millis(100), upstream(0), SnapshotId(40));
+    let stale: Vec<_> = catalog.stale_sources().collect();
+    let at_once = replicas(&catalog);
+    tell(&mut catalog, 200, &[(0, 40, 1, &[0])]);
+    let soon = replicas(&catalog);
+    tell(&mut catalog, 5_100, &[(0, 40, 1, &[0])]);
+    let later = replicas(&catalog);
+
+    expect_that!(stale, eq(&vec![upstream(0)]));
+    expect_that!([at_once, soon], eq([1, 1]));
+    expect_that!(later, eq(2));
+    expect_that!(catalog.stale_sources().count(), eq(0));
+}
+
+#[gtest]
+fn reply_that_names_an_unknown_snapshot_makes_the_status_stale() {
+    let mut catalog = catalog(&[(0, 40, 1, &[0])]);
+
+    catalog.on_newest(millis(100), upstream(0), SnapshotId(40));
+    let before = catalog.stale_sources().count();
+    catalog.on_newest(millis(101), upstream(0), SnapshotId(41));
+
+    expect_that!(before, eq(0));
+    expect_that!(catalog.stale_sources().count(), eq(1));
+}
+
+#[gtest]
+fn upstreams_that_went_away_do_not_hold_back_a_new_snapshot() {
+    let claims: [Claim; 3] = [(0, 40, 1, &[0]), (1, 40, 1, &[0]), (2, 41, 1, &[0])];
+    let mut silent = catalog(&claims);
+    tell(&mut silent, 10_000, &claims[2..]);
+    let mut unreachable = catalog(&claims);
+    unreachable.on_unreachable(upstream(0));
+    unreachable.on_unreachable(upstream(1));
+
+    expect_that!(pin(&catalog(&claims), 1.0), some(eq((40, 1, 1))));
+    expect_that!(pin(&silent, 1.0), some(eq((41, 1, 1))));
+    expect_that!(pin(&unreachable, 1.0), some(eq((41, 1, 1))));
+}
+
+#[gtest]
+fn gone_snapshot_is_left_out_for_the_query() {
+    let catalog = catalog(&[(0, 40, 1, &[0]), (0, 41, 1, &[0])]);
+
+    let pinned = catalog.pin(1.0, &[SnapshotId(41)]).map(|it| it.snapshot());
+
+    expect_that!(pinned, some(eq(SnapshotId(40))));
+    expect_that!(catalog.pin(1.0, &[SnapshotId(40), SnapshotId(41)]), none());
+}
+
+#[gtest]
+fn unchanged_status_keeps_the_map() {
+    let claims: [Claim; 2] = [(0, 40, 1, &[0]), (1, 40, 1, &[0])];
+    let mut catalog = catalog(&claims);
+    let before = catalog.pin(1.0, &[]).unwrap();
+
+    tell(&mut catalog, 1_000, &claims);
+
+    expect_that!(Arc::ptr_eq(&before, &catalog.pin(1.0, &[]).unwrap()), eq(true));
+}
+
+#[gtest]
+fn fixed_map_is_not_changed_by_upstreams() {
+    let map = SnapshotMap::new(SnapshotId(7), vec![vec![upstream(0)], Vec::new()]);
+    let mut catalog = SnapshotCatalog::fixed(map);
+
+    tell(&mut catalog, 100, &[(0, 8, 1, &[0]), (1, 8, 1, &[0])]);
+    catalog.on_missing(millis(100), upstream(0), SnapshotId(7));
+
+    expect_that!(pin(&catalog, 1.0), some(eq((7, 1, 2))));
+}
+
+fn catalog(claims: &[Claim]) -> SnapshotCatalog {
+    let mut catalog = SnapshotCatalog::learned();
+    tell(&mut catalog, 0, claims);
+    catalog
+}
+
+/// Reports one status for each upstream named in `claims`.
+fn tell(catalog: &mut SnapshotCatalog, now: u64, claims: &[Claim]) {
+    for number in 0..8 {
+        let held: Vec<Claim> = claims.iter().filter(|it| it.0 == number).copied().collect();
+        if held.is_empty() {
+            continue;
+        }
+        let shards: Vec<Vec<ShardIndex>> =
+            held.iter().map(|it| it.3.iter().copied().map(ShardIndex).collect()).collect();
+        let status = held.iter().zip(&shards).map(|(it, shards)| SnapshotClaim {
+            snapshot: SnapshotId(it.1),
+            shard_count: it.2,
+            shards,
+        });
+        catalog.on_status(millis(now), upstream(number), status);
+    }
+}
+
+/// Returns the pinned snapshot with its reachable and total shards.
+fn pin(catalog: &SnapshotCatalog, coverage_target: f64) -> Option<(u64, u32, u32)> {
+    let map = catalog.pin(coverage_target, &[])?;
+
+    Some((map.snapshot().0, map.reachable_count(), map.shard_count()))
+}
+
+fn replicas(catalog: &SnapshotCatalog) -> usize {
+    catalog.pin(1.0, &[]).map_or(0, |it| it.replicas(ShardIndex(0)).len())
+}
