Add the upstream stand-in

Cause: the node and the experiments need upstreams with slots, connection limits, stragglers, repartition, draining and misleading reports.

Requests in flight above slots and queue are shed unrun; a reset stream stops its work.

Also: the test for a connection that closes before it speaks passed with the wait for the first byte taken out, because the close came before the write. The server now closes 200 ms after the preface; without the wait the test fails.

--- /dev/null
+++ b/crates/standins/src/leaf/leaf_state.rs
@@ -0,0 +1,208 @@
+//! State of one upstream, shared by its connections.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicI64, AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use mux_model::{FastMap, SnapshotId};
+use mux_timer::TimerService;
+use mux_upstream::{HeldSnapshot, UpstreamStatus};
+use serde::Serialize;
+use tokio::sync::Semaphore;
+
+use super::{
+    latency_model::LatencyModel,
+    leaf_settings::{LeafControl, LeafSettings},
+};
+
+/// State of one upstream.
+pub(crate) struct LeafState {
+    pub(crate) settings: LeafSettings,
+    pub(crate) timer: TimerService,
+    pub(crate) slots: Arc<Semaphore>,
+    pub(crate) counters: LeafCounters,
+    behaviour: Mutex<LeafBehaviour>,
+    runs: Mutex<FastMap<String, u64>>,
+}
+
+/// What control changes.
+struct LeafBehaviour {
+    control: LeafControl,
+    model: LatencyModel,
+}
+
+/// What happens to one request, drawn before it is worked on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CallFate {
+    pub(crate) shed: bool,
+    pub(crate) fail: bool,
+    pub(crate) cut: bool,
+    pub(crate) service_time: Duration,
+}
+
+/// Counts since the start.
+#[derive(Debug, Default)]
+pub(crate) struct LeafCounters {
+    pub(crate) received: AtomicU64,
+    pub(crate) runs: AtomicU64,
+    pub(crate) completed: AtomicU64,
+    pub(crate) cancelled: AtomicU64,
+    pub(crate) shed: AtomicU64,
+    pub(crate) refused_draining: AtomicU64,
+    pub(crate) refused_snapshot: AtomicU64,
+    pub(crate) refused_deadline: AtomicU64,
+    pub(crate) failed: AtomicU64,
+    pub(crate) cut: AtomicU64,
+    pub(crate) connections_accepted: AtomicU64,
+    pub(crate) connections_refused: AtomicU64,
+    pub(crate) connections_open: AtomicI64,
+    pub(crate) in_flight: AtomicI64,
+}
+
+/// Reply of `GET /v1/control`.
+#[derive(Debug, Serialize)]
+pub(crate) struct LeafReport {
+    received: u64,
+    runs: u64,
+    completed: u64,
+    cancelled: u64,
+    shed: u64,
+    refused_draining: u64,
+    refused_snapshot: u64,
+    refused_deadline: u64,
+    failed: u64,
+    cut: u64,
+    connections_accepted: u64,
+    connections_refused: u64,
+    connections_open: i64,
+    in_flight: i64,
+    control: LeafControl,
+    /// Runs by `request/shard`, and by `key/shard` for queries with a text member `key`.
+    run_counts: FastMap<String, u64>,
+}
+
+impl LeafState {
+    pub(crate) fn new(settings: LeafSettings, timer: TimerService) -> Self {
+        let control = LeafControl {
+            snapshots: Some(settings.snapshots.clone()),
+            latency: Some(settings.latency),
+            ..LeafControl::default()
+        };
+        let model = LatencyModel::new(settings.seed);
+        Self {
+            timer,
+            slots: Arc::new(Semaphore::new(settings.slots)),
+            counters: LeafCounters::default(),
+            behaviour: Mutex::new(LeafBehaviour { control, model }),
+            runs: Mutex::default(),
+            settings,
+        }
+    }
+
+    /// Applies a change of behaviour.
+    pub(crate) fn apply(&self, change: LeafControl) {
+        let mut behaviour = lock(&self.behaviour);
+        let control = &mut behaviour.control;
+        replace(&mut control.snapshots, change.snapshots);
+        replace(&mut control.draining, change.draining);
+        replace(&mut control.shed_rate, change.shed_rate);
+        replace(&mut control.error_rate, change.error_rate);
+        replace(&mut control.cut_rate, change.cut_rate);
+        replace(&mut control.reported_in_flight, change.reported_in_flight);
+        replace(&mut control.latency, change.latency);
+        replace(&mut control.silence, change.silence);
+    }
+
+    /// Draws what happens to the next request.
+    pub(crate) fn draw_fate(&self) -> CallFate {
+        let cold = self.counters.runs.load(Ordering::Relaxed) < self.settings.cold_calls;
+        let factor = if cold { self.settings.cold_factor } else { 1.0 };
+        let mut behaviour = lock(&self.behaviour);
+        let LeafBehaviour { control, model } = &mut *behaviour;
+        CallFate {
+            shed: model.happens(control.shed_rate.unwrap_or(0.0)),
+            fail: model.happens(control.error_rate.unwrap_or(0.0)),
+            cut: model.happens(control.cut_rate.unwrap_or(0.0)),
+            service_time: model.draw(&control.latency.unwrap_or_default()).mul_f64(factor),
+        }
+    }
+
+    /// Returns whether the upstream is leaving.
+    pub(crate) fn is_draining(&self) -> bool {
+        lock(&self.behaviour).control.draining.unwrap_or(false)
+    }
+
+    /// Returns whether `shard` of `snapshot` is held here.
+    pub(crate) fn holds(&self, snapshot: SnapshotId, shard: u32) -> bool {
+        let behaviour = lock(&self.behaviour);
+        let held = behaviour.control.snapshots.iter().flatten();
+        held.filter(|it| it.snapshot == snapshot).any(|it| it.shards.iter().any(|s| s.0 == shard))
+    }
+
+    /// Returns the newest snapshot held.
+    pub(crate) fn newest_snapshot(&self) -> Option<SnapshotId> {
+        lock(&self.behaviour).control.snapshots.iter().flatten().map(|it| it.snapshot).max()
+    }
+
+    /// Returns the number of requests in flight as reported, which may mislead.
+    pub(crate) fn reported_in_flight(&self) -> u64 {
+        let reported = lock(&self.behaviour).control.reported_in_flight;
+        let actual = self.counters.in_flight.load(Ordering::Relaxed);
+        let count = reported.filter(|it| 0 <= *it).unwrap_or(actual);
+        u64::try_from(count).unwrap_or(0)
+    }
+
+    /// Records that a request was run under `name`.
+    pub(crate) fn record_run(&self, name: String) {
+        *lock(&self.runs).entry(name).or_default() += 1;
+    }
+
+    pub(crate) fn status(&self) -> UpstreamStatus {
+        let snapshots: Vec<HeldSnapshot> =
+            lock(&self.behaviour).control.snapshots.clone().unwrap_or_default();
+        UpstreamStatus {
+            availability_zone: self.settings.availability_zone.clone(),
+            draining: self.is_draining(),
+            slots: u32::try_from(self.settings.slots).unwrap_or(u32::MAX),
+            in_flight: u32::try_from(self.reported_in_flight()).unwrap_or(u32::MAX),
+            snapshots,
+        }
+    }
+
+    pub(crate) fn report(&self) -> LeafReport {
+        let counters = &self.counters;
+        let read = |it: &AtomicU64| it.load(Ordering::Relaxed);
+        LeafReport {
+            received: read(&counters.received),
+            runs: read(&counters.runs),
+            completed: read(&counters.completed),
+            cancelled: read(&counters.cancelled),
+            shed: read(&counters.shed),
+            refused_draining: read(&counters.refused_draining),
+            refused_snapshot: read(&counters.refused_snapshot),
+            refused_deadline: read(&counters.refused_deadline),
+            failed: read(&counters.failed),
+            cut: read(&counters.cut),
+            connections_accepted: read(&counters.connections_accepted),
+            connections_refused: read(&counters.connections_refused),
+            connections_open: counters.connections_open.load(Ordering::Relaxed),
+            in_flight: counters.in_flight.load(Ordering::Relaxed),
+            control: lock(&self.behaviour).control.clone(),
+            run_counts: lock(&self.runs).clone(),
+        }
+    }
+}
+
+fn replace<T>(current: &mut Option<T>, change: Option<T>) {
+    if change.is_some() {
+        *current = change;
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/standins/src/leaf/mod.rs
+++ b/crates/standins/src/leaf/mod.rs
@@ -1,8 +1,37 @@
 //! Upstreams that hold shards.
 
-use std::{io, path::Path};
+mod call_handler;
+mod latency_model;
+mod leaf_server;
+mod leaf_settings;
+mod leaf_state;
+mod reply_body;
+mod silenced_stream;
+
+use std::{fs, io, path::Path, time::Duration};
+
+use futures::future::try_join_all;
+use mux_timer::TimerService;
+
+use leaf_server::LeafServer;
+use leaf_settings::{LeafFile, LeafSettings};
+use leaf_state::LeafState;
+
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Runs until the process is ended.
 pub(crate) async fn run(settings: &Path) -> io::Result<()> {
-    Err(io::Error::other(format!("nothing to run for {}", settings.display())))
+    let file: LeafFile = serde_json::from_slice(&fs::read(settings)?)?;
+    let timer = TimerService::start(PAUSE_LIMIT);
+    try_join_all(file.leaves.into_iter().map(|it| serve(it, timer.clone()))).await.map(drop)
+}
+
+async fn serve(settings: LeafSettings, timer: TimerService) -> io::Result<()> {
+    let (listen, control_listen) = (settings.listen, settings.control_listen);
+    let server = LeafServer::new(LeafState::new(settings, timer));
+    let calls = server.clone().serve_calls(listen);
+    let Some(control_listen) = control_listen else {
+        return calls.await;
+    };
+    tokio::try_join!(calls, server.serve_control(control_listen)).map(drop)
 }
--- a/crates/upstream/tests/execution_proof.rs
+++ b/crates/upstream/tests/execution_proof.rs
@@ -65,8 +65,8 @@
 #[tokio::test]
 async fn connection_closed_before_the_upstream_speaks_carries_no_call() {
     // Arrange.
-    let server = RawServer::start_closing().await;
     let fixture = PoolFixture::new();
+    let server = RawServer::start_closing(fixture.timer.clone()).await;
     let upstream = fixture.upstream(server.address, 2);
 
     // Act.
--- a/crates/upstream/tests/support/raw_server.rs
+++ b/crates/upstream/tests/support/raw_server.rs
@@ -6,8 +6,10 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
+use mux_timer::TimerService;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -47,6 +49,8 @@
 }
 
 const PREFACE_BYTES: usize = 24;
+/// Time in which a client that doesn't wait for the server's first byte writes its request.
+const CLOSE_DELAY: Duration = Duration::from_millis(200);
 const FRAME_TYPE_HEADERS: u8 = 1;
 
 /// Server that writes `SETTINGS`, waits for a request, writes one reply, and closes.
@@ -70,8 +74,8 @@
         Self { address, accepted }
     }
 
-    /// Starts a server that closes each connection before it says anything.
-    pub(crate) async fn start_closing() -> Self {
+    /// Starts a server that says nothing and closes each connection a while after its preface.
+    pub(crate) async fn start_closing(timer: TimerService) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback port");
         let address = listener.local_addr().expect("bound address");
         let accepted = Arc::new(AtomicU32::new(0));
@@ -79,13 +83,19 @@
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 counter.fetch_add(1, Ordering::SeqCst);
-                drop(stream);
+                tokio::spawn(close_later(stream, timer.clone()));
             }
         });
         Self { address, accepted }
     }
 }
 
+async fn close_later(mut stream: TcpStream, timer: TimerService) -> std::io::Result<()> {
+    stream.read_exact(&mut [0; PREFACE_BYTES]).await?;
+    timer.sleep(CLOSE_DELAY).await;
+    Ok(())
+}
+
 async fn serve(mut stream: TcpStream, reply: Vec<u8>) -> std::io::Result<()> {
     stream.write_all(frames::SETTINGS).await?;
     stream.read_exact(&mut [0; PREFACE_BYTES]).await?;
