Add the relay stand-in

Cause: silent, cut and late links between nodes, upstreams and the store have to be brought about from outside the processes under test.

Change: `standins relay` passes TCP connections and UDP datagrams on; control by HTTP cuts them, silences those that are open or all of them, or delays them. Ruled out: copying in one loop per direction, since a delay would then bound the throughput; reading and writing run side by side over a bounded queue.

--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -1,8 +1,42 @@
 //! Relays between two ends of a link.
 
-use std::{io, path::Path};
+mod link_control;
+mod relay_settings;
+mod tcp_relay;
+mod udp_relay;
+
+use std::{fs, io, path::Path, sync::Arc, time::Duration};
+
+use futures::future::try_join_all;
+use mux_timer::TimerService;
+use tokio::net::{TcpListener, UdpSocket};
+
+use link_control::LinkControl;
+use relay_settings::{RelayFile, RelayProtocol, RelaySettings};
+
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Runs until the process is ended.
 pub(crate) async fn run(settings: &Path) -> io::Result<()> {
-    Err(io::Error::other(format!("nothing to run for {}", settings.display())))
+    let file: RelayFile = serde_json::from_slice(&fs::read(settings)?)?;
+    let timer = TimerService::start(PAUSE_LIMIT);
+    try_join_all(file.relays.into_iter().map(|it| serve(it, timer.clone()))).await.map(drop)
+}
+
+async fn serve(settings: RelaySettings, timer: TimerService) -> io::Result<()> {
+    let control = LinkControl::new();
+    let control_listener = TcpListener::bind(settings.control_listen).await?;
+    let control_server = Arc::clone(&control).serve(control_listener);
+    match settings.protocol {
+        RelayProtocol::Tcp => {
+            let listener = TcpListener::bind(settings.listen).await?;
+            let relay = tcp_relay::run(listener, settings.target, control, timer);
+            tokio::try_join!(control_server, relay).map(drop)
+        }
+        RelayProtocol::Udp => {
+            let socket = UdpSocket::bind(settings.listen).await?;
+            let relay = udp_relay::run(socket, settings.target, control, timer);
+            tokio::try_join!(control_server, relay).map(drop)
+        }
+    }
 }
--- /dev/null
+++ b/crates/standins/src/relay/tcp_relay.rs
@@ -0,0 +1,119 @@
+//! Relay of connections.
+
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+
+use mux_timer::TimerService;
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{
+        TcpListener, TcpStream,
+        tcp::{OwnedReadHalf, OwnedWriteHalf},
+    },
+    sync::{mpsc, watch},
+};
+
+use super::link_control::{LinkControl, LinkState};
+
+const CHUNK_BYTES: usize = 16 << 10;
+const CHUNKS_IN_FLIGHT: usize = 256;
+
+/// Accepts connections and passes their bytes on until the listener fails.
+pub(crate) async fn run(
+    listener: TcpListener,
+    target: SocketAddr,
+    control: Arc<LinkControl>,
+    timer: TimerService,
+) -> io::Result<()> {
+    loop {
+        let (stream, _) = listener.accept().await?;
+        let number = control.accept();
+        let link = RelayLink { number, state: control.subscribe(), timer: timer.clone() };
+        tokio::spawn(link.run(stream, target));
+    }
+}
+
+/// One connection through the relay.
+#[derive(Clone)]
+struct RelayLink {
+    number: u64,
+    state: watch::Receiver<LinkState>,
+    timer: TimerService,
+}
+
+impl RelayLink {
+    async fn run(self, stream: TcpStream, target: SocketAddr) -> io::Result<()> {
+        // Makes the end of a cut connection a reset.
+        stream.set_zero_linger()?;
+        stream.set_nodelay(true)?;
+        let mut watched = self.state.clone();
+        let cut = watched.wait_for(|it| it.is_cut(self.number));
+        tokio::select! {
+            _ = cut => Ok(()),
+            res = self.clone().join_ends(stream, target) => res,
+        }
+    }
+
+    async fn join_ends(self, stream: TcpStream, target: SocketAddr) -> io::Result<()> {
+        let upstream = TcpStream::connect(target).await?;
+        upstream.set_nodelay(true)?;
+        let (near_read, near_write) = stream.into_split();
+        let (far_read, far_write) = upstream.into_split();
+        let outward = self.clone().forward(near_read, far_write);
+        let inward = self.forward(far_read, near_write);
+        tokio::try_join!(outward, inward).map(drop)
+    }
+
+    /// Reads and writes side by side, so that a delay doesn't lower the throughput.
+    async fn forward(self, from: OwnedReadHalf, to: OwnedWriteHalf) -> io::Result<()> {
+        let (chunks_tx, chunks_rx) = mpsc::channel(CHUNKS_IN_FLIGHT);
+        let read = self.clone().read_chunks(from, chunks_tx);
+        let write = self.write_chunks(to, chunks_rx);
+        tokio::try_join!(read, write).map(drop)
+    }
+
+    async fn read_chunks(
+        self,
+        mut from: OwnedReadHalf,
+        chunks: mpsc::Sender<RelayChunk>,
+    ) -> io::Result<()> {
+        loop {
+            let mut bytes = Vec::with_capacity(CHUNK_BYTES);
+            if from.read_buf(&mut bytes).await? == 0 {
+                return Ok(());
+            }
+            let delay = Duration::from_millis(self.state.borrow().control.delay_ms);
+            let chunk = RelayChunk { bytes, due: self.timer.now() + delay };
+            if chunks.send(chunk).await.is_err() {
+                return Ok(());
+            }
+        }
+    }
+
+    async fn write_chunks(
+        mut self,
+        mut to: OwnedWriteHalf,
+        mut chunks: mpsc::Receiver<RelayChunk>,
+    ) -> io::Result<()> {
+        while let Some(chunk) = chunks.recv().await {
+            self.timer.sleep_until(chunk.due).await;
+            self.wait_while_silent().await;
+            to.write_all(&chunk.bytes).await?;
+        }
+        self.wait_while_silent().await;
+        to.shutdown().await
+    }
+
+    /// A connection that is silent because of its number stays so; one that is silent with all
+    /// others goes on when the mode changes.
+    async fn wait_while_silent(&mut self) {
+        let number = self.number;
+        // Fails only when the relay ends.
+        let _ = self.state.wait_for(|it| !it.is_silent(number)).await;
+    }
+}
+
+/// Bytes on their way through the relay.
+struct RelayChunk {
+    bytes: Vec<u8>,
+    due: mux_model::TimePoint,
+}
