Add the load tool

Cause: latency, coverage and verdicts have to be seen from the caller's side, also when the node can't keep up.

Change: `standins load` sends queries at intended times, however many are without an answer, and times them from then, so that a stalled node doesn't lower the offered load.

Conclusion: compiles and is checked by the linter; not yet run against a node.

--- /dev/null
+++ b/crates/standins/src/load/caller_client.rs
@@ -0,0 +1,50 @@
+//! HTTP client in the role of a caller.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request, Response, body::Incoming, header::CONTENT_TYPE};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use serde::de::DeserializeOwned;
+
+/// Keep-alive HTTP/1.1 client.
+#[derive(Debug, Clone)]
+pub(crate) struct CallerClient {
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl CallerClient {
+    pub(crate) fn new() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        Self { client: Client::builder(TokioExecutor::new()).build(connector) }
+    }
+
+    /// Reads a JSON resource; `None` if it can't be read.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, at: SocketAddr, path: &str) -> Option<T> {
+        self.send(Method::GET, at, path, Bytes::new()).await
+    }
+
+    /// Sends JSON text and reads the JSON reply, whatever its status.
+    pub(crate) async fn send<T: DeserializeOwned>(
+        &self,
+        method: Method,
+        at: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Option<T> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{at}{path}"))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .ok()?;
+        let response: Response<Incoming> = self.client.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+}
--- /dev/null
+++ b/crates/standins/src/load/load_report.rs
@@ -0,0 +1,123 @@
+//! Outcome of one run of the load tool.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use hdrhistogram::Histogram;
+use serde::Serialize;
+
+use super::query_reply::QueryReply;
+
+const SIGNIFICANT_DIGITS: u8 = 3;
+
+/// Counts and times of the queries of one run.
+#[derive(Debug, Clone)]
+pub(crate) struct LoadTally {
+    done_micros: Histogram<u64>,
+    sent: u64,
+    verdicts: BTreeMap<String, u64>,
+    codes: BTreeMap<String, u64>,
+    not_whole: u64,
+    coverage_sum: f64,
+    coverage_min: f64,
+    window: Duration,
+}
+
+/// Summary of a [`LoadTally`].
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct LoadReport {
+    /// Queries sent.
+    pub(crate) sent: u64,
+    /// Queries by verdict; `no_reply` if none could be read.
+    pub(crate) verdicts: BTreeMap<String, u64>,
+    /// Queries without an answer by error code.
+    pub(crate) codes: BTreeMap<String, u64>,
+    /// Answers that hold a result of another query, shard or snapshot, or state a false coverage.
+    pub(crate) not_whole: u64,
+    /// Median of the time from the intended send to the end of an answer, in milliseconds.
+    pub(crate) p50_ms: f64,
+    /// 99th percentile of that time.
+    pub(crate) p99_ms: f64,
+    /// 99.9th percentile of that time.
+    pub(crate) p999_ms: f64,
+    /// Mean coverage of answers.
+    pub(crate) coverage_mean: f64,
+    /// Lowest coverage of an answer.
+    pub(crate) coverage_min: f64,
+    /// Queries without an answer.
+    pub(crate) refused: u64,
+    /// Answers per second.
+    pub(crate) goodput: f64,
+}
+
+impl LoadTally {
+    pub(crate) fn new(window: Duration) -> Self {
+        // Fails only for a number of digits above five.
+        let done_micros = Histogram::new(SIGNIFICANT_DIGITS)
+            .unwrap_or_else(|_| unreachable!("a valid number of digits"));
+        Self {
+            done_micros,
+            sent: 0,
+            verdicts: BTreeMap::new(),
+            codes: BTreeMap::new(),
+            not_whole: 0,
+            coverage_sum: 0.0,
+            coverage_min: 1.0,
+            window,
+        }
+    }
+
+    /// Records a query by its reply; `None` if no reply could be read.
+    pub(crate) fn record(
+        &mut self,
+        latency: Duration,
+        query: &serde_json::Value,
+        reply: Option<&QueryReply>,
+    ) {
+        self.sent += 1;
+        let verdict = reply.map_or("no_reply", |it| it.verdict.as_str());
+        *self.verdicts.entry(verdict.to_owned()).or_default() += 1;
+        let Some(reply) = reply else {
+            return;
+        };
+        if let Some(error) = &reply.error {
+            *self.codes.entry(error.code.clone()).or_default() += 1;
+        }
+        if reply.verdict == "done" {
+            self.record_answer(latency, query, reply);
+        }
+    }
+
+    /// Returns the summary.
+    pub(crate) fn report(&self) -> LoadReport {
+        let done = self.done_micros.len();
+        let quantile = |q| to_millis(self.done_micros.value_at_quantile(q));
+        LoadReport {
+            sent: self.sent,
+            verdicts: self.verdicts.clone(),
+            codes: self.codes.clone(),
+            not_whole: self.not_whole,
+            p50_ms: quantile(0.5),
+            p99_ms: quantile(0.99),
+            p999_ms: quantile(0.999),
+            coverage_mean: self.coverage_sum / (done.max(1) as f64),
+            coverage_min: if done == 0 { 0.0 } else { self.coverage_min },
+            refused: self.sent - done,
+            goodput: done as f64 / self.window.as_secs_f64(),
+        }
+    }
+
+    fn record_answer(&mut self, latency: Duration, query: &serde_json::Value, reply: &QueryReply) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.done_micros.saturating_record(micros.max(1));
+        let share = reply.share().unwrap_or(0.0);
+        self.coverage_sum += share;
+        self.coverage_min = self.coverage_min.min(share);
+        if !reply.is_whole(query) {
+            self.not_whole += 1;
+        }
+    }
+}
+
+fn to_millis(micros: u64) -> f64 {
+    micros as f64 / 1_000.0
+}
