Add configuration changes, replicas, freshness and the janitor

Cause: a change must be accepted once, be in force everywhere within seconds and never revert, with a store that loses replies and has outages, and VMs that keep nothing.

Change: - ConfigWriter commits by compare-and-swap of config/head. Definitions are immutable values of their own, stored before the head that names them. The head lists the last 32 changes; older ones are archived by revision and by change id before the head that drops them, so that a repeated change is found and the trail is complete. After a swap of unknown outcome the head is read until its version or its list of changes tells. - ConfigReplica applies only higher revisions, and checks each update against a fingerprint of all names and revisions; ConfigLoader reads what is lacking. - FreshnessGuard, InForceTracker and LeaseHolder decide without sockets or clocks. ConfigJanitor deletes unused definitions and trims the trail.

Ruled out: time-based grace for unused definitions, since a paused writer may wake after any grace; the janitor rewrites the head under its lease instead, so that the swap of a writer that it could harm fails. Refused attempts are keyed by time and change id rather than by change id alone, so that the oldest can be trimmed and each attempt shows.

Found by the property test before landing: a node that loaded past a service created and removed in between could not tell an older peer of the removal; the loader now passes recent removals on and raises the floor otherwise.

--- /dev/null
+++ b/crates/config/src/change_record.rs
@@ -0,0 +1,37 @@
+//! Records of committed changes.
+
+use mux_model::{ChangeId, RevisionNumber, ServiceName};
+use serde::{Deserialize, Serialize};
+
+/// What a change did to its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ChangeKind {
+    /// The service did not exist before.
+    Create,
+    /// The definition was replaced.
+    Update,
+    /// The service was removed.
+    Remove,
+}
+
+/// Record of one committed change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChangeRecord {
+    /// Name of the change.
+    pub change: ChangeId,
+    /// Who asked for it.
+    pub operator: String,
+    /// When it was asked for, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// What was done.
+    pub kind: ChangeKind,
+    /// The service.
+    pub service: ServiceName,
+    /// Revision of the service before; zero if it did not exist.
+    pub from: RevisionNumber,
+    /// Revision of the configuration, and of the service, after the change.
+    pub to: RevisionNumber,
+    /// Digest of the new definition's JSON form.
+    pub digest: String,
+}
--- /dev/null
+++ b/crates/config/src/config_loader.rs
@@ -0,0 +1,150 @@
+//! Reads the configuration from the store.
+
+use std::time::Duration;
+
+use mux_model::{FastSet, RevisionNumber};
+use mux_platform::{KvStore, ValueVersion};
+
+use crate::{
+    ChangeKind, ConfigHead, ConfigState, ConfigUpdate, HeadEntry, LoadError, RemovedService,
+    UpdateEntry,
+    config_state::fingerprint_services,
+    storage_keys::{HEAD_KEY, definition_key},
+};
+
+const LOAD_ATTEMPTS: u32 = 5;
+
+/// A configuration as read from the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LoadedConfig {
+    /// Version of the head, from which a watch continues.
+    pub version: ValueVersion,
+    /// Revision of the head.
+    pub revision: RevisionNumber,
+    /// What leads there; `None` if the node has the revision already.
+    pub update: Option<ConfigUpdate>,
+}
+
+/// Reads the head and the definitions that a node lacks.
+#[derive(Debug, Clone)]
+pub struct ConfigLoader<S> {
+    store: S,
+}
+
+impl<S: KvStore> ConfigLoader<S> {
+    /// Creates a loader.
+    pub fn new(store: S) -> Self {
+        Self { store }
+    }
+
+    /// Reads what leads from `known` to the stored configuration.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store fails, a stored value cannot be read, or definitions keep
+    /// being replaced.
+    pub async fn load(&self, known: &ConfigState) -> Result<LoadedConfig, LoadError> {
+        for _ in 0..LOAD_ATTEMPTS {
+            let (head, version) = ConfigHead::read(&self.store).await?;
+            if let Some(loaded) = self.complete(&head, version, known).await? {
+                return Ok(loaded);
+            }
+        }
+        Err(LoadError::Unsettled)
+    }
+
+    /// Waits for a head above version `after`, for at most `limit`, and reads what leads there.
+    ///
+    /// Returns `None` if the time is over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error in the same cases as [`load`](Self::load).
+    pub async fn watch(
+        &self,
+        known: &ConfigState,
+        after: ValueVersion,
+        limit: Duration,
+    ) -> Result<Option<LoadedConfig>, LoadError> {
+        let Some(stored) = self.store.watch(HEAD_KEY, after, limit).await? else {
+            return Ok(None);
+        };
+        let head = ConfigHead::parse(&stored.value)?;
+        match self.complete(&head, stored.version, known).await? {
+            Some(loaded) => Ok(Some(loaded)),
+            None => self.load(known).await.map(Some),
+        }
+    }
+
+    /// Reads the definitions that `known` lacks; `None` if one of them is gone.
+    async fn complete(
+        &self,
+        head: &ConfigHead,
+        version: ValueVersion,
+        known: &ConfigState,
+    ) -> Result<Option<LoadedConfig>, LoadError> {
+        let revision = head.revision;
+        if revision <= known.revision() {
+            return Ok(Some(LoadedConfig { version, revision, update: None }));
+        }
+        let Some(entries) = self.read_entries(head, known).await? else {
+            return Ok(None);
+        };
+        let update = Some(build_update(head, known, entries));
+        Ok(Some(LoadedConfig { version, revision, update }))
+    }
+
+    async fn read_entries(
+        &self,
+        head: &ConfigHead,
+        known: &ConfigState,
+    ) -> Result<Option<Vec<UpdateEntry>>, LoadError> {
+        let mut entries = Vec::new();
+        for entry in head.services.iter().filter(|it| known.revision() < it.revision) {
+            let Some(entry) = self.read_entry(entry).await? else {
+                return Ok(None);
+            };
+            entries.push(entry);
+        }
+        Ok(Some(entries))
+    }
+
+    async fn read_entry(&self, entry: &HeadEntry) -> Result<Option<UpdateEntry>, LoadError> {
+        let key = definition_key(&entry.name, &entry.change);
+        let stored = self.store.get(&key).await?;
+        Ok(stored.map(|stored| UpdateEntry {
+            name: entry.name.clone(),
+            revision: entry.revision,
+            change: entry.change.clone(),
+            definition: stored.value,
+        }))
+    }
+}
+
+fn build_update(head: &ConfigHead, known: &ConfigState, entries: Vec<UpdateEntry>) -> ConfigUpdate {
+    let since = known.revision();
+    let services = head.services.iter().map(|it| (&it.name, it.revision));
+    let mut removed = recent_removals(head, since);
+    removed.extend(missing_services(head, known));
+    ConfigUpdate {
+        since: (since != RevisionNumber(0)).then_some(since),
+        revision: head.revision,
+        entries,
+        removed,
+        removals_after: since.max(head.recent_after()),
+        fingerprint: fingerprint_services(services),
+    }
+}
+
+fn recent_removals(head: &ConfigHead, since: RevisionNumber) -> Vec<RemovedService> {
+    let removals = head.recent.iter().filter(|it| it.kind == ChangeKind::Remove && since < it.to);
+    removals.map(|it| RemovedService { name: it.service.clone(), revision: it.to }).collect()
+}
+
+/// Lists the services of `known` that the head lacks; the head's revision bounds their removal.
+fn missing_services(head: &ConfigHead, known: &ConfigState) -> Vec<RemovedService> {
+    let listed: FastSet<_> = head.services.iter().map(|it| &it.name).collect();
+    let missing = known.services().filter(|(name, _)| !listed.contains(name));
+    let revision = head.revision;
+    missing.map(|(name, _)| RemovedService { name: name.clone(), revision }).collect()
+}
--- /dev/null
+++ b/crates/config/src/config_state.rs
@@ -0,0 +1,173 @@
+//! The configuration at one revision.
+
+use std::sync::Arc;
+
+use mux_model::{ChangeId, FastMap, RevisionNumber, ServiceName};
+use sha2::{Digest, Sha256};
+
+use crate::{ConfigUpdate, RemovedService, ServiceDefinition, UpdateEntry};
+
+const REMOVED_LIMIT: usize = 64;
+
+/// One service at a revision.
+#[derive(Debug, Clone)]
+pub struct ServiceEntry {
+    /// Revision of the definition.
+    pub revision: RevisionNumber,
+    /// Change that made the definition.
+    pub change: ChangeId,
+    /// The definition.
+    pub definition: Arc<ServiceDefinition>,
+    text: Arc<str>,
+}
+
+/// All services at one revision.
+#[derive(Debug, Clone, Default)]
+pub struct ConfigState {
+    revision: RevisionNumber,
+    services: FastMap<ServiceName, ServiceEntry>,
+    removed: Vec<RemovedService>,
+    removals_after: RevisionNumber,
+}
+
+impl ConfigState {
+    /// Returns the revision; zero if there is no configuration yet.
+    pub fn revision(&self) -> RevisionNumber {
+        self.revision
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.services.get(name)
+    }
+
+    /// Returns all services, in no order.
+    pub fn services(&self) -> impl Iterator<Item = (&ServiceName, &ServiceEntry)> {
+        self.services.iter()
+    }
+
+    /// Returns the number of services.
+    pub fn service_count(&self) -> usize {
+        self.services.len()
+    }
+
+    /// Returns a fingerprint of the names and revisions of all services.
+    pub fn fingerprint(&self) -> u64 {
+        fingerprint_services(self.services.iter().map(|(name, it)| (name, it.revision)))
+    }
+
+    /// Returns what brings a node from `since` to this revision.
+    ///
+    /// It is a whole configuration if removals after `since` are no longer known.
+    pub fn update_since(&self, since: RevisionNumber) -> ConfigUpdate {
+        if since < self.removals_after || since == RevisionNumber(0) {
+            return self.whole_update();
+        }
+        let removed = self.removed.iter().filter(|it| since < it.revision);
+        ConfigUpdate {
+            since: Some(since),
+            revision: self.revision,
+            entries: self.entries_after(since),
+            removed: removed.cloned().collect(),
+            removals_after: since,
+            fingerprint: self.fingerprint(),
+        }
+    }
+
+    /// Returns the whole configuration.
+    pub fn whole_update(&self) -> ConfigUpdate {
+        ConfigUpdate {
+            since: None,
+            revision: self.revision,
+            entries: self.entries_after(RevisionNumber(0)),
+            removed: self.removed.clone(),
+            removals_after: self.removals_after,
+            fingerprint: self.fingerprint(),
+        }
+    }
+
+    /// Returns the state after `update`, or `None` if the update does not lead there.
+    pub(crate) fn updated(&self, update: &ConfigUpdate) -> Option<Self> {
+        let mut state = match update.since {
+            Some(since) if self.revision < since => return None,
+            Some(_) => self.clone(),
+            None => Self::default(),
+        };
+        if update.since.unwrap_or_default() < update.removals_after {
+            state.removals_after = update.removals_after.max(state.removals_after);
+        }
+        state.remove(&update.removed);
+        for entry in &update.entries {
+            state.services.insert(entry.name.clone(), ServiceEntry::from_update(entry)?);
+        }
+        state.revision = update.revision;
+        state.trim_removed();
+        (state.fingerprint() == update.fingerprint).then_some(state)
+    }
+
+    fn remove(&mut self, removed: &[RemovedService]) {
+        for removal in removed {
+            let outdated = |it: &ServiceEntry| it.revision < removal.revision;
+            if self.services.get(&removal.name).is_some_and(outdated) {
+                self.services.remove(&removal.name);
+            }
+            if !self.removed.contains(removal) {
+                self.removed.push(removal.clone());
+            }
+        }
+    }
+
+    fn trim_removed(&mut self) {
+        self.removed.sort_by_key(|it| it.revision);
+        let surplus = self.removed.len().saturating_sub(REMOVED_LIMIT);
+        if let Some(last) = self.removed.drain(..surplus).next_back() {
+            self.removals_after = self.removals_after.max(last.revision);
+        }
+    }
+
+    fn entries_after(&self, since: RevisionNumber) -> Vec<UpdateEntry> {
+        let changed = self.services.iter().filter(|(_, it)| since < it.revision);
+        changed.map(|(name, entry)| entry.to_update(name)).collect()
+    }
+}
+
+impl ServiceEntry {
+    fn from_update(entry: &UpdateEntry) -> Option<Self> {
+        let definition: ServiceDefinition = serde_json::from_str(&entry.definition).ok()?;
+        if definition.name != entry.name {
+            return None;
+        }
+        Some(Self {
+            revision: entry.revision,
+            change: entry.change.clone(),
+            definition: Arc::new(definition),
+            text: Arc::from(entry.definition.as_str()),
+        })
+    }
+
+    fn to_update(&self, name: &ServiceName) -> UpdateEntry {
+        UpdateEntry {
+            name: name.clone(),
+            revision: self.revision,
+            change: self.change.clone(),
+            definition: self.text.to_string(),
+        }
+    }
+}
+
+/// Returns a fingerprint of names and revisions that does not depend on their order.
+pub(crate) fn fingerprint_services<'a>(
+    services: impl Iterator<Item = (&'a ServiceName, RevisionNumber)>,
+) -> u64 {
+    services.map(|(name, revision)| fingerprint_service(name, revision)).fold(0, u64::wrapping_add)
+}
+
+fn fingerprint_service(name: &ServiceName, revision: RevisionNumber) -> u64 {
+    let digest = Sha256::new()
+        .chain_update(name.as_str())
+        .chain_update([0])
+        .chain_update(revision.0.to_be_bytes())
+        .finalize();
+    let (first, _) = digest.split_at(size_of::<u64>());
+    first.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/config/src/config_writer.rs
@@ -0,0 +1,303 @@
+//! Commits changes to the store.
+
+use std::time::Duration;
+
+use mux_model::{RevisionNumber, TimePoint};
+use mux_platform::{KvStore, StoreError, ValueVersion};
+use mux_timer::TimerService;
+
+use crate::{
+    ChangeError, ChangeRecord, ConfigHead, FieldDiff, LoadError, ServiceChange, ServiceDefinition,
+    audit_trail::{archive_record, archived_change, read_value, record_refusal},
+    diff_definitions,
+    storage_keys::{HEAD_KEY, definition_key},
+};
+
+const FIRST_BACKOFF_MS: u64 = 10;
+const LONGEST_BACKOFF_MS: u64 = 320;
+
+/// How a change was accepted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ChangeOutcome {
+    /// This call committed the change.
+    Committed(ChangeRecord),
+    /// The change had been committed by an earlier call.
+    AlreadyDone(ChangeRecord),
+}
+
+/// What a change would do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangePreview {
+    /// Revision of the configuration on which the preview is based.
+    pub revision: RevisionNumber,
+    /// Fields that would change.
+    pub diffs: Vec<FieldDiff>,
+}
+
+/// Commits changes by compare-and-swap of the head.
+///
+/// A definition is stored before the head that names it, and a change record that leaves the
+/// head is archived before that head is replaced.
+#[derive(Debug, Clone)]
+pub struct ConfigWriter<S> {
+    store: S,
+    timer: TimerService,
+    change_limit: Duration,
+}
+
+/// A head that may have been replaced by this change, without a reply to tell.
+#[derive(Debug, Clone)]
+struct UncertainSwap {
+    compared: ValueVersion,
+    error: StoreError,
+}
+
+/// How an attempt at a change ended without an outcome.
+#[derive(Debug)]
+enum AttemptFailure {
+    /// The change failed for good.
+    Final(ChangeError),
+    /// Another attempt may succeed.
+    Retry(ChangeError),
+}
+
+impl ChangeOutcome {
+    /// Returns the record of the change.
+    pub fn record(&self) -> &ChangeRecord {
+        match self {
+            Self::Committed(record) | Self::AlreadyDone(record) => record,
+        }
+    }
+}
+
+impl<S: KvStore> ConfigWriter<S> {
+    /// Creates a writer that tries each change for at most `change_limit`.
+    pub fn new(store: S, timer: TimerService, change_limit: Duration) -> Self {
+        Self { store, timer, change_limit }
+    }
+
+    /// Commits `change`; `applied` is the revision that this node has applied.
+    ///
+    /// A change that was committed before, under the same id, is answered as already done.
+    /// Concurrent changes of other services are retried internally.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change was not committed, or if its outcome stayed unknown for
+    /// the whole time limit.
+    pub async fn apply(
+        &self,
+        change: &ServiceChange,
+        applied: RevisionNumber,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        change.check()?;
+        let result = self.apply_checked(change, applied).await;
+        if let Err(error) = &result {
+            self.record_refusal(change, error).await;
+        }
+        result
+    }
+
+    /// Returns what `change` would do, without storing anything.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the change would be refused now, or if the store fails.
+    pub async fn preview(&self, change: &ServiceChange) -> Result<ChangePreview, ChangeError> {
+        change.check()?;
+        let (head, _) = ConfigHead::read(&self.store).await.map_err(unavailable)?;
+        check_expected(&head, change)?;
+        let old = self.current_definition(&head, change).await.map_err(unavailable)?;
+        let diffs = diff_definitions(old.as_ref(), change.definition());
+        Ok(ChangePreview { revision: head.revision, diffs })
+    }
+
+    async fn apply_checked(
+        &self,
+        change: &ServiceChange,
+        applied: RevisionNumber,
+    ) -> Result<ChangeOutcome, ChangeError> {
+        let deadline = self.timer.now() + self.change_limit;
+        let mut uncertain = None;
+        let mut backoff_ms = FIRST_BACKOFF_MS;
+        loop {
+            let failure = match self.attempt(change, applied, &mut uncertain).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(failure) => failure,
+            };
+            if let Some(error) = self.final_error(failure, uncertain.as_ref(), deadline) {
+                return Err(error);
+            }
+            let wait_ms = rand::random_range(1..=backoff_ms);
+            self.timer.sleep(Duration::from_millis(wait_ms)).await;
+            backoff_ms = (backoff_ms * 2).min(LONGEST_BACKOFF_MS);
+        }
+    }
+
+    /// Returns the error to report, or `None` if the change is to be tried again.
+    fn final_error(
+        &self,
+        failure: AttemptFailure,
+        uncertain: Option<&UncertainSwap>,
+        deadline: TimePoint,
+    ) -> Option<ChangeError> {
+        let repeatable = matches!(failure, AttemptFailure::Retry(_)) || uncertain.is_some();
+        if repeatable && self.timer.now() < deadline {
+            return None;
+        }
+        let (AttemptFailure::Retry(error) | AttemptFailure::Final(error)) = failure;
+        Some(uncertain.map_or(error, |it| ChangeError::Unresolved(it.error.clone())))
+    }
+
+    async fn attempt(
+        &self,
+        change: &ServiceChange,
+        applied: RevisionNumber,
+        uncertain: &mut Option<UncertainSwap>,
+    ) -> Result<ChangeOutcome, AttemptFailure> {
+        let (head, version) = ConfigHead::read(&self.store).await?;
+        if let Some(record) = self.find_record(&head, change).await? {
+            return repeated_outcome(change, record, uncertain.take());
+        }
+        uncertain.take_if(|it| it.compared != version);
+        check_not_behind(&head, applied)?;
+        check_expected(&head, change)?;
+        self.store_definition(change).await?;
+        for record in head.displaced() {
+            archive_record(&self.store, record).await.map_err(before_commit)?;
+        }
+        self.swap_head(&head, version, change, uncertain).await
+    }
+
+    async fn swap_head(
+        &self,
+        head: &ConfigHead,
+        version: ValueVersion,
+        change: &ServiceChange,
+        uncertain: &mut Option<UncertainSwap>,
+    ) -> Result<ChangeOutcome, AttemptFailure> {
+        let record = change.record(head.next_revision());
+        let text = head.advance(record.clone()).to_json();
+        match self.store.compare_and_swap(HEAD_KEY, &text, version, None).await {
+            Ok(_) => Ok(ChangeOutcome::Committed(record)),
+            Err(StoreError::VersionMismatch { .. }) => {
+                Err(AttemptFailure::Retry(ChangeError::Contended))
+            }
+            Err(error @ StoreError::Unknown(_)) => {
+                *uncertain = Some(UncertainSwap { compared: version, error: error.clone() });
+                Err(AttemptFailure::Retry(ChangeError::Unresolved(error)))
+            }
+            Err(error) => Err(AttemptFailure::Final(ChangeError::Unavailable(error))),
+        }
+    }
+
+    async fn find_record(
+        &self,
+        head: &ConfigHead,
+        change: &ServiceChange,
+    ) -> Result<Option<ChangeRecord>, LoadError> {
+        match head.record(&change.id) {
+            Some(record) => Ok(Some(record.clone())),
+            None => archived_change(&self.store, &change.id).await,
+        }
+    }
+
+    /// Stores the definition afresh, so that no cleanup that began earlier can delete it.
+    async fn store_definition(&self, change: &ServiceChange) -> Result<(), AttemptFailure> {
+        let Some(definition) = change.definition() else {
+            return Ok(());
+        };
+        let key = definition_key(&change.service, &change.id);
+        let text = definition.to_json();
+        let stored = self.store.get(&key).await.map_err(before_commit)?;
+        if stored.as_ref().is_some_and(|it| it.value != text) {
+            let error = ChangeError::ChangeIdReused(change.id.clone());
+            return Err(AttemptFailure::Final(error));
+        }
+        let version = stored.map_or_else(ValueVersion::default, |it| it.version);
+        let written = self.store.compare_and_swap(&key, &text, version, None).await;
+        written.map(|_| ()).map_err(before_commit)
+    }
+
+    async fn current_definition(
+        &self,
+        head: &ConfigHead,
+        change: &ServiceChange,
+    ) -> Result<Option<ServiceDefinition>, LoadError> {
+        let Some(entry) = head.service(&change.service) else {
+            return Ok(None);
+        };
+        let stored = read_value(&self.store, &definition_key(&entry.name, &entry.change)).await?;
+        stored.map(Some).ok_or(LoadError::Unsettled)
+    }
+
+    /// Records a refusal that an operator may ask about; losing the record is tolerated.
+    async fn record_refusal(&self, change: &ServiceChange, error: &ChangeError) {
+        let recorded =
+            matches!(error, ChangeError::Conflict { .. } | ChangeError::ChangeIdReused(_));
+        if recorded {
+            let _ = record_refusal(&self.store, change, error).await;
+        }
+    }
+}
+
+impl From<ChangeError> for AttemptFailure {
+    fn from(error: ChangeError) -> Self {
+        Self::Final(error)
+    }
+}
+
+impl From<LoadError> for AttemptFailure {
+    fn from(error: LoadError) -> Self {
+        Self::Final(unavailable(error))
+    }
+}
+
+fn repeated_outcome(
+    change: &ServiceChange,
+    record: ChangeRecord,
+    uncertain: Option<UncertainSwap>,
+) -> Result<ChangeOutcome, AttemptFailure> {
+    if !change.matches(&record) {
+        return Err(ChangeError::ChangeIdReused(change.id.clone()).into());
+    }
+    if uncertain.is_some() {
+        return Ok(ChangeOutcome::Committed(record));
+    }
+    Ok(ChangeOutcome::AlreadyDone(record))
+}
+
+fn check_not_behind(head: &ConfigHead, applied: RevisionNumber) -> Result<(), ChangeError> {
+    if applied <= head.revision {
+        return Ok(());
+    }
+    Err(ChangeError::StoreBehind { stored: head.revision, applied })
+}
+
+fn check_expected(head: &ConfigHead, change: &ServiceChange) -> Result<(), ChangeError> {
+    let current = head.service_revision(&change.service);
+    if current == change.expected {
+        return Ok(());
+    }
+    Err(ChangeError::Conflict {
+        service: change.service.clone(),
+        expected: change.expected,
+        current,
+        winner: head.latest_change(&change.service).cloned().map(Box::new),
+    })
+}
+
+/// Classifies the failure of a step that comes before the commit.
+fn before_commit(error: StoreError) -> AttemptFailure {
+    match error {
+        StoreError::Unavailable(_) => AttemptFailure::Final(ChangeError::Unavailable(error)),
+        _ => AttemptFailure::Retry(ChangeError::Unavailable(error)),
+    }
+}
+
+fn unavailable(error: LoadError) -> ChangeError {
+    match error {
+        LoadError::Store(error) => ChangeError::Unavailable(error),
+        other => ChangeError::Unavailable(StoreError::Unavailable(other.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/config/src/lease_holder.rs
@@ -0,0 +1,118 @@
+//! A lock in the store, held under a lease.
+
+use std::time::Duration;
+
+use mux_model::{NodeId, TimePoint};
+use mux_platform::{KvStore, LeaseId, StoreError, ValueVersion};
+
+const TAKEOVER_LEASES: u32 = 2;
+const RENEWALS_PER_LEASE: u32 = 3;
+
+/// Holds one lock for one node, by a lease that fences its writes.
+///
+/// The holder rewrites the lock with every renewal. Another node takes the lock over after it
+/// has seen it unchanged for twice the lease's time, when the old lease has lapsed for sure;
+/// a late write under the old lease then fails at the store.
+#[derive(Debug)]
+pub struct LeaseHolder<S> {
+    store: S,
+    key: String,
+    node: NodeId,
+    ttl: Duration,
+    held: Option<HeldLease>,
+    observed: Option<ObservedLock>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    lease: LeaseId,
+    lock: ValueVersion,
+    renewed_at: TimePoint,
+}
+
+/// A lock of another node, with the moment since which it has not changed.
+#[derive(Debug, Clone, Copy)]
+struct ObservedLock {
+    version: ValueVersion,
+    since: TimePoint,
+}
+
+impl<S: KvStore> LeaseHolder<S> {
+    /// Creates a holder that does not hold the lock `key` yet.
+    pub fn new(store: S, key: &str, node: NodeId, ttl: Duration) -> Self {
+        Self { store, key: key.to_owned(), node, ttl, held: None, observed: None }
+    }
+
+    /// Returns the lease if it is held at `now`; writes under the lock must carry it.
+    pub fn lease(&self, now: TimePoint) -> Option<LeaseId> {
+        let held = self.held.filter(|it| now.since(it.renewed_at) < self.ttl)?;
+        Some(held.lease)
+    }
+
+    /// Records that the process was paused; the lease counts as lapsed.
+    pub fn on_pause(&mut self) {
+        self.held = None;
+    }
+
+    /// Renews the lease when that is due, or tries to take the lock; `now` is read before the
+    /// call. Returns whether the lock is held.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the store fails; the lock then counts as not held.
+    pub async fn maintain(&mut self, now: TimePoint) -> Result<bool, StoreError> {
+        let Some(held) = self.held.filter(|it| now.since(it.renewed_at) < self.ttl) else {
+            self.held = None;
+            return self.acquire(now).await;
+        };
+        if now.since(held.renewed_at) < self.ttl / RENEWALS_PER_LEASE {
+            return Ok(true);
+        }
+        self.held = None;
+        self.store.renew_lease(held.lease).await?;
+        let lock = self.write_lock(held.lease, held.lock).await?;
+        self.held = Some(HeldLease { lease: held.lease, lock, renewed_at: now });
+        Ok(true)
+    }
+
+    async fn acquire(&mut self, now: TimePoint) -> Result<bool, StoreError> {
+        let stored = self.store.get(&self.key).await?;
+        let version = stored.map_or_else(ValueVersion::default, |it| it.version);
+        if !self.may_take(version, now) {
+            return Ok(false);
+        }
+        let lease = self.store.grant_lease(self.ttl).await?;
+        match self.write_lock(lease, version).await {
+            Ok(lock) => {
+                self.held = Some(HeldLease { lease, lock, renewed_at: now });
+                Ok(true)
+            }
+            Err(StoreError::VersionMismatch { .. }) => Ok(false),
+            Err(error) => Err(error),
+        }
+    }
+
+    /// Returns whether the lock at `version` is free or has been unchanged for long enough.
+    fn may_take(&mut self, version: ValueVersion, now: TimePoint) -> bool {
+        if version == ValueVersion::default() {
+            return true;
+        }
+        match self.observed {
+            Some(lock) if lock.version == version => {
+                self.ttl * TAKEOVER_LEASES <= now.since(lock.since)
+            }
+            _ => {
+                self.observed = Some(ObservedLock { version, since: now });
+                false
+            }
+        }
+    }
+
+    async fn write_lock(
+        &self,
+        lease: LeaseId,
+        expected: ValueVersion,
+    ) -> Result<ValueVersion, StoreError> {
+        self.store.compare_and_swap(&self.key, self.node.as_str(), expected, Some(lease)).await
+    }
+}
--- /dev/null
+++ b/crates/config/src/service_change.rs
@@ -0,0 +1,115 @@
+//! A change to one service, as an operator asks for it.
+
+use mux_model::{ChangeId, RevisionNumber, ServiceName};
+use sha2::{Digest, Sha256};
+
+use crate::{
+    ChangeKind, ChangeRecord, DefinitionError, ServiceDefinition, definition_check::ValueChecker,
+};
+
+const CHANGE_ID_BYTES: usize = 64;
+const OPERATOR_BYTES: usize = 128;
+const DIGEST_BYTES: usize = 16;
+
+/// What a change does to its service.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ChangeAction {
+    /// Creates the service, or replaces its definition.
+    Put(Box<ServiceDefinition>),
+    /// Removes the service.
+    Remove,
+}
+
+/// A change to one service.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ServiceChange {
+    /// Name of the change; the same id always means the same change.
+    pub id: ChangeId,
+    /// Who asks for it.
+    pub operator: String,
+    /// When it was asked for, in milliseconds since the Unix epoch.
+    pub at_ms: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// Revision of the service that the change builds on; zero to create the service.
+    pub expected: RevisionNumber,
+    /// What is done.
+    pub action: ChangeAction,
+}
+
+impl ServiceChange {
+    /// Returns the kind of the change.
+    pub fn kind(&self) -> ChangeKind {
+        match self.action {
+            ChangeAction::Remove => ChangeKind::Remove,
+            ChangeAction::Put(_) if self.expected == RevisionNumber(0) => ChangeKind::Create,
+            ChangeAction::Put(_) => ChangeKind::Update,
+        }
+    }
+
+    /// Checks the change and the definition in it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names each bad value.
+    pub fn check(&self) -> Result<(), DefinitionError> {
+        let mut checker = ValueChecker::default();
+        self.check_id(&mut checker);
+        checker.name("service", self.service.as_str());
+        let operator_valid = !self.operator.is_empty() && self.operator.len() <= OPERATOR_BYTES;
+        checker.expect(operator_valid, "operator", &self.operator, "1 to 128 bytes");
+        let removes_nothing =
+            self.action == ChangeAction::Remove && self.expected == RevisionNumber(0);
+        checker.expect(!removes_nothing, "expected_revision", 0, "the service's revision");
+        let Some(definition) = self.definition() else {
+            return checker.finish();
+        };
+        let same_name = definition.name == self.service;
+        checker.expect(same_name, "name", &definition.name, "the name of the changed service");
+        checker.finish()?;
+        definition.check()
+    }
+
+    /// Returns the definition that the service is to have, or `None` if it is removed.
+    pub fn definition(&self) -> Option<&ServiceDefinition> {
+        match &self.action {
+            ChangeAction::Put(definition) => Some(definition),
+            ChangeAction::Remove => None,
+        }
+    }
+
+    /// Returns the record of this change as the one that makes revision `to`.
+    pub(crate) fn record(&self, to: RevisionNumber) -> ChangeRecord {
+        ChangeRecord {
+            change: self.id.clone(),
+            operator: self.operator.clone(),
+            at_ms: self.at_ms,
+            kind: self.kind(),
+            service: self.service.clone(),
+            from: self.expected,
+            to,
+            digest: self.digest(),
+        }
+    }
+
+    /// Returns whether `record` is of a change with the same content.
+    pub(crate) fn matches(&self, record: &ChangeRecord) -> bool {
+        record.service == self.service
+            && record.kind == self.kind()
+            && record.from == self.expected
+            && record.digest == self.digest()
+    }
+
+    fn check_id(&self, checker: &mut ValueChecker) {
+        let id = self.id.as_str();
+        let allowed = |it: u8| it.is_ascii_alphanumeric() || b"._-".contains(&it);
+        let valid = !id.is_empty() && id.len() <= CHANGE_ID_BYTES && id.bytes().all(allowed);
+        checker.expect(valid, "change_id", format!("{id:?}"), "1 to 64 of a-z, A-Z, 0-9, . _ -");
+    }
+
+    fn digest(&self) -> String {
+        let text = self.definition().map(ServiceDefinition::to_json).unwrap_or_default();
+        let digest = Sha256::digest(text);
+        digest.iter().take(DIGEST_BYTES).map(|it| format!("{it:02x}")).collect()
+    }
+}
--- /dev/null
+++ b/crates/config/src/storage_keys.rs
@@ -0,0 +1,36 @@
+//! Keys under which the configuration is stored.
+
+use mux_model::{ChangeId, RevisionNumber, ServiceName};
+
+/// Key of the head, whose compare-and-swap commits a change.
+pub const HEAD_KEY: &str = "config/head";
+/// Prefix of the immutable service definitions.
+pub const DEFINITION_PREFIX: &str = "config/services/";
+/// Prefix of the committed changes that the head no longer lists, by revision.
+pub const AUDIT_PREFIX: &str = "config/audit/";
+/// Prefix of the same changes by change id.
+pub const CHANGE_PREFIX: &str = "config/changes/";
+/// Prefix of the attempts that were refused, by time.
+pub const REFUSED_PREFIX: &str = "config/audit-refused/";
+/// Key of the janitor's lock.
+pub const JANITOR_KEY: &str = "config/janitor";
+
+/// Returns the key of the definition that `change` gives to `service`.
+pub fn definition_key(service: &ServiceName, change: &ChangeId) -> String {
+    format!("{DEFINITION_PREFIX}{service}/{change}")
+}
+
+/// Returns the key of the record of the change that made `revision`.
+pub fn audit_key(revision: RevisionNumber) -> String {
+    format!("{AUDIT_PREFIX}{:020}", revision.0)
+}
+
+/// Returns the key of the record of `change`.
+pub fn change_key(change: &ChangeId) -> String {
+    format!("{CHANGE_PREFIX}{change}")
+}
+
+/// Returns the key of the record of a refused attempt.
+pub fn refused_key(at_ms: u64, change: &ChangeId) -> String {
+    format!("{REFUSED_PREFIX}{at_ms:020}-{change}")
+}
--- a/crates/platform/src/memory/memory_store.rs
+++ b/crates/platform/src/memory/memory_store.rs
@@ -33,6 +33,7 @@
     kv: KvState,
     vms: VmList,
     down: bool,
+    down_after: Option<u64>,
     lost_replies: u32,
     lost_writes: u32,
     lost_key: Option<String>,
@@ -50,10 +51,19 @@
 
     /// Makes every call fail as unavailable, or ends that.
     pub fn set_down(&self, down: bool) {
-        self.contents().down = down;
+        let mut contents = self.contents();
+        contents.down = down;
+        contents.down_after = None;
+        drop(contents);
         self.notify();
     }
 
+    /// Makes every call fail as unavailable once `calls` more have been made.
+    pub fn set_down_after(&self, calls: u64) {
+        let mut contents = self.contents();
+        contents.down_after = Some(contents.calls + calls);
+    }
+
     /// Applies the next `count` writes of `key` and reports their outcome as unknown.
     pub fn lose_replies(&self, key: &str, count: u32) {
         let mut contents = self.contents();
@@ -87,7 +97,8 @@
         task::yield_now().await;
         let mut contents = self.contents();
         contents.calls += 1;
-        if contents.down {
+        let exhausted = contents.down_after.is_some_and(|it| it < contents.calls);
+        if contents.down || exhausted {
             return Err(unavailable());
         }
         Ok(contents)
