--- a/crates/config/src/config_loader.rs
+++ b/crates/config/src/config_loader.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures::future::try_join_all;
 use mux_model::{FastSet, RevisionNumber};
 use mux_platform::{KvStore, ValueVersion};
 
@@ -13,6 +14,7 @@
 };
 
 const LOAD_ATTEMPTS: u32 = 5;
+const READS_AT_ONCE: usize = 16;
 
 /// A configuration as read from the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -99,14 +101,14 @@
         head: &ConfigHead,
         known: &ConfigState,
     ) -> Result<Option<Vec<UpdateEntry>>, LoadError> {
-        let mut entries = Vec::new();
-        for entry in head.services.iter().filter(|it| known.revision() < it.revision) {
-            let Some(entry) = self.read_entry(entry).await? else {
-                return Ok(None);
-            };
-            entries.push(entry);
+        let lacking = head.services.iter().filter(|it| known.revision() < it.revision);
+        let lacking: Vec<_> = lacking.collect();
+        let mut entries = Vec::with_capacity(lacking.len());
+        for chunk in lacking.chunks(READS_AT_ONCE) {
+            let reads: Vec<_> = chunk.iter().map(|it| self.read_entry(it)).collect();
+            entries.extend(try_join_all(reads).await?);
         }
-        Ok(Some(entries))
+        Ok(entries.into_iter().collect())
     }
 
     async fn read_entry(&self, entry: &HeadEntry) -> Result<Option<UpdateEntry>, LoadError> {
--- a/crates/config/src/config_state.rs
+++ b/crates/config/src/config_state.rs
@@ -28,6 +28,7 @@
     services: FastMap<ServiceName, ServiceEntry>,
     removed: Vec<RemovedService>,
     removals_after: RevisionNumber,
+    fingerprint: u64,
 }
 
 impl ConfigState {
@@ -53,7 +54,7 @@
 
     /// Returns a fingerprint of the names and revisions of all services.
     pub fn fingerprint(&self) -> u64 {
-        fingerprint_services(self.services.iter().map(|(name, it)| (name, it.revision)))
+        self.fingerprint
     }
 
     /// Returns what brings a node from `since` to this revision.
@@ -70,7 +71,7 @@
             entries: self.entries_after(since),
             removed: removed.cloned().collect(),
             removals_after: since,
-            fingerprint: self.fingerprint(),
+            fingerprint: self.fingerprint,
         }
     }
 
@@ -82,7 +83,7 @@
             entries: self.entries_after(RevisionNumber(0)),
             removed: self.removed.clone(),
             removals_after: self.removals_after,
-            fingerprint: self.fingerprint(),
+            fingerprint: self.fingerprint,
         }
     }
 
@@ -102,7 +103,12 @@
         }
         state.revision = update.revision;
         state.trim_removed();
-        (state.fingerprint() == update.fingerprint).then_some(state)
+        state.fingerprint = state.computed_fingerprint();
+        (state.fingerprint == update.fingerprint).then_some(state)
+    }
+
+    fn computed_fingerprint(&self) -> u64 {
+        fingerprint_services(self.services.iter().map(|(name, it)| (name, it.revision)))
     }
 
     fn remove(&mut self, removed: &[RemovedService]) {
--- a/crates/config/tests/config_replica.rs
+++ b/crates/config/tests/config_replica.rs
@@ -36,7 +36,9 @@
 
 async fn load_into(store: &MemoryStore, replica: &mut ConfigReplica) -> OfferOutcome {
     let loader = ConfigLoader::new(store.clone());
-    match loader.load(&replica.snapshot()).await.unwrap().update {
+    let known = replica.snapshot();
+    let load = tokio::spawn(async move { loader.load(&known).await });
+    match load.await.unwrap().unwrap().update {
         Some(update) => replica.offer(&update),
         None => OfferOutcome::Ignored,
     }
--- a/crates/config/tests/config_writer.rs
+++ b/crates/config/tests/config_writer.rs
@@ -122,7 +122,8 @@
 }
 
 async fn race(store: &MemoryStore, change: &ServiceChange) -> Result<ChangeOutcome, ChangeError> {
-    writer(store).apply(change, START).await
+    let (writer, change) = (writer(store), change.clone());
+    tokio::spawn(async move { writer.apply(&change, START).await }).await.unwrap()
 }
 
 #[gtest]
--- a/crates/config/tests/janitor_lease.rs
+++ b/crates/config/tests/janitor_lease.rs
@@ -126,7 +126,7 @@
     store.set_down(false);
 }
 
-async fn after_yields<T>(count: u32, operation: impl Future<Output = T>) -> T {
+async fn after_yields<T>(count: u32, operation: impl Future<Output = T> + Send) -> T {
     for _ in 0..count {
         tokio::task::yield_now().await;
     }
