Record in the audit trail which fields an update changed

Cause: a record named the change by a digest only; once the janitor deleted the replaced definition, nobody could read back what was changed.

Change: an update's record lists up to 12 changed fields, old and new value cut to 64 characters, and counts the rest. This costs one more read per update. The stand-in no longer ends when a client resets at once.

Seen to fail first: without the fields, the trail test fails.

--- a/crates/config/src/change_record.rs
+++ b/crates/config/src/change_record.rs
@@ -3,6 +3,11 @@
 use mux_model::{ChangeId, RevisionNumber, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::FieldDiff;
+
+const FIELD_LIMIT: usize = 12;
+const FIELD_VALUE_CHARS: usize = 64;
+
 /// What a change did to its service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -34,4 +39,18 @@
     pub to: RevisionNumber,
     /// Digest of the new definition's JSON form.
     pub digest: String,
+    /// Fields that an update changed, with long values cut short.
+    pub fields: Vec<FieldDiff>,
+    /// Number of changed fields that are left out.
+    pub omitted_fields: usize,
+}
+
+impl ChangeRecord {
+    /// Returns the record with the fields that the change altered, within its size limit.
+    pub(crate) fn with_fields(self, diffs: Vec<FieldDiff>) -> Self {
+        let omitted_fields = diffs.len().saturating_sub(FIELD_LIMIT);
+        let kept = diffs.into_iter().take(FIELD_LIMIT);
+        let fields = kept.map(|it| it.shortened(FIELD_VALUE_CHARS)).collect();
+        Self { fields, omitted_fields, ..self }
+    }
 }
--- a/crates/config/src/config_writer.rs
+++ b/crates/config/src/config_writer.rs
@@ -7,7 +7,8 @@
 use mux_timer::TimerService;
 
 use crate::{
-    ChangeError, ChangeRecord, ConfigHead, FieldDiff, LoadError, ServiceChange, ServiceDefinition,
+    ChangeError, ChangeKind, ChangeRecord, ConfigHead, FieldDiff, LoadError, ServiceChange,
+    ServiceDefinition,
     audit_trail::{archive_record, archived_change, read_value, record_refusal},
     diff_definitions,
     storage_keys::{HEAD_KEY, definition_key},
@@ -176,7 +177,7 @@
         change: &ServiceChange,
         uncertain: &mut Option<UncertainSwap>,
     ) -> Result<ChangeOutcome, AttemptFailure> {
-        let record = change.record(head.next_revision());
+        let record = self.build_record(head, change).await?;
         let text = head.advance(record.clone()).to_json();
         match self.store.compare_and_swap(HEAD_KEY, &text, version, None).await {
             Ok(_) => Ok(ChangeOutcome::Committed(record)),
@@ -191,6 +192,20 @@
         }
     }
 
+    async fn build_record(
+        &self,
+        head: &ConfigHead,
+        change: &ServiceChange,
+    ) -> Result<ChangeRecord, AttemptFailure> {
+        let record = change.record(head.next_revision());
+        if change.kind() != ChangeKind::Update {
+            return Ok(record);
+        }
+        let old = self.current_definition(head, change).await?;
+        let diffs = diff_definitions(old.as_ref(), change.definition());
+        Ok(record.with_fields(diffs))
+    }
+
     async fn find_record(
         &self,
         head: &ConfigHead,
@@ -249,7 +264,10 @@
 
 impl From<LoadError> for AttemptFailure {
     fn from(error: LoadError) -> Self {
-        Self::Final(unavailable(error))
+        match error {
+            LoadError::Unsettled => Self::Retry(ChangeError::Contended),
+            error => Self::Final(unavailable(error)),
+        }
     }
 }
 
--- a/crates/config/src/definition_diff.rs
+++ b/crates/config/src/definition_diff.rs
@@ -2,13 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::ServiceDefinition;
 
 /// A field that differs between two definitions.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FieldDiff {
     /// Path of the field, for example `limits.slots_per_upstream`.
     pub key: String,
@@ -18,6 +18,14 @@
     pub new: Option<String>,
 }
 
+impl FieldDiff {
+    /// Returns the diff with its values cut to `limit` characters each.
+    pub(crate) fn shortened(self, limit: usize) -> Self {
+        let shorten = |it: String| it.chars().take(limit).collect();
+        Self { old: self.old.map(shorten), new: self.new.map(shorten), ..self }
+    }
+}
+
 /// Lists the fields that differ, ordered by path; `None` stands for no such service.
 pub fn diff_definitions(
     old: Option<&ServiceDefinition>,
--- a/crates/config/src/service_change.rs
+++ b/crates/config/src/service_change.rs
@@ -89,6 +89,8 @@
             from: self.expected,
             to,
             digest: self.digest(),
+            fields: Vec::new(),
+            omitted_fields: 0,
         }
     }
 
--- a/crates/config/tests/config_writer.rs
+++ b/crates/config/tests/config_writer.rs
@@ -135,7 +135,7 @@
     let (lost, other) = (put("c1", "shopfront", 1), put_deadline("c2", "shopfront", 1, 700));
     store.lose_writes(HEAD_KEY, 1);
     let overtaking = async {
-        while store.calls() < calls + 5 {
+        while store.calls() < calls + 6 {
             tokio::task::yield_now().await;
         }
         race(&store, &other).await
@@ -249,6 +249,33 @@
         from: change.expected,
         to: head.next_revision(),
         digest: "0".repeat(32),
+        fields: vec![long_diff(); 12],
+        omitted_fields: 3,
     };
     head.advance(record)
 }
+
+fn long_diff() -> FieldDiff {
+    let value = Some("x".repeat(64));
+    FieldDiff {
+        key: "upstreams[4095].availability_zone".to_owned(),
+        old: value.clone(),
+        new: value,
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn trail_shows_who_changed_what_when_and_from_which_revision() {
+    let store = store();
+    apply(&store, &put("c1", "shopfront", 0)).await;
+    apply(&store, &put_deadline("c2", "shopfront", 1, 700)).await;
+    let trail = read_audit(&store, RevisionNumber(1), ALL).await.unwrap();
+    let text = serde_json::to_value(&trail).unwrap();
+    let expected = serde_json::json!([{
+        "change": "c2", "operator": "ana", "at_ms": 1_000, "kind": "update",
+        "service": "shopfront", "from": 1, "to": 2, "digest": trail[0].digest,
+        "fields": [{"key": "deadline_ms", "old": "1000", "new": "700"}], "omitted_fields": 0,
+    }]);
+    expect_that!(text, eq(&expected));
+}
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -62,7 +62,7 @@
     let routes = Arc::new(HttpRoutes::new(timer, settings));
     loop {
         let (stream, _) = listener.accept().await?;
-        stream.set_nodelay(true)?;
+        let _ = stream.set_nodelay(true);
         let routes = Arc::clone(&routes);
         let service = service_fn(move |request| {
             let routes = Arc::clone(&routes);
