--- /dev/null
+++ b/crates/membership/examples/gossip_cost.rs
@@ -0,0 +1,149 @@
+//! Prints what membership costs per node and how fast news spread, by number of nodes.
+//!
+//! All nodes are state machines in one process on a virtual clock; no sockets are involved.
+
+#[path = "../tests/support/gossip_net.rs"]
+mod gossip_net;
+
+use std::time::{Duration, Instant};
+
+use gossip_net::{GossipNet, identity};
+use mux_membership::{GossipEvent, GossipSettings};
+use mux_model::{RevisionNumber, TimePoint};
+
+const NODE_COUNTS: [usize; 7] = [3, 7, 15, 30, 60, 120, 400];
+const HEADER_BYTES: u64 = 28;
+const SEED: u64 = 20_260_801;
+const STEADY_SECONDS: u64 = 60;
+
+fn main() {
+    println!(
+        "seed {SEED}; {STEADY_SECONDS} s steady state; IP and UDP headers of 28 bytes included"
+    );
+    println!(
+        "{:>5} {:>5} {:>7} {:>8} {:>9} {:>9} {:>9} {:>9} {:>9} {:>9} {:>7} {:>7}",
+        "nodes",
+        "loss",
+        "join s",
+        "dgr/s",
+        "out B/s",
+        "in B/s",
+        "max B/s",
+        "cpu us/s",
+        "rev ms",
+        "down s",
+        "age s",
+        "mem KB"
+    );
+    for loss in [0.0, 0.02] {
+        for count in NODE_COUNTS {
+            measure(count, loss);
+        }
+    }
+}
+
+fn measure(count: usize, loss: f64) {
+    let mut net = GossipNet::start(count, SEED, GossipSettings::new("cost"));
+    net.loss = loss;
+    let started = net.now;
+    let joined = net.run_until(started + Duration::from_secs(120), GossipNet::converged);
+    let join = net.now.since(started);
+    net.run(Duration::from_secs(60));
+    clear_counts(&mut net);
+    let clock = Instant::now();
+    net.run(Duration::from_secs(STEADY_SECONDS));
+    let cpu = clock.elapsed().as_micros() as f64 / (count as u64 * STEADY_SECONDS) as f64;
+    let rate = |total: u64| total as f64 / (count as u64 * STEADY_SECONDS) as f64;
+    let out: u64 = net.nodes.iter().map(|it| it.bytes_out + it.datagrams_out * HEADER_BYTES).sum();
+    let inward: u64 = net.nodes.iter().map(|it| it.bytes_in + it.datagrams_in * HEADER_BYTES).sum();
+    let most = net
+        .nodes
+        .iter()
+        .map(|it| it.bytes_out + it.bytes_in + (it.datagrams_in + it.datagrams_out) * HEADER_BYTES);
+    let most = most.max().unwrap_or(0) / STEADY_SECONDS;
+    let datagrams = net.nodes.iter().map(|it| it.datagrams_out).sum();
+    let memory = resident_kilobytes() / count as u64;
+    let age = report_age(&mut net, rate(datagrams));
+    let revision = spread_revision(&mut net);
+    let removal = remove_node(&mut net);
+    println!(
+        "{count:>5} {loss:>5} {:>7} {:>8.2} {:>9.0} {:>9.0} {:>9} {cpu:>9.1} {:>9} {:>9} {age:>7.1} {memory:>7}",
+        if joined { format!("{:.1}", join.as_secs_f64()) } else { "never".to_owned() },
+        rate(datagrams),
+        rate(out),
+        rate(inward),
+        most,
+        revision,
+        removal,
+    );
+}
+
+fn spread_revision(net: &mut GossipNet) -> String {
+    let revision = RevisionNumber(1);
+    let started = net.now;
+    net.step(0, |machine, now, actions| machine.announce_revision(now, revision, actions));
+    let done = net.run_until(started + Duration::from_secs(60), |net| {
+        (0..net.nodes.len()).all(|idx| {
+            let node = identity(idx).node;
+            net.view(idx).get(&node).is_some_and(|it| revision <= it.revision)
+        })
+    });
+    let spread = net.now.since(started).as_millis();
+    let acked = net.run_until(started + Duration::from_secs(60), |net| {
+        let (count, total) = net.view(0).in_force(revision);
+        count == total
+    });
+    let seen = net.now.since(started).as_millis();
+    format!("{spread}/{seen}{}", if done && acked { "" } else { "!" })
+}
+
+/// Returns the resident memory of this process, the simulated network included.
+fn resident_kilobytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+    line.and_then(|it| it.split_whitespace().next()?.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the mean age of what nodes know of one another's load, in seconds.
+fn report_age(net: &mut GossipNet, reports_per_second: f64) -> f64 {
+    let count = net.nodes.len();
+    let views: Vec<_> = (0..count).map(|it| net.view(it)).collect();
+    let mut behind = 0;
+    for idx in 0..count {
+        let node = identity(idx).node;
+        let reports = views.iter().filter_map(|it| it.get(&node)).map(|it| u64::from(it.report));
+        let newest = reports.clone().max().unwrap_or(0);
+        behind += reports.map(|it| newest - it).sum::<u64>();
+    }
+    behind as f64 / (count * (count - 1)) as f64 / reports_per_second
+}
+
+fn remove_node(net: &mut GossipNet) -> String {
+    let victim = net.nodes.len() - 1;
+    net.nodes[victim].running = false;
+    let started = net.now;
+    let done = net.run_until(started + Duration::from_secs(120), GossipNet::converged);
+    let false_alarms = count_downs(net, victim, started);
+    format!(
+        "{:.1}{}+{false_alarms}",
+        net.now.since(started).as_secs_f64(),
+        if done { "" } else { "!" }
+    )
+}
+
+fn count_downs(net: &GossipNet, victim: usize, since: TimePoint) -> usize {
+    let victim = identity(victim).node;
+    let events = net.nodes.iter().flat_map(|it| &it.events);
+    let downs = events.filter(|(at, event)| match event {
+        GossipEvent::MemberDown { member } => since <= *at && *member.node() != victim,
+        _ => false,
+    });
+    downs.count()
+}
+
+fn clear_counts(net: &mut GossipNet) {
+    for node in &mut net.nodes {
+        (node.datagrams_out, node.bytes_out) = (0, 0);
+        (node.datagrams_in, node.bytes_in) = (0, 0);
+    }
+}
--- a/crates/membership/src/gossip_machine.rs
+++ b/crates/membership/src/gossip_machine.rs
@@ -7,20 +7,14 @@
 
 use std::{collections::VecDeque, net::SocketAddr, sync::Arc, time::Duration};
 
-use mux_model::{FastSet, NodeId, NodeIncarnation, RevisionNumber, TimePoint, UpstreamId};
+use mux_model::{NodeId, NodeIncarnation, RevisionNumber, TimePoint, UpstreamId};
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::{
     CounterReading, GossipAction, GossipEvent, GossipSettings, MemberRecord, MemberState,
-    MemberView, NodeIdentity, UpstreamNote,
-    codec::GossipCodec,
-    member_table::{MemberTable, TableChange},
-    message::{GossipBody, MemberClaim},
-    note_table::NoteTable,
-    probe_book::ProbeBook,
-    retransmit_queue::RetransmitQueue,
-    revision_spread::RevisionSpread,
-    sync_cycle::SyncCycle,
+    MemberView, NodeIdentity, UpstreamNote, codec::GossipCodec, member_table::MemberTable,
+    message::MemberClaim, note_table::NoteTable, probe_book::ProbeBook,
+    retransmit_queue::RetransmitQueue, revision_spread::RevisionSpread, sync_cycle::SyncCycle,
 };
 
 const HOUSEKEEPING_PERIOD: Duration = Duration::from_secs(10);
--- a/crates/membership/src/gossip_machine/probing.rs
+++ b/crates/membership/src/gossip_machine/probing.rs
@@ -5,9 +5,11 @@
 use mux_model::{NodeId, TimePoint};
 use rand::seq::IteratorRandom;
 
-use super::*;
+use super::GossipMachine;
 use crate::{
+    GossipAction, MemberState,
     member_table::claim_of,
+    message::{GossipBody, MemberClaim},
     probe_book::{IndirectProbe, Probe, ProbeKind},
 };
 
@@ -112,8 +114,12 @@
         (MemberState::Suspect <= entry.record.state).then(|| claim_of(&entry.record))
     }
 
-    /// Puts claims against members to them before they are believed, for a while.
+    /// Puts claims against members to them before they are believed, for a while, and gives
+    /// suspect members the full time to refute.
     pub(super) fn start_reunion(&mut self, now: TimePoint) {
+        if self.reunion_until <= now {
+            self.table.restart_suspicions(now);
+        }
         self.reunion_until = now + REUNION_PERIOD;
     }
 
--- a/crates/membership/src/gossip_machine/receiving.rs
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -1,14 +1,15 @@
 //! Processing of received messages.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use mux_model::{NodeId, TimePoint};
 
-use super::*;
+use super::{GossipMachine, MemberNews, emit};
 use crate::{
+    GossipAction, GossipEvent, MemberRecord, MemberState,
     errors::CodecError,
-    member_table::{claim_of, report_key},
-    message::{GossipMessage, MemberReport, SenderHeader},
+    member_table::{TableChange, claim_of, report_key},
+    message::{GossipBody, GossipMessage, MemberClaim, MemberReport, SenderHeader},
     probe_book::ProbeKind,
 };
 
@@ -24,6 +25,8 @@
     Peer,
     /// A sender that may have been cut off until now.
     Doubtful,
+    /// A table exchange, in which all members take part themselves.
+    Exchange,
 }
 
 impl GossipMachine {
@@ -82,7 +85,7 @@
             return;
         }
         let change = self.table.apply_record(now, record);
-        self.on_change(now, record.node(), change, actions);
+        self.on_heard(now, record.node(), change, source, actions);
     }
 
     /// Publishes a change of the table and passes it on.
@@ -93,34 +96,56 @@
         change: TableChange,
         actions: &mut Vec<GossipAction>,
     ) {
-        if change == TableChange::Unchanged {
-            return;
-        }
-        let Some(entry) = self.table.get(node) else {
-            return;
-        };
-        let member = entry.record.clone();
-        self.view_outdated = true;
         let news = match change {
+            TableChange::Unchanged => return,
             TableChange::Up => MemberNews::Record(node.clone()),
             _ => MemberNews::Claim(node.clone()),
         };
         self.queue_member(news);
-        if change == TableChange::Back {
-            self.start_reunion(now);
+        self.publish_change(now, node, change, actions);
+    }
+
+    fn on_heard(
+        &mut self,
+        now: TimePoint,
+        node: &NodeId,
+        change: TableChange,
+        source: ClaimSource,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        match source {
+            ClaimSource::Exchange => self.publish_change(now, node, change, actions),
+            _ => self.on_change(now, node, change, actions),
         }
+    }
+
+    fn publish_change(
+        &mut self,
+        now: TimePoint,
+        node: &NodeId,
+        change: TableChange,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let Some(entry) = self.table.get(node) else {
+            return;
+        };
+        let member = entry.record.clone();
         let event = match change {
+            TableChange::Unchanged => return,
             TableChange::Up | TableChange::Back => GossipEvent::MemberUp { member },
+            TableChange::Changed => GossipEvent::MemberChanged { member },
             TableChange::Down => GossipEvent::MemberDown { member },
-            _ => GossipEvent::MemberChanged { member },
         };
+        self.view_outdated = true;
+        if change == TableChange::Back {
+            self.start_reunion(now);
+        }
         emit(event, actions);
     }
 
     fn judge_source(&self, now: TimePoint, sender: &NodeId) -> ClaimSource {
-        let in_good_standing = self.table.get(sender).is_some_and(|it| {
-            it.record.state < MemberState::Suspect
-        });
+        let in_good_standing =
+            self.table.get(sender).is_some_and(|it| it.record.state < MemberState::Suspect);
         match in_good_standing && self.reunion_until <= now {
             true => ClaimSource::Peer,
             false => ClaimSource::Doubtful,
@@ -188,13 +213,17 @@
         if (claim.incarnation, claim.state) <= held {
             return;
         }
+        if claim.run != entry.record.run {
+            self.sync.hasten(now);
+            return;
+        }
         let Some(state) = believed_state(held.1, claim.state, source) else {
             self.doubt(claim.clone());
             return;
         };
         let claim = MemberClaim { state, ..claim.clone() };
         let change = self.table.apply_claim(now, &claim);
-        self.on_change(now, &claim.node, change, actions);
+        self.on_heard(now, &claim.node, change, source, actions);
     }
 
     fn doubt(&mut self, claim: MemberClaim) {
@@ -262,12 +291,13 @@
                 let kind = ProbeKind::Relay { peer: from, sequence };
                 self.send_ping(now, kind, (target, peer), None, actions);
             }
-            GossipBody::SyncRequest { digest, after } => {
-                self.on_sync_request(now, from, digest, after.as_ref(), actions);
+            GossipBody::SyncRequest { digest } => {
+                self.on_sync_request(now, from, &digest, actions);
             }
-            GossipBody::SyncPage { members, last } => {
-                self.on_sync_page(now, from, &members, last, actions);
+            GossipBody::SyncNext { buckets, after } => {
+                self.send_page(now, from, buckets, Some(&after), actions);
             }
+            GossipBody::SyncPage(page) => self.on_sync_page(now, from, &page, actions),
             GossipBody::RevisionAck { revision } => {
                 let body = GossipBody::RevisionAckSeen { revision };
                 self.send(now, from, body, None, actions);
@@ -297,7 +327,7 @@
     match source {
         ClaimSource::Member => Some(claimed),
         _ if !accuses => Some(claimed),
-        ClaimSource::Doubtful => None,
+        ClaimSource::Doubtful | ClaimSource::Exchange => None,
         ClaimSource::Peer if held == MemberState::Alive => Some(MemberState::Suspect),
         ClaimSource::Peer => Some(claimed),
     }
@@ -306,6 +336,7 @@
 fn claim_of_sender(sender: &SenderHeader) -> MemberClaim {
     MemberClaim {
         node: sender.node.clone(),
+        run: sender.run,
         incarnation: sender.incarnation,
         state: sender.state,
     }
--- a/crates/membership/src/gossip_machine/spreading.rs
+++ b/crates/membership/src/gossip_machine/spreading.rs
@@ -2,15 +2,18 @@
 
 use std::net::SocketAddr;
 
-use mux_model::{FastSet, RevisionNumber, TimePoint};
+use mux_model::{FastSet, NodeId, RevisionNumber, TimePoint};
 use rand::seq::SliceRandom;
 use serde::Serialize;
 
-use super::*;
+use super::{GossipMachine, MemberNews, emit};
 use crate::{
+    GossipAction, GossipEvent, UpstreamNote,
     codec::{DATAGRAM_LIMIT_BYTES, encoded_len},
     member_table::{claim_of, report_key},
-    message::{GossipMessage, MemberReport, RevisionAnnouncement, SenderHeader},
+    message::{
+        GossipBody, GossipMessage, MemberClaim, MemberReport, RevisionAnnouncement, SenderHeader,
+    },
 };
 
 const FRAME_ALLOWANCE_BYTES: usize = 16;
@@ -167,10 +170,7 @@
         claim: Option<MemberClaim>,
     ) -> GossipMessage {
         self.local.report = self.local.report.saturating_add(1);
-        let introduces = matches!(
-            body,
-            GossipBody::SyncRequest { after: None, .. } | GossipBody::SyncPage { .. }
-        );
+        let introduces = matches!(body, GossipBody::SyncRequest { .. } | GossipBody::SyncPage(_));
         let records = if introduces { vec![self.local.clone()] } else { Vec::new() };
         GossipMessage {
             sender: self.header(),
--- a/crates/membership/src/gossip_machine/syncing.rs
+++ b/crates/membership/src/gossip_machine/syncing.rs
@@ -2,11 +2,16 @@
 
 use std::net::SocketAddr;
 
-use mux_model::{NodeId, TimePoint};
+use mux_model::{FastSet, NodeId, TimePoint};
 use rand::{RngExt, seq::IteratorRandom};
 
-use super::{receiving::ClaimSource, *};
-use crate::codec::encoded_len;
+use super::{GossipMachine, receiving::ClaimSource};
+use crate::{
+    GossipAction, MemberRecord,
+    codec::encoded_len,
+    message::{GossipBody, SyncPage},
+    table_digest::{BucketSet, TableDigest},
+};
 
 const SEEDS_ASKED: usize = 3;
 const PAGE_BYTES: usize = 900;
@@ -23,7 +28,7 @@
         let jitter = self.rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
         if self.sync.periodic_due(now, period * jitter / 100) {
             for (_, peer) in self.random_members(1, None) {
-                self.request_page(now, peer, None, actions);
+                self.request_page(now, peer, actions);
             }
         }
     }
@@ -35,7 +40,7 @@
         let seeds = self.sync.seeds().iter().copied();
         let strangers = seeds.filter(|it| *it != local && !known.contains(it));
         for peer in strangers.sample(&mut self.rng, SEEDS_ASKED) {
-            self.send_request(now, peer, None, actions);
+            self.send_request(now, peer, actions);
         }
     }
 
@@ -47,52 +52,64 @@
         actions: &mut Vec<GossipAction>,
     ) {
         if self.sync.unasked_due(now) {
-            self.request_page(now, peer, None, actions);
+            self.request_page(now, peer, actions);
         }
     }
 
-    /// Answers a request with the records after `after`, or with none if the tables are equal.
+    /// Answers a request with the first page of the buckets that differ.
     pub(super) fn on_sync_request(
         &mut self,
         now: TimePoint,
         from: SocketAddr,
-        digest: u64,
-        after: Option<&NodeId>,
+        digest: &TableDigest,
         actions: &mut Vec<GossipAction>,
     ) {
-        let own = self.table.digest(&self.local);
-        let (members, last) = match after.is_none() && own == digest {
-            true => (Vec::new(), true),
-            false => self.page_after(after),
-        };
-        let equal = own == digest;
-        let body = GossipBody::SyncPage { members, last };
-        self.send(now, from, body, None, actions);
-        if after.is_none() {
-            self.send_all_notes(now, from, actions);
-        }
-        if after.is_none() && !equal {
+        let buckets = self.table.digest(&self.local).differences(digest);
+        self.send_page(now, from, buckets, None, actions);
+        self.send_all_notes(now, from, actions);
+        if !buckets.is_empty() {
             self.start_sync(now, from, actions);
         }
     }
 
+    /// Sends the records of `buckets` after `after`.
+    pub(super) fn send_page(
+        &mut self,
+        now: TimePoint,
+        to: SocketAddr,
+        buckets: BucketSet,
+        after: Option<&NodeId>,
+        actions: &mut Vec<GossipAction>,
+    ) {
+        let (members, last) = self.page_after(buckets, after);
+        let page = SyncPage { buckets, members, last };
+        self.send(now, to, GossipBody::SyncPage(page), None, actions);
+    }
+
     /// Merges a page and requests the next one.
     pub(super) fn on_sync_page(
         &mut self,
         now: TimePoint,
         from: SocketAddr,
-        members: &[MemberRecord],
-        last: bool,
+        page: &SyncPage,
         actions: &mut Vec<GossipAction>,
     ) {
-        self.merge_page(now, members, actions);
-        let cursor = members.last().map(|it| it.node().clone());
-        if last || cursor.is_none() {
+        self.merge_page(now, &page.members, actions);
+        if !page.buckets.is_empty() {
+            self.sync.hasten(now);
+        }
+        let Some(after) = page.members.last().map(|it| it.node().clone()) else {
+            self.sync.finish(from);
+            return;
+        };
+        if page.last {
             self.sync.finish(from);
             return;
         }
         if self.sync.wants_next(now, from) {
-            self.request_page(now, from, cursor, actions);
+            self.sync.expect_page(now, from);
+            let body = GossipBody::SyncNext { buckets: page.buckets, after };
+            self.send(now, from, body, None, actions);
         }
     }
 
@@ -104,37 +121,29 @@
         actions: &mut Vec<GossipAction>,
     ) {
         for record in members {
-            self.on_record(now, record, ClaimSource::Doubtful, actions);
+            self.on_record(now, record, ClaimSource::Exchange, actions);
         }
     }
 
-    fn request_page(
-        &mut self,
-        now: TimePoint,
-        peer: SocketAddr,
-        after: Option<NodeId>,
-        actions: &mut Vec<GossipAction>,
-    ) {
+    fn request_page(&mut self, now: TimePoint, peer: SocketAddr, actions: &mut Vec<GossipAction>) {
         self.sync.expect_page(now, peer);
-        self.send_request(now, peer, after, actions);
+        self.send_request(now, peer, actions);
     }
 
-    fn send_request(
-        &mut self,
-        now: TimePoint,
-        peer: SocketAddr,
-        after: Option<NodeId>,
-        actions: &mut Vec<GossipAction>,
-    ) {
+    fn send_request(&mut self, now: TimePoint, peer: SocketAddr, actions: &mut Vec<GossipAction>) {
         let digest = self.table.digest(&self.local);
-        let body = GossipBody::SyncRequest { digest, after };
-        self.send(now, peer, body, None, actions);
+        self.send(now, peer, GossipBody::SyncRequest { digest }, None, actions);
     }
 
-    /// Returns the records after `after` that fit a page, and whether they are the last.
-    fn page_after(&self, after: Option<&NodeId>) -> (Vec<MemberRecord>, bool) {
+    /// Returns the records of `buckets` after `after` that fit a page, and whether they are the
+    /// last.
+    fn page_after(&self, buckets: BucketSet, after: Option<&NodeId>) -> (Vec<MemberRecord>, bool) {
+        if buckets.is_empty() {
+            return (Vec::new(), true);
+        }
         let records = self.table.iter().map(|it| &it.record);
-        let mut rest: Vec<_> = records.filter(|it| after < Some(it.node())).collect();
+        let rest = records.filter(|it| buckets.covers(it.node()) && after < Some(it.node()));
+        let mut rest: Vec<_> = rest.collect();
         rest.sort_unstable_by_key(|it| it.node());
         let mut page = Vec::new();
         let mut len = 0;
--- a/crates/membership/src/gossip_settings.rs
+++ b/crates/membership/src/gossip_settings.rs
@@ -39,7 +39,7 @@
             indirect_probes: 3,
             fanout: 4,
             suspicion_factor: 4.0,
-            sync_period: Duration::from_secs(30),
+            sync_period: Duration::from_secs(10),
             dead_retention: Duration::from_secs(3_600),
             note_retention: Duration::from_secs(600),
             pause_limit: Duration::from_millis(1_500),
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -16,6 +16,7 @@
 mod retransmit_queue;
 mod revision_spread;
 mod sync_cycle;
+mod table_digest;
 
 pub use errors::GossipError;
 pub use gossip_action::{GossipAction, GossipEvent};
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -1,15 +1,12 @@
 //! The members as one node knows them.
 
-use std::hash::BuildHasher;
-
-use mux_model::{
-    FastHasher, FastMap, NodeId, NodeIncarnation, RevisionNumber, TimePoint,
-};
+use mux_model::{FastMap, NodeId, NodeIncarnation, RevisionNumber, TimePoint};
 
 use crate::{
     MemberRecord, MemberState,
     codec::stable_hash,
     message::{MemberClaim, MemberReport},
+    table_digest::TableDigest,
 };
 
 /// What a claim or record changed.
@@ -93,13 +90,14 @@
         }
     }
 
-    /// Merges a claim about a known member.
+    /// Merges a claim about a known run of a member.
     pub(crate) fn apply_claim(&mut self, now: TimePoint, claim: &MemberClaim) -> TableChange {
         let Some(entry) = self.entries.get_mut(&claim.node) else {
             return TableChange::Unchanged;
         };
         let record = &mut entry.record;
-        if (claim.incarnation, claim.state) <= (record.incarnation, record.state) {
+        let outdated = (claim.incarnation, claim.state) <= (record.incarnation, record.state);
+        if outdated || claim.run != record.run {
             return TableChange::Unchanged;
         }
         let before = record.state;
@@ -180,13 +178,9 @@
         self.keys.retain(|_, node| node.as_ref().is_none_or(|it| self.entries.contains_key(it)));
     }
 
-    /// Returns a hash of the names, incarnations and states of the live members and `local`.
-    pub(crate) fn digest(&self, local: &MemberRecord) -> u64 {
-        let hasher = FastHasher::default();
-        let records = self.live().map(|it| &it.record);
-        records.chain([local]).fold(0, |digest, it| {
-            digest ^ hasher.hash_one((it.node(), it.incarnation, it.state))
-        })
+    /// Returns the digest of the live members and `local`.
+    pub(crate) fn digest(&self, local: &MemberRecord) -> TableDigest {
+        TableDigest::of(self.live().map(|it| &it.record).chain([local]))
     }
 
     fn insert(&mut self, now: TimePoint, record: MemberRecord) {
@@ -219,6 +213,7 @@
 pub(crate) fn claim_of(record: &MemberRecord) -> MemberClaim {
     MemberClaim {
         node: record.node().clone(),
+        run: record.run,
         incarnation: record.incarnation,
         state: record.state,
     }
--- a/crates/membership/src/message.rs
+++ b/crates/membership/src/message.rs
@@ -5,7 +5,10 @@
 use mux_model::{NodeId, NodeIncarnation, RevisionNumber};
 use serde::{Deserialize, Serialize};
 
-use crate::{MemberRecord, MemberState, UpstreamNote};
+use crate::{
+    MemberRecord, MemberState, UpstreamNote,
+    table_digest::{BucketSet, TableDigest},
+};
 
 /// One datagram: a body, and news that travel with it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,10 +52,12 @@
     PingRequest { sequence: u32, target: NodeId, peer: SocketAddr },
     /// Says that the target of a `PingRequest` answered.
     IndirectAck { sequence: u32 },
-    /// Asks for the records after `after`, unless the tables have the same digest.
-    SyncRequest { digest: u64, after: Option<NodeId> },
-    /// Answers a `SyncRequest` with records in name order; `last` ends the exchange.
-    SyncPage { members: Vec<MemberRecord>, last: bool },
+    /// Asks for the records of the buckets whose digest differs from the receiver's.
+    SyncRequest { digest: TableDigest },
+    /// Asks for the page after the member `after`.
+    SyncNext { buckets: BucketSet, after: NodeId },
+    /// Answers both.
+    SyncPage(SyncPage),
     /// Says that the sender has applied a revision announced by the receiver.
     RevisionAck { revision: RevisionNumber },
     /// Confirms a `RevisionAck`.
@@ -61,6 +66,17 @@
     News,
 }
 
+/// Some records of a member table.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SyncPage {
+    /// Buckets that the exchange is about.
+    pub(crate) buckets: BucketSet,
+    /// Records in name order.
+    pub(crate) members: Vec<MemberRecord>,
+    /// Whether no more records follow.
+    pub(crate) last: bool,
+}
+
 /// Says that a revision exists and who announced it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct RevisionAnnouncement {
@@ -73,6 +89,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MemberClaim {
     pub(crate) node: NodeId,
+    pub(crate) run: NodeIncarnation,
     pub(crate) incarnation: NodeIncarnation,
     pub(crate) state: MemberState,
 }
--- a/crates/membership/src/sync_cycle.rs
+++ b/crates/membership/src/sync_cycle.rs
@@ -6,6 +6,7 @@
 
 const PAGE_TIMEOUT: Duration = Duration::from_secs(1);
 const JOIN_PERIOD: Duration = Duration::from_secs(1);
+const HASTENED_PERIOD: Duration = Duration::from_secs(3);
 const UNASKED_PERIOD: Duration = Duration::from_secs(2);
 
 /// The times of table comparisons and the one in progress.
@@ -48,6 +49,11 @@
         true
     }
 
+    /// Brings the next periodic comparison forward, because the last one found differences.
+    pub(crate) fn hasten(&mut self, now: TimePoint) {
+        self.next_periodic = self.next_periodic.min(now + HASTENED_PERIOD);
+    }
+
     /// Returns whether a comparison outside the period may start now.
     pub(crate) fn unasked_due(&mut self, now: TimePoint) -> bool {
         let due = self.next_unasked <= now && !self.is_active(now);
