Start a query over without mixing its fan-outs

Numbering its calls from zero again would let a late reply to an earlier call end a later one, and the last fan-out alone would say not run although an earlier one may have run. Ruled out: a new request id for each fan-out (the caller's trail would break); leaving the verdict to the driver. The share test of SnapshotGone went: a query loses shards one at a time, so that it decided nothing.

--- a/crates/query/src/call_table.rs
+++ b/crates/query/src/call_table.rs
@@ -12,7 +12,7 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) sent_at: TimePoint,
     pub(crate) open: bool,
-    previous: Option<CallId>,
+    previous: Option<usize>,
 }
 
 impl CallState {
@@ -40,7 +40,7 @@
     pub(crate) phase: ShardPhase,
     pub(crate) open_calls: u32,
     pub(crate) snapshot_missing: bool,
-    last_call: Option<CallId>,
+    last_call: Option<usize>,
 }
 
 impl ShardState {
@@ -52,10 +52,11 @@
 
 /// The calls of one fan-out, numbered in the order in which they were sent.
 ///
-/// The calls of a shard are linked from the newest to the oldest, so that no event scans all calls
+/// The calls of a shard are linked by position from the newest to the oldest, so that no event scans all calls
 /// or allocates.
 #[derive(Debug)]
 pub(crate) struct CallTable {
+    first_call: CallId,
     calls: Vec<CallState>,
     shards: Vec<ShardState>,
     tried: Vec<UpstreamId>,
@@ -63,10 +64,11 @@
 }
 
 impl CallTable {
-    /// Creates a table without calls for `shard_count` shards.
-    pub(crate) fn new(shard_count: u32) -> Self {
+    /// Creates a table without calls for `shard_count` shards; calls are numbered from `first_call`.
+    pub(crate) fn new(first_call: CallId, shard_count: u32) -> Self {
         let len = idx(shard_count);
         Self {
+            first_call,
             calls: Vec::with_capacity(len + len / 8 + 1),
             shards: vec![ShardState::default(); len],
             tried: Vec::new(),
@@ -79,6 +81,12 @@
         u32::try_from(self.calls.len()).unwrap_or(u32::MAX)
     }
 
+    /// Returns the identities of all calls ever opened, in order.
+    pub(crate) fn call_ids(&self) -> impl Iterator<Item = CallId> + use<> {
+        let first = self.first_call.0;
+        (first..first.saturating_add(self.call_count())).map(CallId)
+    }
+
     /// Returns whether a call is still open.
     pub(crate) fn has_open_calls(&self) -> bool {
         0 < self.open_calls
@@ -86,7 +94,7 @@
 
     /// Returns a call; `None` if it was never opened.
     pub(crate) fn call(&self, call: CallId) -> Option<&CallState> {
-        self.calls.get(idx(call.0))
+        self.calls.get(self.position(call)?)
     }
 
     /// Returns a call that is still open.
@@ -121,8 +129,8 @@
     pub(crate) fn tried(&mut self, shard: ShardIndex) -> &[UpstreamId] {
         self.tried.clear();
         let mut next = self.shards[idx(shard.0)].last_call;
-        while let Some(call) = next {
-            let call = &self.calls[idx(call.0)];
+        while let Some(position) = next {
+            let call = &self.calls[position];
             self.tried.push(call.upstream);
             next = call.previous;
         }
@@ -136,9 +144,9 @@
         shard: ShardIndex,
         upstream: UpstreamId,
     ) -> CallId {
-        let call = CallId(self.call_count());
+        let call = self.id_at(self.calls.len());
         let state = &mut self.shards[idx(shard.0)];
-        let previous = state.last_call.replace(call);
+        let previous = state.last_call.replace(self.calls.len());
         state.open_calls += 1;
         self.open_calls += 1;
         self.calls.push(CallState { shard, upstream, sent_at: now, open: true, previous });
@@ -147,7 +155,8 @@
 
     /// Marks a call as ended; returns it if it was open.
     pub(crate) fn close(&mut self, call: CallId) -> Option<&CallState> {
-        let call = self.calls.get_mut(idx(call.0)).filter(|it| it.open)?;
+        let position = self.position(call)?;
+        let call = self.calls.get_mut(position).filter(|it| it.open)?;
         call.open = false;
         self.shards[idx(call.shard.0)].open_calls -= 1;
         self.open_calls -= 1;
@@ -157,15 +166,24 @@
     /// Returns the newest call to `shard` that is open.
     pub(crate) fn newest_open(&self, shard: ShardIndex) -> Option<CallId> {
         let mut next = self.shards[idx(shard.0)].last_call;
-        while let Some(call) = next {
-            let state = &self.calls[idx(call.0)];
-            if state.open {
-                return Some(call);
+        while let Some(position) = next {
+            let call = &self.calls[position];
+            if call.open {
+                return Some(self.id_at(position));
             }
-            next = state.previous;
+            next = call.previous;
         }
         None
     }
+
+    fn id_at(&self, position: usize) -> CallId {
+        let offset = u32::try_from(position).unwrap_or(u32::MAX);
+        CallId(self.first_call.0.saturating_add(offset))
+    }
+
+    fn position(&self, call: CallId) -> Option<usize> {
+        call.0.checked_sub(self.first_call.0).map(idx)
+    }
 }
 
 fn idx(number: u32) -> usize {
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -53,19 +53,27 @@
 }
 
 impl FanOut {
-    /// Creates a fan-out that has sent nothing.
+    /// Creates the first fan-out of a query; it has sent nothing.
     pub fn new(plan: FanOutPlan) -> Self {
+        Self::with_first_call(plan, CallId(0))
+    }
+
+    /// Creates a fan-out whose calls are numbered from `first_call`.
+    ///
+    /// A query that starts over goes on counting, so that a late reply to an earlier call is not
+    /// taken for the reply to a later one.
+    pub fn with_first_call(plan: FanOutPlan, first_call: CallId) -> Self {
         let goal = CoverageGoal::new(&plan);
         Self {
             goal,
-            table: CallTable::new(goal.total),
+            table: CallTable::new(first_call, goal.total),
             waiting: Vec::new(),
             next_ask: None,
             started_at: TimePoint::ZERO,
             answered: 0,
             lost: LostShards::default(),
             hedge_delay: None,
-            next_hedge: CallId(0),
+            next_hedge: first_call,
             wake_at: None,
             verdict: Verdict::NotRun,
             retry_after: None,
@@ -183,7 +191,8 @@
 
     /// Ends the fan-out because nobody waits for its answer.
     ///
-    /// The result still says whether the request may have run.
+    /// The result still says whether the request may have run. A request that is not idempotent is
+    /// better left to finish, so that a repeat by its caller finds the answer.
     pub fn abandon<R: ReplicaRouter>(
         &mut self,
         now: TimePoint,
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -104,18 +104,18 @@
     }
 
     pub(super) fn send_reserved(&self, actions: &mut Vec<FanOutAction>) {
-        for number in 0..self.table.call_count() {
-            self.send(CallId(number), actions);
+        for call in self.table.call_ids() {
+            self.send(call, actions);
         }
     }
 
     pub(super) fn withdraw_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
-        for number in 0..self.table.call_count() {
-            if let Some(state) = self.table.close(CallId(number)) {
+        for call in self.table.call_ids() {
+            if let Some(state) = self.table.close(call) {
                 router.release(now, state.upstream, CallOutcome::Cancelled(Duration::ZERO));
             }
         }
-        self.table = CallTable::new(self.goal.total);
+        self.table = CallTable::new(self.next_hedge, self.goal.total);
     }
 
     /// Asks again for the shards whose waiting time is over.
--- a/crates/query/src/fan_out/ending.rs
+++ b/crates/query/src/fan_out/ending.rs
@@ -72,8 +72,8 @@
         actions: &mut Vec<FanOutAction>,
     ) {
         self.finished = true;
-        for number in 0..self.table.call_count() {
-            self.cancel(now, router, CallId(number), actions);
+        for call in self.table.call_ids() {
+            self.cancel(now, router, call, actions);
         }
         let result = match ending {
             Ok(()) => self.answer(),
@@ -158,17 +158,13 @@
 
     /// Returns why too few shards are left.
     ///
-    /// Another snapshot helps only if the shards lost to other causes leave enough, and only if the
-    /// request may be repeated.
+    /// Another snapshot helps only if the request may be repeated.
     fn unreachable_cause(&self) -> FanOutStop {
-        let lost = self.lost;
-        let lost_otherwise = lost.total - lost.snapshot_missing;
-        let is_enough = lost_otherwise.saturating_add(self.goal.minimum) <= self.goal.total;
         let may_repeat = self.plan.idempotent || !self.may_have_run();
-        if 0 < lost.snapshot_missing && is_enough && may_repeat {
+        if 0 < self.lost.snapshot_missing && may_repeat {
             return FanOutStop::SnapshotGone;
         }
-        if 0 < lost.saturated {
+        if 0 < self.lost.saturated {
             return FanOutStop::Saturated;
         }
         FanOutStop::CoverageUnreachable
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -5,6 +5,7 @@
 mod fan_out;
 mod fan_out_events;
 mod ledger_shard;
+mod query_attempts;
 mod session_ledger;
 mod session_token;
 mod session_window;
@@ -15,6 +16,7 @@
 pub use fan_out_events::{
     CallReply, FanOutAction, FanOutPlan, FanOutResult, FanOutStop, ShardResult,
 };
+pub use query_attempts::QueryAttempts;
 pub use session_ledger::{BeginOutcome, LedgerLimits, RunTicket, SessionLedger};
 pub use session_token::{SessionId, SessionMint, SessionToken, TokenError};
 pub use snapshot_catalog::{SnapshotCatalog, SnapshotClaim};
--- a/crates/query/tests/fan_out_traces.rs
+++ b/crates/query/tests/fan_out_traces.rs
@@ -73,6 +73,7 @@
     Start,
     Wake,
     Abandon,
+    EarlierReply,
     /// The saturated upstreams have free slots again.
     SlotsFree,
     /// A valid reply to a call.
@@ -118,6 +119,7 @@
             EventRecord::Start => Input::Start,
             EventRecord::Wake => Input::Wake,
             EventRecord::Abandon => Input::Abandon,
+            EventRecord::EarlierReply => Input::EarlierReply,
             EventRecord::SlotsFree => {
                 harness.script(|it| it.saturated.clear());
                 continue;
--- a/crates/query/tests/session_ledger.rs
+++ b/crates/query/tests/session_ledger.rs
@@ -1,6 +1,6 @@
 //! A request of a session runs at most once.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{collections::BTreeMap, thread, time::Duration};
 
 use bytes::Bytes;
 use googletest::prelude::*;
@@ -76,6 +76,21 @@
     expect_that!(outcome.verdict(), some(eq(Verdict::MayHaveRun)));
 }
 
+#[gtest]
+fn one_of_many_racing_threads_runs() {
+    let ledger = ledger(LedgerLimits::default());
+    let token = ledger.mint(at(0));
+    let begin = || ledger.begin(at(1), &token, 1);
+
+    let outcomes: Vec<BeginOutcome> = thread::scope(|scope| {
+        let threads: Vec<_> = (0..8).map(|_| scope.spawn(begin)).collect();
+        threads.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+
+    let runs = outcomes.iter().filter(|it| matches!(it, BeginOutcome::Run(_))).count();
+    expect_that!(runs, eq(1));
+}
+
 #[gtest]
 fn late_thread_with_an_early_clock_does_not_revive_a_session() {
     let ledger = ledger(LedgerLimits { sessions: 16, ..LedgerLimits::default() });
