Use a freed slot for the next waiting shard at once

Cause: a query of more shards than its upstreams have slots waited for the next poll after each reply, at least 1 ms and longer as the query ages, while the slot that its own reply had freed stood idle. Ruled out: asking for all waiting shards on each reply (quadratic in the shards); shorter polls (they grow with the number of waiting queries). Change: a reply asks once, for the first waiting shard that the freed upstream holds. SnapshotCatalog judges all sources at most every 500 ms when nothing else changes, since it hears of every reply. Tests: two traces, seen to fail without the reuse and with the reuse given to any shard; the latter was caught only after the trace was sharpened. The fixture's router now counts slots. Conclusion: order between queries that wait for one upstream is left to the router.

--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -147,7 +147,10 @@
         self.answered += 1;
         self.table.shard_mut(reply.shard).phase = ShardPhase::Answered(reply.body);
         self.cancel_shard(now, router, reply.shard, actions);
-        self.advance(now, router, actions);
+        if !self.try_finish(now, router, actions) {
+            self.reuse_slot(now, router, upstream, actions);
+            self.advance(now, router, actions);
+        }
     }
 
     /// Takes in the failure of `call`; dropped if the call has ended.
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -137,6 +137,22 @@
         self.next_ask = self.waiting.iter().map(|it| it.ask_at).min();
     }
 
+    /// Asks for a slot at `upstream`, which has just freed one, for a shard that waits for it.
+    pub(super) fn reuse_slot<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        upstream: UpstreamId,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        let map = &self.plan.map;
+        let is_held = |it: &WaitingShard| map.replicas(it.shard).contains(&upstream);
+        if let Some(idx) = self.waiting.iter().position(is_held) {
+            let shard = self.waiting.swap_remove(idx).shard;
+            self.ask(now, router, shard, actions);
+        }
+    }
+
     /// Asks second replicas for the shards whose only call is due for a hedge.
     pub(super) fn hedge_due<R: ReplicaRouter>(
         &mut self,
--- a/crates/query/src/snapshot_claims.rs
+++ b/crates/query/src/snapshot_claims.rs
@@ -12,6 +12,8 @@
 const MAX_CLAIMS: usize = 16;
 /// Time by which an upstream may be heard of later than the one heard of last and still count.
 const CLAIM_LIFETIME_MS: u64 = 10_000;
+/// Time between two judgements of all upstreams while nothing else changes.
+const JUDGE_INTERVAL_MS: u64 = 500;
 /// Time for which a status is not believed after its upstream proved it wrong.
 const WITHDRAWAL_MS: u64 = 5_000;
 /// Upstreams that have to speak of a snapshot, if there are that many.
@@ -23,6 +25,7 @@
     snapshots: BTreeMap<SnapshotId, KnownSnapshot>,
     sources: FastMap<UpstreamId, ClaimSource>,
     last_heard: TimePoint,
+    judged_at: TimePoint,
 }
 
 /// One snapshot that at least one upstream claims to hold.
@@ -152,7 +155,13 @@
 
     fn hear(&mut self, now: TimePoint, upstream: UpstreamId) -> bool {
         self.last_heard = self.last_heard.max(now);
-        self.sources.entry(upstream).or_default().heard_at = Some(now);
+        let source = self.sources.entry(upstream).or_default();
+        source.heard_at = Some(now);
+        let was_judged = now.since(self.judged_at) < Duration::from_millis(JUDGE_INTERVAL_MS);
+        if source.fresh && was_judged {
+            return false;
+        }
+        self.judged_at = now;
         self.refresh()
     }
 
--- a/crates/query/tests/fan_out_properties.rs
+++ b/crates/query/tests/fan_out_properties.rs
@@ -78,8 +78,7 @@
         let input = match step {
             Step::Wake => Input::Wake,
             Step::Saturate(number) => {
-                let wait = Duration::from_millis(30);
-                self.harness.script(|it| it.saturated.insert(upstream(number), wait));
+                self.harness.script(|it| it.saturated.insert(upstream(number)));
                 return Ok(());
             }
             Step::SlotsFree => {
@@ -193,12 +192,15 @@
         hedge_ms in prop::option::of(5..200_u64),
         extra_calls in 0..8_u32,
         down in subsequence(upstreams(), 0..2),
+        slots_per_upstream in prop::option::of(1..3_u32),
     ) -> RouterScript {
         let hedge_delay = hedge_ms.map(Duration::from_millis);
         RouterScript {
             hedge_delay,
             extra_calls,
             down: down.into_iter().collect(),
+            slots_per_upstream,
+            slot_after: Duration::from_millis(30),
             ..RouterScript::default()
         }
     }
--- a/crates/query/tests/fan_out_traces.rs
+++ b/crates/query/tests/fan_out_traces.rs
@@ -64,6 +64,7 @@
     extra_calls: u32,
     down: Vec<u32>,
     saturated: Vec<u32>,
+    slots: Option<u32>,
     slot_after_ms: u64,
 }
 
@@ -198,12 +199,13 @@
 }
 
 fn script(record: &RouterRecord) -> RouterScript {
-    let slot_after = Duration::from_millis(record.slot_after_ms);
     RouterScript {
         hedge_delay: record.hedge_ms.map(Duration::from_millis),
         extra_calls: record.extra_calls,
         down: record.down.iter().copied().map(upstream).collect(),
-        saturated: record.saturated.iter().map(|it| (upstream(*it), slot_after)).collect(),
+        saturated: record.saturated.iter().copied().map(upstream).collect(),
+        slots_per_upstream: record.slots,
+        slot_after: Duration::from_millis(record.slot_after_ms),
         ..RouterScript::default()
     }
 }
