--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -104,18 +104,18 @@
     }
 
     pub(super) fn send_reserved(&self, actions: &mut Vec<FanOutAction>) {
-        for number in 0..self.table.call_count() {
-            self.send(CallId(number), actions);
+        for call in self.table.call_ids() {
+            self.send(call, actions);
         }
     }
 
     pub(super) fn withdraw_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
-        for number in 0..self.table.call_count() {
-            if let Some(state) = self.table.close(CallId(number)) {
+        for call in self.table.call_ids() {
+            if let Some(state) = self.table.close(call) {
                 router.release(now, state.upstream, CallOutcome::Cancelled(Duration::ZERO));
             }
         }
-        self.table = CallTable::new(self.goal.total);
+        self.table = CallTable::new(self.next_hedge, self.goal.total);
     }
 
     /// Asks again for the shards whose waiting time is over.
@@ -137,6 +137,22 @@
         self.next_ask = self.waiting.iter().map(|it| it.ask_at).min();
     }
 
+    /// Asks for a slot at `upstream`, which has just freed one, for a shard that waits for it.
+    pub(super) fn reuse_slot<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        upstream: UpstreamId,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        let map = &self.plan.map;
+        let is_held = |it: &WaitingShard| map.replicas(it.shard).contains(&upstream);
+        if let Some(idx) = self.waiting.iter().position(is_held) {
+            let shard = self.waiting.swap_remove(idx).shard;
+            self.ask(now, router, shard, actions);
+        }
+    }
+
     /// Asks second replicas for the shards whose only call is due for a hedge.
     pub(super) fn hedge_due<R: ReplicaRouter>(
         &mut self,
--- a/crates/query/tests/fan_out_traces.rs
+++ b/crates/query/tests/fan_out_traces.rs
@@ -64,6 +64,7 @@
     extra_calls: u32,
     down: Vec<u32>,
     saturated: Vec<u32>,
+    slots: Option<u32>,
     slot_after_ms: u64,
 }
 
@@ -73,6 +74,7 @@
     Start,
     Wake,
     Abandon,
+    EarlierReply,
     /// The saturated upstreams have free slots again.
     SlotsFree,
     /// A valid reply to a call.
@@ -118,6 +120,7 @@
             EventRecord::Start => Input::Start,
             EventRecord::Wake => Input::Wake,
             EventRecord::Abandon => Input::Abandon,
+            EventRecord::EarlierReply => Input::EarlierReply,
             EventRecord::SlotsFree => {
                 harness.script(|it| it.saturated.clear());
                 continue;
@@ -196,12 +199,13 @@
 }
 
 fn script(record: &RouterRecord) -> RouterScript {
-    let slot_after = Duration::from_millis(record.slot_after_ms);
     RouterScript {
         hedge_delay: record.hedge_ms.map(Duration::from_millis),
         extra_calls: record.extra_calls,
         down: record.down.iter().copied().map(upstream).collect(),
-        saturated: record.saturated.iter().map(|it| (upstream(*it), slot_after)).collect(),
+        saturated: record.saturated.iter().copied().map(upstream).collect(),
+        slots_per_upstream: record.slots,
+        slot_after: Duration::from_millis(record.slot_after_ms),
         ..RouterScript::default()
     }
 }
