Add the experiment on routing policies

Cause: the stated targets on tail latency, extra load and overload need runs of separate processes with plain fan-out and fixed hedging beside ours.

Change: `standins experiment` starts a node and a key-value service for each shape, new upstreams for each cell, and runs each scenario with each seed under three policies in turn. Extra load is counted at the upstreams from the calls that they received by query and shard. The capacity of a shape is measured first, without a node. The node's processor time, added latency and memory come from its own runs.

--- /dev/null
+++ b/crates/standins/src/experiment/child_process.rs
@@ -0,0 +1,136 @@
+//! Processes that the experiment starts and ends.
+
+use std::{
+    fs, io,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+};
+
+use serde::Serialize;
+
+/// Directory for settings files and logs; removed at the end.
+#[derive(Debug)]
+pub(crate) struct WorkDirectory {
+    path: PathBuf,
+}
+
+impl WorkDirectory {
+    /// Creates a directory of this process's own.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be created.
+    pub(crate) fn create() -> io::Result<Self> {
+        let name = format!("mustardmux-experiment-{}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir_all(&path)?;
+        Ok(Self { path })
+    }
+
+    /// Writes a JSON file and returns its path.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be written.
+    pub(crate) fn write<T: Serialize>(&self, name: &str, content: &T) -> io::Result<PathBuf> {
+        let path = self.path.join(format!("{name}.json"));
+        fs::write(&path, serde_json::to_vec(content)?)?;
+        Ok(path)
+    }
+
+    fn log_file(&self, name: &str) -> io::Result<fs::File> {
+        fs::File::create(self.path.join(format!("{name}.log")))
+    }
+}
+
+impl Drop for WorkDirectory {
+    fn drop(&mut self) {
+        // A directory that stays behind does no harm.
+        let _ = fs::remove_dir_all(&self.path);
+    }
+}
+
+/// A process that ends when this is dropped.
+#[derive(Debug)]
+pub(crate) struct ChildProcess {
+    child: Child,
+}
+
+impl ChildProcess {
+    /// Starts `program` with `arguments`; its output goes to a file named after `name`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if it can't be started.
+    pub(crate) fn start(
+        directory: &WorkDirectory,
+        name: &str,
+        program: &Path,
+        arguments: &[&str],
+    ) -> io::Result<Self> {
+        let child = command(program)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(directory.log_file(name)?)
+            .stderr(directory.log_file(&format!("{name}-errors"))?)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Returns the processor time used so far, in clock ticks.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub(crate) fn cpu_ticks(&self) -> io::Result<u64> {
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        parse_cpu_ticks(&stat).ok_or_else(|| io::Error::other("unreadable process statistics"))
+    }
+
+    /// Returns the resident memory, in kilobytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process has ended.
+    pub(crate) fn resident_kb(&self) -> io::Result<u64> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"));
+        let count = line.and_then(|it| it.split_whitespace().next()?.parse().ok());
+        count.ok_or_else(|| io::Error::other("unreadable process status"))
+    }
+}
+
+impl Drop for ChildProcess {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs `program` to its end.
+///
+/// # Errors
+///
+/// Fails with what it wrote to standard error if it doesn't succeed.
+pub(crate) fn run_to_end(program: &Path, arguments: &[&str]) -> io::Result<()> {
+    let output = command(program).args(arguments).stdin(Stdio::null()).output()?;
+    if output.status.success() {
+        return Ok(());
+    }
+    Err(io::Error::other(String::from_utf8_lossy(&output.stderr).into_owned()))
+}
+
+#[expect(clippy::disallowed_methods, reason = "the stand-ins run other programs for experiments")]
+fn command(program: &Path) -> Command {
+    Command::new(program)
+}
+
+/// Reads user and system time, the 14th and 15th fields; the 2nd may hold spaces.
+fn parse_cpu_ticks(stat: &str) -> Option<u64> {
+    let (_, rest) = stat.rsplit_once(')')?;
+    let mut fields = rest.split_whitespace().skip(11);
+    let user: u64 = fields.next()?.parse().ok()?;
+    let system: u64 = fields.next()?.parse().ok()?;
+    Some(user + system)
+}
--- /dev/null
+++ b/crates/standins/src/experiment/mod.rs
@@ -0,0 +1,103 @@
+//! Comparison of routing policies on a node of its own.
+
+mod capacity;
+mod cell_run;
+mod child_process;
+mod experiment_settings;
+mod leaf_group;
+mod node_bench;
+mod node_cost;
+mod port_range;
+mod result_table;
+mod routing_choice;
+mod scenario;
+mod shape;
+
+use std::{env, fs, io, path::Path, sync::Arc, time::Duration};
+
+use futures::future::try_join_all;
+use mux_timer::TimerService;
+
+use cell_run::{CellOutcome, CellPlan};
+use child_process::WorkDirectory;
+use experiment_settings::ExperimentSettings;
+use node_bench::{BenchContext, NodeBench};
+use port_range::PortRange;
+use result_table::ResultTable;
+use routing_choice::RoutingChoice;
+use shape::ServiceShape;
+
+use crate::load::CallerClient;
+
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+
+/// Runs the experiment and prints its results.
+pub(crate) async fn run(settings: &Path) -> io::Result<()> {
+    let settings: ExperimentSettings = serde_json::from_slice(&fs::read(settings)?)?;
+    let context = Arc::new(BenchContext {
+        program: fs::canonicalize(&settings.program)?,
+        standins: env::current_exe()?,
+        directory: WorkDirectory::create()?,
+        ports: PortRange::new(settings.first_port),
+        timer: TimerService::start(PAUSE_LIMIT),
+        client: CallerClient::new(),
+    });
+    println!("Seeds: {:?}", settings.seeds);
+    let node_cost = match settings.node_cost {
+        true => node_cost::measure(Arc::clone(&context)).await?,
+        false => String::new(),
+    };
+    let capacities =
+        try_join_all(settings.shapes.iter().map(|it| capacity::measure(context.clone(), *it)));
+    let capacities = capacities.await?;
+    let shapes = settings.shapes.iter().zip(&capacities);
+    let runs = shapes.map(|(shape, capacity)| run_shape(&settings, &context, *shape, *capacity));
+    let mut table = ResultTable::default();
+    for cells in try_join_all(runs).await? {
+        table.extend(cells);
+    }
+    print_results(&settings, &capacities, &table, &node_cost);
+    Ok(())
+}
+
+async fn run_shape(
+    settings: &ExperimentSettings,
+    context: &Arc<BenchContext>,
+    shape: ServiceShape,
+    capacity: f64,
+) -> io::Result<Vec<(CellPlan, CellOutcome)>> {
+    let bench = NodeBench::start(Arc::clone(context), shape.name()).await?;
+    let mut cells = Vec::new();
+    for scenario in &settings.scenarios {
+        for seed in &settings.seeds {
+            for choice in RoutingChoice::ALL {
+                let plan = CellPlan {
+                    shape,
+                    scenario: *scenario,
+                    choice,
+                    seed: *seed,
+                    rate: capacity * scenario.load(),
+                    warmup_ms: settings.warmup_ms,
+                    duration_ms: settings.duration_ms,
+                };
+                cells.push((plan, plan.run(&bench).await?));
+            }
+        }
+        eprintln!("{}: {} done", shape.name(), scenario.name());
+    }
+    Ok(cells)
+}
+
+fn print_results(
+    settings: &ExperimentSettings,
+    capacities: &[f64],
+    table: &ResultTable,
+    node_cost: &str,
+) {
+    for (shape, capacity) in settings.shapes.iter().zip(capacities) {
+        println!("Capacity of {}: {capacity:.0} queries/s", shape.name());
+    }
+    println!("\n{}", table.to_markdown(&settings.shapes, &settings.scenarios));
+    println!("{node_cost}");
+    print!("{}", table.to_summary(&settings.shapes, &settings.scenarios));
+}
--- /dev/null
+++ b/crates/standins/src/experiment/routing_choice.rs
@@ -0,0 +1,89 @@
+//! Policies that are compared.
+
+use std::net::SocketAddr;
+
+use mux_config::{
+    ConcurrencyMode, HedgeMode, HedgeSettings, ServiceDefinition, ServiceLimits, ShardMapSource,
+    UpstreamEntry,
+};
+use mux_model::{AvailabilityZone, ServiceName, UpstreamId};
+
+use super::shape::ShapeSize;
+
+/// Availability zone of everything in the experiment.
+pub(crate) const AVAILABILITY_ZONE: &str = "muc-a";
+
+const FIXED_HEDGE_DELAY_MS: u64 = 20;
+const LATENCY_TARGET_MS: u64 = 500;
+const DEADLINE_MS: u64 = 1_000;
+
+/// A policy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RoutingChoice {
+    /// No hedging and no limit of calls in flight.
+    Plain,
+    /// Hedging after a fixed delay, without a budget and without a limit of calls in flight.
+    FixedHedge,
+    /// The defaults of a service definition.
+    Ours,
+}
+
+impl RoutingChoice {
+    /// All policies, in the order in which they are measured.
+    pub(crate) const ALL: [Self; 3] = [Self::Plain, Self::FixedHedge, Self::Ours];
+
+    /// Returns the name.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Plain => "plain",
+            Self::FixedHedge => "fixed-hedge",
+            Self::Ours => "ours",
+        }
+    }
+
+    /// Returns the definition of a service with this policy.
+    pub(crate) fn definition(
+        self,
+        name: ServiceName,
+        size: ShapeSize,
+        upstreams: &[SocketAddr],
+    ) -> ServiceDefinition {
+        let usual = HedgeSettings::default();
+        let (concurrency, hedging) = match self {
+            Self::Plain => {
+                (ConcurrencyMode::Unlimited, HedgeSettings { mode: HedgeMode::Off, ..usual })
+            }
+            Self::FixedHedge => {
+                let fixed_delay_ms = FIXED_HEDGE_DELAY_MS;
+                let mode = HedgeMode::Fixed;
+                (ConcurrencyMode::Unlimited, HedgeSettings { mode, fixed_delay_ms, ..usual })
+            }
+            Self::Ours => (ConcurrencyMode::Adaptive, usual),
+        };
+        let limits = ServiceLimits {
+            slots_per_upstream: size.slots,
+            connections_per_upstream: size.connections,
+            concurrency,
+            ..ServiceLimits::default()
+        };
+        ServiceDefinition {
+            name,
+            upstreams: upstreams.iter().map(|it| upstream_entry(*it)).collect(),
+            shard_map: ShardMapSource::Learned,
+            idempotent: true,
+            latency_target_ms: LATENCY_TARGET_MS,
+            deadline_ms: DEADLINE_MS,
+            coverage_target: 1.0,
+            coverage_minimum: 0.5,
+            limits,
+            hedging,
+        }
+    }
+}
+
+fn upstream_entry(address: SocketAddr) -> UpstreamEntry {
+    UpstreamEntry {
+        address: UpstreamId(address),
+        availability_zone: AvailabilityZone::from(AVAILABILITY_ZONE),
+    }
+}
--- a/crates/standins/src/leaf/call_handler.rs
+++ b/crates/standins/src/leaf/call_handler.rs
@@ -27,6 +27,8 @@
 };
 
 const SHED_RETRY_AFTER_MS: u64 = 50;
+/// A shorter service time counts as none, as the timer would round it up.
+const TIMER_GRANULARITY: Duration = Duration::from_micros(500);
 /// Lets the first half of a reply reach the wire before the stream is reset.
 const CUT_DELAY: Duration = Duration::from_millis(5);
 
@@ -68,6 +70,7 @@
     state.counters.received.fetch_add(1, Ordering::Relaxed);
     let mut guard = CallGuard::new(&state);
     let (parts, body) = request.into_parts();
+    record_receipt(&state, shard, &parts.headers);
     let mut response = match body.collect().await {
         Ok(body) => work(&state, shard, &parts.headers, body.to_bytes()).await,
         Err(_) => refuse(&state, Refusal::Rejected),
@@ -97,7 +100,9 @@
     };
     state.counters.runs.fetch_add(1, Ordering::Relaxed);
     record_run(state, shard, headers, query);
-    state.timer.sleep(fate.service_time).await;
+    if TIMER_GRANULARITY <= fate.service_time {
+        state.timer.sleep(fate.service_time).await;
+    }
     drop(slot);
     reply(state, &target, query, fate)
 }
@@ -144,8 +149,17 @@
     Some(CallTarget { snapshot, shard, deadline })
 }
 
+fn record_receipt(state: &LeafState, shard: u32, headers: &HeaderMap) {
+    if !state.settings.record_calls {
+        return;
+    }
+    if let Some(request) = text(headers, header_names::REQUEST_ID) {
+        state.record_receipt(format!("{request}/{shard}"));
+    }
+}
+
 fn record_run(state: &LeafState, shard: u32, headers: &HeaderMap, query: &RawValue) {
-    if !state.settings.record_runs {
+    if !state.settings.record_calls {
         return;
     }
     if let Some(request) = text(headers, header_names::REQUEST_ID) {
--- a/crates/standins/src/leaf/leaf_settings.rs
+++ b/crates/standins/src/leaf/leaf_settings.rs
@@ -48,9 +48,9 @@
     /// How many times as long those requests take.
     #[serde(default = "defaults::cold_factor")]
     pub(crate) cold_factor: f64,
-    /// Whether the runs of each request are recorded.
+    /// Whether the calls of each request are recorded by name.
     #[serde(default)]
-    pub(crate) record_runs: bool,
+    pub(crate) record_calls: bool,
     /// Snapshots held.
     pub(crate) snapshots: Vec<HeldSnapshot>,
 }
--- a/crates/standins/src/leaf/leaf_state.rs
+++ b/crates/standins/src/leaf/leaf_state.rs
@@ -26,7 +26,16 @@
     pub(crate) slots: Arc<Semaphore>,
     pub(crate) counters: LeafCounters,
     behaviour: Mutex<LeafBehaviour>,
-    runs: Mutex<FastMap<String, u64>>,
+    calls: Mutex<CallCounts>,
+}
+
+/// Calls by name: `request/shard`, and `key/shard` for queries with a text member `key`.
+#[derive(Debug, Clone, Default, Serialize)]
+pub(crate) struct CallCounts {
+    /// Calls received by `request/shard`.
+    received: FastMap<String, u64>,
+    /// Calls that were run, by either name.
+    run: FastMap<String, u64>,
 }
 
 /// What control changes.
@@ -81,8 +90,8 @@
     connections_open: i64,
     in_flight: i64,
     control: LeafControl,
-    /// Runs by `request/shard`, and by `key/shard` for queries with a text member `key`.
-    run_counts: FastMap<String, u64>,
+    /// Calls by name, if they are recorded.
+    calls: CallCounts,
 }
 
 impl LeafState {
@@ -98,7 +107,7 @@
             slots: Arc::new(Semaphore::new(settings.slots)),
             counters: LeafCounters::default(),
             behaviour: Mutex::new(LeafBehaviour { control, model }),
-            runs: Mutex::default(),
+            calls: Mutex::default(),
             settings,
         }
     }
@@ -158,7 +167,12 @@
 
     /// Records that a request was run under `name`.
     pub(crate) fn record_run(&self, name: String) {
-        *lock(&self.runs).entry(name).or_default() += 1;
+        *lock(&self.calls).run.entry(name).or_default() += 1;
+    }
+
+    /// Records that a request was received under `name`.
+    pub(crate) fn record_receipt(&self, name: String) {
+        *lock(&self.calls).received.entry(name).or_default() += 1;
     }
 
     pub(crate) fn status(&self) -> UpstreamStatus {
@@ -192,7 +206,7 @@
             connections_open: counters.connections_open.load(Ordering::Relaxed),
             in_flight: counters.in_flight.load(Ordering::Relaxed),
             control: lock(&self.behaviour).control.clone(),
-            run_counts: lock(&self.runs).clone(),
+            calls: lock(&self.calls).clone(),
         }
     }
 }
--- a/crates/standins/src/leaf/mod.rs
+++ b/crates/standins/src/leaf/mod.rs
@@ -13,8 +13,9 @@
 use futures::future::try_join_all;
 use mux_timer::TimerService;
 
+pub(crate) use leaf_settings::{LatencySettings, LeafControl, LeafFile, LeafSettings};
+
 use leaf_server::LeafServer;
-use leaf_settings::{LeafFile, LeafSettings};
 use leaf_state::LeafState;
 
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
--- a/crates/standins/src/load/load_report.rs
+++ b/crates/standins/src/load/load_report.rs
@@ -9,7 +9,7 @@
 
 const SIGNIFICANT_DIGITS: u8 = 3;
 
-/// Counts and times of the queries of one run.
+/// Counts and times of the queries of one run; merges with those of other runs.
 #[derive(Debug, Clone)]
 pub(crate) struct LoadTally {
     done_micros: Histogram<u64>,
@@ -87,6 +87,19 @@
         }
     }
 
+    /// Adds the queries of another run, whose window is added too.
+    pub(crate) fn merge(&mut self, other: &Self) {
+        // Fails only for values above the range, which grows by itself.
+        let _ = self.done_micros.add(&other.done_micros);
+        self.sent += other.sent;
+        add_counts(&mut self.verdicts, &other.verdicts);
+        add_counts(&mut self.codes, &other.codes);
+        self.not_whole += other.not_whole;
+        self.coverage_sum += other.coverage_sum;
+        self.coverage_min = self.coverage_min.min(other.coverage_min);
+        self.window += other.window;
+    }
+
     /// Returns the summary.
     pub(crate) fn report(&self) -> LoadReport {
         let done = self.done_micros.len();
@@ -118,6 +131,12 @@
     }
 }
 
+fn add_counts(counts: &mut BTreeMap<String, u64>, other: &BTreeMap<String, u64>) {
+    for (name, count) in other {
+        *counts.entry(name.clone()).or_default() += count;
+    }
+}
+
 fn to_millis(micros: u64) -> f64 {
     micros as f64 / 1_000.0
 }
--- a/crates/standins/src/load/mod.rs
+++ b/crates/standins/src/load/mod.rs
@@ -11,8 +11,10 @@
 
 use mux_timer::TimerService;
 
-use load_run::LoadRun;
-use load_settings::LoadSettings;
+pub(crate) use caller_client::CallerClient;
+pub(crate) use load_report::{LoadReport, LoadTally};
+pub(crate) use load_run::LoadRun;
+pub(crate) use load_settings::{ArrivalProcess, LoadSettings};
 
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! Stand-ins for the systems around mustardmux, for tests, demos and measurements; not shipped.
 
+mod experiment;
 mod kv;
 mod leaf;
 mod load;
@@ -36,6 +37,12 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Compares routing policies on a node of its own under faults and overload.
+    Experiment {
+        /// Settings file (JSON).
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Offers load and reports latency, coverage and verdicts.
     Load {
         /// Settings file (JSON).
@@ -48,6 +55,7 @@
 async fn main() -> ExitCode {
     let args = StandinArgs::parse();
     let result: io::Result<()> = match args.command {
+        StandinCommand::Experiment { settings } => experiment::run(&settings).await,
         StandinCommand::Kv { settings } => kv::run(&settings).await,
         StandinCommand::Leaf { settings } => leaf::run(&settings).await,
         StandinCommand::Relay { settings } => relay::run(&settings).await,
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -11,8 +11,9 @@
 use mux_timer::TimerService;
 use tokio::net::{TcpListener, UdpSocket};
 
+pub(crate) use relay_settings::{RelayControl, RelayFile, RelayMode, RelayProtocol, RelaySettings};
+
 use link_control::LinkControl;
-use relay_settings::{RelayFile, RelayProtocol, RelaySettings};
 
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 
