--- /dev/null
+++ b/crates/standins/tests/support/mod.rs
@@ -0,0 +1,144 @@
+//! A leaf stand-in in a process of its own.
+
+use std::{
+    fs,
+    net::{SocketAddr, TcpListener},
+    process::{Child, Command, Stdio},
+    sync::atomic::{AtomicU32, Ordering},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::{Method, Request};
+use hyper_util::{
+    client::legacy::{Client, connect::HttpConnector},
+    rt::TokioExecutor,
+};
+use mux_model::{CallFailure, CallId, RequestId, ServiceName, ShardIndex, SnapshotId, UpstreamId};
+use mux_timer::TimerService;
+use mux_upstream::{CallHeader, PoolSettings, UpstreamPool, UpstreamReply};
+use serde_json::{Value, json};
+use slog::{Discard, Logger, o};
+
+const OUTER_LIMIT: Duration = Duration::from_secs(20);
+const RETRY_PERIOD: Duration = Duration::from_millis(20);
+
+/// A leaf process with a pool that calls it.
+pub(crate) struct LeafFixture {
+    pub(crate) pool: UpstreamPool,
+    pub(crate) timer: TimerService,
+    pub(crate) upstream: UpstreamId,
+    control: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+    process: Child,
+}
+
+impl LeafFixture {
+    /// Starts a leaf that holds shards 0 and 1 of snapshot 1, with `settings` besides.
+    pub(crate) async fn start(settings: Value) -> Self {
+        let (listen, control) = (free_address(), free_address());
+        let mut leaf = json!({
+            "listen": listen,
+            "control_listen": control,
+            "availability_zone": "muc-a",
+            "record_calls": true,
+            "snapshots": [{ "snapshot": 1, "shard_count": 2, "shards": [0, 1] }],
+        });
+        for (key, value) in settings.as_object().expect("an object") {
+            leaf[key] = value.clone();
+        }
+        let process = start_process(&json!({ "leaves": [leaf] }));
+        let timer = TimerService::start(Duration::from_secs(1));
+        let log = Logger::root(Discard, o!());
+        let pool = UpstreamPool::start(PoolSettings::default(), timer.clone(), log);
+        let upstream = UpstreamId(listen);
+        pool.set_limit(upstream, 1);
+        let client = Client::builder(TokioExecutor::new()).build_http();
+        let fixture = Self { pool, timer, upstream, control, client, process };
+        fixture.report_when(|_| true).await;
+        fixture
+    }
+
+    /// Changes the leaf's behaviour.
+    pub(crate) async fn control(&self, change: Value) {
+        let body = change.to_string().into();
+        self.send(Method::PUT, body).await.expect("the leaf takes the change");
+    }
+
+    /// Waits until the leaf's report meets `condition`, and returns it.
+    pub(crate) async fn report_when(&self, condition: impl Fn(&Value) -> bool) -> Value {
+        let give_up = self.timer.now() + OUTER_LIMIT;
+        loop {
+            let report = self.send(Method::GET, Bytes::new()).await;
+            if let Some(report) = report.filter(|it| condition(it)) {
+                return report;
+            }
+            assert!(self.timer.now() < give_up, "the report never came");
+            self.timer.sleep(RETRY_PERIOD).await;
+        }
+    }
+
+    /// Calls a shard of a snapshot.
+    pub(crate) async fn call(
+        &self,
+        snapshot: u64,
+        shard: u32,
+        query: &'static str,
+    ) -> Result<UpstreamReply, CallFailure> {
+        self.call_within(snapshot, shard, query, OUTER_LIMIT).await
+    }
+
+    /// Calls a shard of a snapshot with a deadline.
+    pub(crate) async fn call_within(
+        &self,
+        snapshot: u64,
+        shard: u32,
+        query: &'static str,
+        limit: Duration,
+    ) -> Result<UpstreamReply, CallFailure> {
+        let header = CallHeader {
+            request: RequestId::random(),
+            call: CallId(1),
+            service: ServiceName::from("shopfront-1"),
+            snapshot: SnapshotId(snapshot),
+            shard: ShardIndex(shard),
+            deadline: self.timer.now() + limit,
+        };
+        self.pool.call(self.upstream, &header, query.into()).await
+    }
+
+    async fn send(&self, method: Method, body: Bytes) -> Option<Value> {
+        let uri = format!("http://{}/v1/control", self.control);
+        let request = Request::builder().method(method).uri(uri).body(Full::new(body)).ok()?;
+        let response = self.client.request(request).await.ok()?;
+        let body = response.into_body().collect().await.ok()?.to_bytes();
+        serde_json::from_slice(&body).ok()
+    }
+}
+
+impl Drop for LeafFixture {
+    fn drop(&mut self) {
+        self.process.kill().expect("the leaf still runs");
+        self.process.wait().expect("the leaf ends");
+    }
+}
+
+#[expect(clippy::disallowed_methods, reason = "the test runs the stand-in as a process")]
+fn start_process(settings: &Value) -> Child {
+    static COUNTER: AtomicU32 = AtomicU32::new(0);
+    let number = COUNTER.fetch_add(1, Ordering::Relaxed);
+    let name = format!("leaf-contract-{}-{number}.json", std::process::id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    fs::write(&path, settings.to_string()).expect("settings file");
+    Command::new(env!("CARGO_BIN_EXE_standins"))
+        .args(["leaf", "--settings", &path.to_string_lossy()])
+        .stdout(Stdio::null())
+        .spawn()
+        .expect("the stand-in starts")
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
+    listener.local_addr().expect("bound address")
+}
