Derive the time to come back from the length of the last interval

Cause: the time in which refused queries could be served was computed with a nominal interval, while the counts came from an interval that lasts until it holds enough queries; callers of a quiet, overloaded service were told to come back too early. The limit also grew at two speeds for no gain.

--- a/crates/routing/src/query_admission.rs
+++ b/crates/routing/src/query_admission.rs
@@ -18,10 +18,8 @@
 const MAX_CUT: f64 = 0.7;
 /// Weakest decrease in one interval.
 const MIN_CUT: f64 = 0.95;
-/// Growth in one interval until calls first had to wait.
-const START_GROWTH: f64 = 1.5;
-/// Growth in one interval afterwards.
-const STEADY_GROWTH: f64 = 1.2;
+/// Growth in one interval in which calls hardly waited.
+const GROWTH: f64 = 1.25;
 /// Longest wait that is taken in, as a multiple of the target; bounds the effect of one pause.
 const MAX_WAIT_RATIO: u32 = 3;
 /// Share of the limit that queries have to reach for it to grow.
@@ -50,13 +48,14 @@
 pub(crate) struct QueryAdmission {
     in_flight: u32,
     limit: f64,
-    has_waited: bool,
     /// Smoothed wait of calls for a slot.
     wait: Duration,
     blocked_until: TimePoint,
     interval: IntervalCounts,
     refusals_per_finish: f64,
     query_time: Duration,
+    /// Time in which the queries refused in the last interval could be served.
+    backlog_time: Duration,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
@@ -76,12 +75,12 @@
         Self {
             in_flight: 0,
             limit: START_LIMIT,
-            has_waited: false,
             wait: Duration::ZERO,
             blocked_until: TimePoint::ZERO,
             interval: IntervalCounts::default(),
             refusals_per_finish: 0.0,
             query_time: Duration::ZERO,
+            backlog_time: Duration::ZERO,
         }
     }
 
@@ -121,8 +120,7 @@
     ///
     /// `jitter` from 0 to 1 spreads the callers that return.
     pub(crate) fn time_to_return(&self, now: TimePoint, jitter: f64) -> Duration {
-        let backlog = self.interval_length().mul_f64(self.refusals_per_finish);
-        let wait = (self.query_time + backlog).max(self.blocked_until.since(now));
+        let wait = (self.query_time + self.backlog_time).max(self.blocked_until.since(now));
         let longest = Duration::from_millis(MAX_RETRY_MS);
         let bounded = wait.clamp(Duration::from_millis(MIN_RETRY_MS), longest);
         bounded.mul_f64(1.0 + 0.5 * jitter)
@@ -146,7 +144,7 @@
         settings: &RouterSettings,
     ) -> bool {
         self.account(now);
-        self.learn_rates();
+        self.learn_rates(now);
         self.blocked_until = wait.blocked_until.unwrap_or(TimePoint::ZERO);
         self.wait = (self.wait + wait.longest.min(wait.target * MAX_WAIT_RATIO)) / 2;
         if wait.target < self.wait {
@@ -167,21 +165,21 @@
         let factor = target.as_secs_f64() / self.wait.as_secs_f64();
         let used = f64::from(self.interval.peak).clamp(self.limit / 2.0, self.limit);
         self.limit = (used * factor.clamp(MAX_CUT, MIN_CUT)).max(MIN_LIMIT);
-        self.has_waited = true;
     }
 
     fn grow(&mut self, most: u32) {
         if f64::from(self.interval.peak) < self.limit * USED_SHARE {
             return;
         }
-        let growth = if self.has_waited { STEADY_GROWTH } else { START_GROWTH };
-        self.limit = (self.limit * growth).max(self.limit + 1.0).min(f64::from(most.max(1)));
+        self.limit = (self.limit * GROWTH).max(self.limit + 1.0).min(f64::from(most.max(1)));
     }
 
     /// Derives the mean time of a query by Little's law from the queries in flight.
-    fn learn_rates(&mut self) {
+    fn learn_rates(&mut self, now: TimePoint) {
         let finished = f64::from(self.interval.finished.max(1));
         self.refusals_per_finish = f64::from(self.interval.refused) / finished;
+        let length = now.since(self.interval.since).min(Duration::from_millis(MAX_RETRY_MS));
+        self.backlog_time = length.mul_f64(self.refusals_per_finish);
         if 0 < self.interval.finished {
             self.query_time = Duration::from_secs_f64(self.interval.busy / finished);
         }
@@ -192,10 +190,4 @@
         self.interval.busy += elapsed * f64::from(self.in_flight);
         self.interval.busy_until = self.interval.busy_until.max(now);
     }
-
-    /// Returns the length of an interval: long enough for several queries in turn.
-    fn interval_length(&self) -> Duration {
-        let shortest = Duration::from_millis(INTERVAL_MS);
-        (self.query_time * 2).clamp(shortest, shortest * 10)
-    }
 }
