Eject upstreams that go silent while their calls are hedged

Cause: a frozen upstream whose calls are answered by hedges only ever ends as cancelled calls, so nothing ejected it and each call to it cost a hedge; and a cancelled probe made the next probe due at once.

Ruled out: counting calls whose deadline passed, which under overload would eject every upstream; counting cancelled calls alone, as a pause of 50 ms cancels all calls in flight at once. A silence of 500 ms and five calls given up after the usual latency are needed.

Change: such calls are counted until the next reply; a cancelled probe starts another backoff; no probe is sent while no connection may be opened. The availability types have a file of their own.

--- a/crates/routing/src/candidate_survey.rs
+++ b/crates/routing/src/candidate_survey.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     AcquireError, CallKind,
-    upstream_state::{Availability, ReplicaScore},
+    availability::{Availability, ReplicaScore},
 };
 
 /// Ratio of costs up to which two replicas count as equal.
--- a/crates/routing/src/latency_baseline.rs
+++ b/crates/routing/src/latency_baseline.rs
@@ -38,6 +38,11 @@
         self.sampled_at = now;
     }
 
+    /// Returns the usual latency; zero if nothing is known.
+    pub(crate) fn usual(&self) -> Duration {
+        Duration::from_secs_f64(self.baseline)
+    }
+
     /// Returns whether calls take markedly longer than the baseline.
     pub(crate) fn is_inflated(&self) -> bool {
         MIN_SAMPLES <= self.samples && self.baseline * INFLATED_RATIO < self.recent
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,5 +1,6 @@
 //! Replica choice, limits and budgets, by what this node itself sees.
 
+mod availability;
 mod call_accounts;
 mod candidate_survey;
 mod concurrency_limit;
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -10,9 +10,9 @@
 
 use crate::{
     AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, RouterReport, RoutingPolicy,
-    UpstreamHint, UpstreamPlace, call_accounts::CallAccounts, candidate_survey::CandidateSurvey,
-    hedge_timer::HedgeTimer, query_admission::QueryAdmission, router_settings::RouterSettings,
-    upstream_state::Availability, upstream_table::UpstreamTable,
+    UpstreamHint, UpstreamPlace, availability::Availability, call_accounts::CallAccounts,
+    candidate_survey::CandidateSurvey, hedge_timer::HedgeTimer, query_admission::QueryAdmission,
+    router_settings::RouterSettings, upstream_table::UpstreamTable,
 };
 
 /// Surveys of the candidates for one call, as another call may take the chosen slot in between.
--- a/crates/routing/src/upstream_health.rs
+++ b/crates/routing/src/upstream_health.rs
@@ -8,6 +8,10 @@
 const CONNECTION_FAILURES: u32 = 3;
 /// Consecutive faulty replies after which an upstream is ejected.
 const FAULTY_REPLIES: u32 = 5;
+/// Consecutive calls given up without a reply, after which an upstream is ejected.
+const UNANSWERED_CALLS: u32 = 5;
+/// Time without a reply before that.
+const UNANSWERED_MS: u64 = 500;
 /// Time of the first ejection; doubles with each one that follows.
 const BASE_BACKOFF_MS: u64 = 500;
 /// Longest ejection.
@@ -35,6 +39,8 @@
     phase: HealthPhase,
     changed_at: TimePoint,
     failures: u32,
+    unanswered: u32,
+    succeeded_at: TimePoint,
     successes: u32,
     ejections: u32,
 }
@@ -46,6 +52,8 @@
             phase: HealthPhase::Serving,
             changed_at: TimePoint::ZERO,
             failures: 0,
+            unanswered: 0,
+            succeeded_at: TimePoint::ZERO,
             successes: 0,
             ejections: 0,
         }
@@ -66,16 +74,33 @@
         self.enter(now, HealthPhase::Probing);
     }
 
-    /// Takes in that a call ended without saying anything; another probe may follow at once.
-    pub(crate) fn on_unknown(&mut self, now: TimePoint) {
+    /// Takes in that a call was given up before a reply was due, which says nothing.
+    pub(crate) fn on_unknown(&mut self, now: TimePoint, jitter: f64) {
         if self.phase == HealthPhase::Probing {
-            self.enter(now, HealthPhase::Ejected { until: now });
+            self.eject(now, self.backoff(jitter));
+        }
+    }
+
+    /// Takes in that a call was given up although a reply was due.
+    ///
+    /// Finds an upstream that went silent while its calls are hedged elsewhere.
+    pub(crate) fn on_unanswered(&mut self, now: TimePoint, jitter: f64) {
+        self.unanswered = self.unanswered.saturating_add(1);
+        let is_due = match self.phase {
+            HealthPhase::Serving => self.is_silent(now),
+            HealthPhase::Probing => true,
+            HealthPhase::Ejected { .. } => false,
+        };
+        if is_due {
+            self.eject(now, self.backoff(jitter));
         }
     }
 
     /// Takes in proof that the upstream works; returns whether it returns from an ejection.
     pub(crate) fn on_success(&mut self, now: TimePoint) -> bool {
         self.failures = 0;
+        self.unanswered = 0;
+        self.succeeded_at = now;
         self.successes = self.successes.saturating_add(1);
         if RECOVERED_SUCCESSES <= self.successes {
             self.ejections = 0;
@@ -97,12 +122,20 @@
             HealthPhase::Ejected { .. } => false,
         };
         if is_due {
-            let until = now + self.backoff(jitter);
+            self.eject(now, self.backoff(jitter));
             self.ejections = self.ejections.saturating_add(1);
-            self.enter(now, HealthPhase::Ejected { until });
         }
     }
 
+    fn is_silent(&self, now: TimePoint) -> bool {
+        let silence = now.since(self.succeeded_at);
+        UNANSWERED_CALLS <= self.unanswered && Duration::from_millis(UNANSWERED_MS) <= silence
+    }
+
+    fn eject(&mut self, now: TimePoint, backoff: Duration) {
+        self.enter(now, HealthPhase::Ejected { until: now + backoff });
+    }
+
     fn backoff(&self, jitter: f64) -> Duration {
         let factor = 1_u64.checked_shl(self.ejections.min(16)).unwrap_or(u64::MAX);
         let millis = BASE_BACKOFF_MS.saturating_mul(factor).min(MAX_BACKOFF_MS);
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     CallOutcome, SlotShare, UpstreamCondition, UpstreamHint, UpstreamReport,
+    availability::{Availability, ReplicaScore},
     concurrency_limit::ConcurrencyLimit,
     latency_average::LatencyAverage,
     latency_baseline::LatencyBaseline,
@@ -34,41 +35,6 @@
 /// Latency assumed at least, so that calls in flight always count.
 const MIN_LATENCY_US: f64 = 100.0;
 
-/// Whether an upstream can take a call now.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Availability {
-    /// It can.
-    Free(ReplicaScore),
-    /// It is at its limit for about this time.
-    Full(Duration),
-    /// It takes none for about this time, at its own wish or until the outcome of a probe call.
-    Paused(Duration),
-    /// Its ejection is over; a first call serves as the probe.
-    ProbeDue,
-    /// It is ejected until this time.
-    Down(TimePoint),
-    /// It takes no new work.
-    Closed,
-}
-
-impl Availability {
-    /// Returns whether a call may be sent, if need be as a probe.
-    pub(crate) fn is_free(self) -> bool {
-        matches!(self, Self::Free(_) | Self::ProbeDue | Self::Down(_))
-    }
-}
-
-/// What the choice between two replicas rests on.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct ReplicaScore {
-    /// Expected time of one more call; less is better.
-    pub(crate) cost: f64,
-    /// Whether the upstream is in this node's availability zone.
-    pub(crate) same_zone: bool,
-    /// Requests in flight there as the upstream reported them lately.
-    pub(crate) reported: Option<u32>,
-}
-
 /// The state of one upstream; its owner holds the lock.
 #[derive(Debug)]
 pub(crate) struct UpstreamState {
@@ -131,8 +97,7 @@
             return Availability::Closed;
         }
         match self.health.phase() {
-            HealthPhase::Ejected { until } if until <= now => return Availability::ProbeDue,
-            HealthPhase::Ejected { until } => return Availability::Down(until),
+            HealthPhase::Ejected { until } => return self.ejected_availability(now, until),
             HealthPhase::Probing => return self.probing_availability(now),
             HealthPhase::Serving => {}
         }
@@ -195,10 +160,7 @@
             CallOutcome::Failed(failure, elapsed) => {
                 self.on_failure(now, share, failure, elapsed, jitter);
             }
-            CallOutcome::Cancelled(elapsed) => {
-                self.latency.record_at_least(now, elapsed);
-                self.health.on_unknown(now);
-            }
+            CallOutcome::Cancelled(elapsed) => self.on_cancelled(now, elapsed, jitter),
         }
         self.in_flight = self.in_flight.saturating_sub(1);
     }
@@ -254,6 +216,11 @@
         }
     }
 
+    fn ejected_availability(&self, now: TimePoint, until: TimePoint) -> Availability {
+        let until = until.max(self.paused_until);
+        if now < until { Availability::Down(until) } else { Availability::ProbeDue }
+    }
+
     fn probing_availability(&self, now: TimePoint) -> Availability {
         let patience_end = self.health.changed_at() + Duration::from_millis(PROBE_PATIENCE_MS);
         if now < patience_end {
@@ -295,6 +262,15 @@
         }
     }
 
+    fn on_cancelled(&mut self, now: TimePoint, elapsed: Duration, jitter: f64) {
+        self.latency.record_at_least(now, elapsed);
+        if self.baseline.usual() < elapsed {
+            self.health.on_unanswered(now, jitter);
+        } else {
+            self.health.on_unknown(now, jitter);
+        }
+    }
+
     fn on_failure(
         &mut self,
         now: TimePoint,
@@ -310,7 +286,7 @@
             CallFailure::DeadlinePassed => {
                 self.latency.record_at_least(now, elapsed);
                 self.limit.cut_late(now, self.in_flight);
-                self.health.on_unknown(now);
+                self.health.on_unknown(now, jitter);
             }
             CallFailure::Silent => {
                 self.latency.record_at_least(now, elapsed);
--- a/crates/routing/tests/router/health.rs
+++ b/crates/routing/tests/router/health.rs
@@ -30,7 +30,8 @@
         ("snapshot missing", not_run(NotRunReason::SnapshotMissing, None), None),
         ("rejected", not_run(NotRunReason::Rejected, None), None),
         ("shed", shed(Some(ms(0))), None),
-        ("cancelled", CallOutcome::Cancelled(ms(1)), None),
+        ("cancelled early", CallOutcome::Cancelled(ms(1)), None),
+        ("cancelled late", CallOutcome::Cancelled(ms(40)), Some(5)),
     ];
 
     for (name, outcome, expected) in cases {
@@ -92,6 +93,33 @@
     }
 }
 
+#[gtest]
+fn a_cancelled_probe_is_followed_by_another_backoff() {
+    for elapsed in [0, 40] {
+        let router = router(&policy(), 2);
+        call_in_turn(&router, T0, 0, LOST, 3);
+
+        first(&router, at_ms(800), &upstreams(2)).expect("a probe is due");
+        router.release(at_ms(850), upstream(0), CallOutcome::Cancelled(ms(elapsed)));
+        let next = first(&router, at_ms(851), &upstreams(2));
+
+        expect_that!(next, ok(eq(upstream(1))), "cancelled after {elapsed} ms");
+    }
+}
+
+#[gtest]
+fn an_ejected_upstream_is_not_probed_before_a_connection_may_be_opened() {
+    let router = router(&policy(), 2);
+    call_in_turn(&router, T0, 0, LOST, 2);
+    call_in_turn(&router, T0, 0, not_run(NotRunReason::NotSent, Some(ms(5_000))), 1);
+
+    let early = first(&router, at_ms(4_999), &upstreams(2));
+    let late = first(&router, at_ms(5_000), &upstreams(2));
+
+    expect_that!(early, ok(eq(upstream(1))));
+    expect_that!(late, ok(eq(upstream(0))));
+}
+
 #[gtest]
 fn a_returned_upstream_starts_slowly() {
     let router = router(&policy(), 1);
