Wait less for slots of large upstreams and hedge below the stragglers

Cause: trials on processes showed a p99 near the deadline at twice the capacity of upstreams with 6 slots: the target wait of one and a half mean latencies let about 18 calls wait for each upstream. They also showed no gain from hedging at 5% stragglers: the quantile that the budget pays for lay among the stragglers.

Change: the target is the wait of four calls at each upstream, between 0.5 and 1.5 mean latencies; the hedge delay is at most five medians.

--- a/crates/routing/src/hedge_timer.rs
+++ b/crates/routing/src/hedge_timer.rs
@@ -2,12 +2,15 @@
 
 use std::time::Duration;
 
+use hdrhistogram::Histogram;
 use mux_model::TimePoint;
 
 use crate::{HedgePolicy, latency_window::LatencyWindow};
 
 /// Samples before which the measured quantile is not used.
 const MIN_SAMPLES: u64 = 50;
+/// Longest measured delay, as a multiple of the median; calls that take longer are stragglers.
+const MAX_MEDIAN_RATIO: u64 = 5;
 /// Shortest measured delay.
 const MIN_DELAY_MS: u64 = 1;
 /// Time for which a computed delay is used.
@@ -66,10 +69,21 @@
     fn measured_delay(&mut self, now: TimePoint, quantile: f64) -> Option<Duration> {
         let refresh = Duration::from_millis(REFRESH_MS);
         if self.computed_at.is_none_or(|it| refresh <= now.since(it)) {
-            let measured = self.window.quantile(now, quantile, MIN_SAMPLES);
-            self.delay = measured.map(|it| it.max(Duration::from_millis(MIN_DELAY_MS)));
+            self.delay = straggling_latency(&self.window.merged(now), quantile);
             self.computed_at = Some(now);
         }
         self.delay
     }
 }
+
+/// Returns the latency, in `latencies` in microseconds, above which a call counts as slow.
+///
+/// The quantile alone would follow the stragglers where they are more frequent than it allows for.
+fn straggling_latency(latencies: &Histogram<u32>, quantile: f64) -> Option<Duration> {
+    if latencies.len() < MIN_SAMPLES {
+        return None;
+    }
+    let longest = latencies.value_at_quantile(0.5).saturating_mul(MAX_MEDIAN_RATIO);
+    let delay = Duration::from_micros(latencies.value_at_quantile(quantile).min(longest));
+    Some(delay.max(Duration::from_millis(MIN_DELAY_MS)))
+}
--- a/crates/routing/src/latency_window.rs
+++ b/crates/routing/src/latency_window.rs
@@ -33,24 +33,15 @@
         self.slices[self.newest].saturating_record(micros.max(MIN_LATENCY_US));
     }
 
-    /// Returns the latency at `quantile`, from 0 to 1; `None` below `min_samples`.
-    pub(crate) fn quantile(
-        &mut self,
-        now: TimePoint,
-        quantile: f64,
-        min_samples: u64,
-    ) -> Option<Duration> {
+    /// Returns the latencies of the whole window, in microseconds.
+    pub(crate) fn merged(&mut self, now: TimePoint) -> Histogram<u32> {
         self.rotate(now);
-        let samples: u64 = self.slices.iter().map(Histogram::len).sum();
-        if samples < min_samples {
-            return None;
-        }
         let mut merged = empty_histogram();
         for slice in &self.slices {
             // All slices have the same bounds, so that none is too wide to add.
             let _ = merged.add(slice);
         }
-        Some(Duration::from_micros(merged.value_at_quantile(quantile)))
+        merged
     }
 
     fn rotate(&mut self, now: TimePoint) {
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -172,7 +172,7 @@
         let jitter = self.jitter();
         let mut admission = lock(&self.admission);
         if admission.is_due(now) {
-            let wait = self.upstreams.take_slot_wait(now);
+            let wait = self.upstreams.take_slot_wait(now, settings.share);
             let is_saturated = admission.adapt(now, wait, &settings);
             lock(&self.accounts).set_saturated(is_saturated);
         }
--- a/crates/routing/src/upstream_table.rs
+++ b/crates/routing/src/upstream_table.rs
@@ -14,7 +14,12 @@
 };
 
 const PART_COUNT: usize = 16;
-/// Shortest wait for a slot that counts as overload.
+/// Calls that wait for an upstream when its slots are never idle.
+const WAITING_CALLS: f64 = 4.0;
+/// Bounds of the target wait, as multiples of the mean latency.
+const MIN_TARGET_RATIO: f64 = 0.5;
+const MAX_TARGET_RATIO: f64 = 1.5;
+/// Shortest target wait.
 const MIN_TARGET_WAIT_MS: u64 = 5;
 
 type TablePart = FastMap<UpstreamId, UpstreamState>;
@@ -68,7 +73,9 @@
     }
 
     /// Sums up the waits for slots since the last time, and forgets them.
-    pub(crate) fn take_slot_wait(&self, now: TimePoint) -> SlotWait {
+    ///
+    /// `share` is this node's share of each upstream.
+    pub(crate) fn take_slot_wait(&self, now: TimePoint, share: Option<SlotShare>) -> SlotWait {
         let mut longest = Duration::ZERO;
         let mut latencies = Vec::new();
         let mut open_count = 0;
@@ -89,7 +96,7 @@
         let is_blocked = open_count == pause_ends.len();
         SlotWait {
             longest,
-            target: (mean * 3 / 2).max(Duration::from_millis(MIN_TARGET_WAIT_MS)),
+            target: target_wait(mean, share),
             blocked_until: pause_ends.into_iter().min().filter(|_| is_blocked),
         }
     }
@@ -113,6 +120,14 @@
     }
 }
 
+/// Returns the wait that `WAITING_CALLS` calls have at one upstream, by Little's law.
+fn target_wait(latency: Duration, share: Option<SlotShare>) -> Duration {
+    let ceiling = share.map_or(1, |it| it.ceiling);
+    let ratio = WAITING_CALLS / f64::from(ceiling);
+    let wait = latency.mul_f64(ratio.clamp(MIN_TARGET_RATIO, MAX_TARGET_RATIO));
+    wait.max(Duration::from_millis(MIN_TARGET_WAIT_MS))
+}
+
 fn lock(part: &Mutex<TablePart>) -> MutexGuard<'_, TablePart> {
     part.lock().unwrap_or_else(PoisonError::into_inner)
 }
