Add placement of services, watchers and callers

Upstreams accept few connections, so that 400 nodes cannot all hold one. Home nodes are chosen by rendezvous hashing within each zone; the sum of their shares stays within the limit. Address answers prefer near zones, spread callers by a random choice weighted by load, and name nodes of two zones. Ruled out: the emptiest node first, which sends all callers of one moment to one node. Watchers of the key-value service are two per zone, so their number does not grow with the fleet.

--- a/crates/membership/src/gossip_machine.rs
+++ b/crates/membership/src/gossip_machine.rs
@@ -178,7 +178,7 @@
         if known.is_some_and(|it| it.draining == draining) {
             return;
         }
-        let after_known = known.map_or(0, |it| it.version + 1);
+        let after_known = known.map_or(0, |it| it.version.saturating_add(1));
         let version = after_known.max(self.unix_ms(now));
         self.spread_note(now, UpstreamNote { upstream, draining, version });
     }
--- a/crates/membership/src/gossip_machine/receiving.rs
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -260,7 +260,7 @@
         if self.local.state == MemberState::Dead || (claim.incarnation, claim.state) <= own {
             return;
         }
-        self.local.incarnation.0 = claim.incarnation.0 + 1;
+        self.local.incarnation.0 = claim.incarnation.0.saturating_add(1);
         if now < self.next_refutation {
             self.queue_member(MemberNews::Claim(claim.node.clone()));
             return;
--- /dev/null
+++ b/crates/membership/tests/gossip_messages.rs
@@ -0,0 +1,109 @@
+//! Datagrams that are not valid messages of the cluster.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use mux_membership::{
+    CounterReading, GossipAction, GossipMachine, GossipSettings, MemberState, NodeIdentity,
+};
+use mux_model::{NodeIncarnation, TimePoint};
+use proptest::{
+    collection::vec,
+    prelude::any,
+    test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
+};
+
+const NOW: TimePoint = TimePoint::from_millis(5);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn machine(cluster: &str, port: u16) -> GossipMachine {
+    let identity = NodeIdentity {
+        node: format!("node-{port}").into(),
+        availability_zone: "zone".into(),
+        peer: address(port),
+        caller: address(port),
+        operator: address(port),
+    };
+    let settings = GossipSettings::new(cluster);
+    GossipMachine::new(settings, identity, NodeIncarnation(9), NOW, 1)
+}
+
+fn join_datagram(cluster: &str) -> Vec<u8> {
+    let mut actions = Vec::new();
+    machine(cluster, 1).join(NOW, &[address(2)], &mut actions);
+    let sent = actions.into_iter().find_map(|it| match it {
+        GossipAction::Send { bytes, .. } => Some(bytes),
+        GossipAction::Event(_) => None,
+    });
+    sent.expect("joining sends a datagram")
+}
+
+fn counts(machine: &GossipMachine) -> (u64, u64) {
+    let mut reading = CounterReading::default();
+    machine.add_counts(&mut reading);
+    (reading.malformed, reading.strangers)
+}
+
+#[gtest]
+fn valid_message_is_accepted() {
+    let mut receiver = machine("cluster", 2);
+
+    receiver.on_datagram(NOW, address(1), &join_datagram("cluster"), &mut Vec::new());
+
+    expect_that!(counts(&receiver), eq((0, 0)));
+    expect_that!(receiver.members().in_state(MemberState::Alive).count(), eq(2));
+}
+
+#[gtest]
+fn message_of_another_cluster_is_counted_and_dropped() {
+    let mut receiver = machine("cluster", 2);
+    let mut actions = Vec::new();
+
+    receiver.on_datagram(NOW, address(1), &join_datagram("other"), &mut actions);
+
+    expect_that!(counts(&receiver), eq((0, 1)));
+    expect_that!(actions, is_empty());
+    expect_that!(receiver.members().members.len(), eq(1));
+}
+
+#[gtest]
+fn truncated_or_extended_messages_are_counted_and_dropped() {
+    let datagram = join_datagram("cluster");
+    let extended = [datagram.as_slice(), &[0]].concat();
+    let shorter = (0..datagram.len()).map(|len| &datagram[..len]);
+
+    for bytes in shorter.chain([extended.as_slice()]) {
+        let mut receiver = machine("cluster", 2);
+        let mut actions = Vec::new();
+        receiver.on_datagram(NOW, address(1), bytes, &mut actions);
+
+        expect_that!(counts(&receiver), eq((1, 0)), "{} bytes", bytes.len());
+        expect_that!(actions, is_empty(), "{} bytes", bytes.len());
+    }
+}
+
+#[gtest]
+fn altered_messages_cause_no_panic() {
+    let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[3; 32]);
+    let mut runner = TestRunner::new_with_rng(config, rng);
+    let datagram = join_datagram("cluster");
+
+    let outcome = runner.run(&vec((any::<usize>(), any::<u8>()), 1..8), |changes| {
+        let mut bytes = datagram.clone();
+        let len = bytes.len();
+        for (at, value) in changes {
+            bytes[at % len] = value;
+        }
+        let mut receiver = machine("cluster", 2);
+        let mut actions = Vec::new();
+        receiver.on_datagram(NOW, address(1), &bytes, &mut actions);
+        receiver.on_tick(NOW, &mut actions);
+        Ok(())
+    });
+
+    expect_that!(outcome, ok(anything()));
+}
--- /dev/null
+++ b/crates/placement/src/address_planner.rs
@@ -0,0 +1,190 @@
+//! Choice of the addresses that a caller is to use.
+
+use std::{cmp::Ordering, net::SocketAddr};
+
+use mux_model::{AvailabilityZone, FastMap, NodeId};
+
+use crate::{CandidateNode, stable_hash::stable_hash};
+
+const OVERLOAD_FACTOR: f64 = 2.0;
+const OVERLOAD_MIN: f64 = 8.0;
+
+/// Chooses addresses for callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AddressPlanner {
+    /// Number of addresses in an answer.
+    pub address_count: usize,
+    /// Time for which an answer may be used, before jitter, in milliseconds.
+    pub lifetime_ms: u64,
+    /// Most by which the lifetime is lengthened or shortened, in percent.
+    pub jitter_percent: u64,
+}
+
+/// A caller's question.
+#[derive(Debug, Clone, Copy)]
+pub struct AddressQuery<'a> {
+    /// What the caller calls itself.
+    pub caller: &'a str,
+    /// Zones near the caller, the nearest first; zones not listed are taken as equally far.
+    pub near_zones: &'a [AvailabilityZone],
+    /// Random number that spreads callers of the same name.
+    pub seed: u64,
+}
+
+/// The answer to an [`AddressQuery`].
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressAnswer {
+    /// The addresses, the preferred one first.
+    pub addresses: Vec<AddressEntry>,
+    /// Time for which the caller may use the answer, in milliseconds.
+    pub lifetime_ms: u64,
+}
+
+/// One address of an answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AddressEntry {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Availability zone of the node.
+    pub availability_zone: AvailabilityZone,
+    /// Address for callers.
+    pub address: SocketAddr,
+}
+
+impl Default for AddressPlanner {
+    fn default() -> Self {
+        Self { address_count: 3, lifetime_ms: 10_000, jitter_percent: 20 }
+    }
+}
+
+impl AddressPlanner {
+    /// Returns the longest lifetime that an answer can have, in milliseconds.
+    pub fn longest_lifetime_ms(&self) -> u64 {
+        self.lifetime_ms * (100 + self.jitter_percent) / 100
+    }
+
+    /// Chooses addresses for a caller among the available candidates.
+    ///
+    /// Nodes in near zones go first, unless their zone carries much more load than the average.
+    /// Among equally near nodes the choice is random, with less weight for loaded nodes. The
+    /// addresses are in at least two zones if the candidates are.
+    pub fn plan(&self, query: &AddressQuery<'_>, candidates: &[CandidateNode]) -> AddressAnswer {
+        let available: Vec<_> = candidates.iter().filter(|it| it.available).collect();
+        let loads = ZoneLoads::of(&available);
+        let mut offers: Vec<_> = available.iter().map(|it| offer_of(query, it, &loads)).collect();
+        offers.sort_by(NodeOffer::order);
+        let chosen = self.choose(&offers);
+        AddressAnswer {
+            addresses: chosen.iter().map(|it| entry_of(it.candidate)).collect(),
+            lifetime_ms: self.jittered_lifetime(query),
+        }
+    }
+
+    /// Returns the first offers, the second one being the first from another zone.
+    fn choose<'a>(&self, offers: &[NodeOffer<'a>]) -> Vec<NodeOffer<'a>> {
+        let Some(first) = offers.first() else {
+            return Vec::new();
+        };
+        let zone = &first.candidate.availability_zone;
+        let elsewhere = offers.iter().position(|it| it.candidate.availability_zone != *zone);
+        let mut chosen = vec![*first];
+        chosen.extend(elsewhere.map(|it| offers[it]));
+        let rest = offers.iter().enumerate().skip(1).filter(|(idx, _)| Some(*idx) != elsewhere);
+        chosen.extend(rest.map(|(_, it)| *it));
+        chosen.truncate(self.address_count);
+        chosen
+    }
+
+    fn jittered_lifetime(&self, query: &AddressQuery<'_>) -> u64 {
+        let hash = stable_hash(&[query.caller.as_bytes(), &query.seed.to_le_bytes()]);
+        let percent = 100 - self.jitter_percent + hash % (2 * self.jitter_percent + 1);
+        self.lifetime_ms * percent / 100
+    }
+}
+
+/// A candidate with its place in the caller's preference.
+#[derive(Debug, Clone, Copy)]
+struct NodeOffer<'a> {
+    candidate: &'a CandidateNode,
+    distance: usize,
+    /// Exponentially distributed with the weight of the node as its rate, so that a node is the
+    /// first among equally near ones as often as its share of their weight.
+    score: f64,
+}
+
+impl NodeOffer<'_> {
+    fn order(&self, other: &Self) -> Ordering {
+        self.distance.cmp(&other.distance).then(self.score.total_cmp(&other.score))
+    }
+}
+
+/// Mean loads of the candidates.
+struct ZoneLoads<'a> {
+    overall: MeanLoad,
+    zones: FastMap<&'a AvailabilityZone, MeanLoad>,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct MeanLoad {
+    total: u32,
+    count: u32,
+}
+
+impl<'a> ZoneLoads<'a> {
+    fn of(candidates: &[&'a CandidateNode]) -> Self {
+        let mut loads = Self { overall: MeanLoad::default(), zones: FastMap::default() };
+        for candidate in candidates {
+            loads.overall.add(candidate.load);
+            loads.zones.entry(&candidate.availability_zone).or_default().add(candidate.load);
+        }
+        loads
+    }
+
+    fn is_overloaded(&self, zone: &AvailabilityZone) -> bool {
+        let limit = OVERLOAD_MIN.max(self.overall.mean() * OVERLOAD_FACTOR);
+        self.zones.get(zone).is_some_and(|it| limit < it.mean())
+    }
+}
+
+impl MeanLoad {
+    fn add(&mut self, load: u16) {
+        self.total += u32::from(load);
+        self.count += 1;
+    }
+
+    fn mean(self) -> f64 {
+        f64::from(self.total) / f64::from(self.count.max(1))
+    }
+}
+
+fn offer_of<'a>(
+    query: &AddressQuery<'_>,
+    candidate: &'a CandidateNode,
+    loads: &ZoneLoads<'_>,
+) -> NodeOffer<'a> {
+    let node = candidate.node.as_str().as_bytes();
+    let hash = stable_hash(&[query.caller.as_bytes(), &query.seed.to_le_bytes(), node]);
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    let mean = loads.overall.mean() + 1.0;
+    let weight = mean / (f64::from(candidate.load) + mean);
+    let distance = distance(query, &candidate.availability_zone, loads);
+    NodeOffer { candidate, distance, score: -unit.ln() / weight }
+}
+
+/// Returns the place of `zone` among the near zones; a zone that is not listed, or carries much
+/// more than the mean load, comes after all of them.
+fn distance(query: &AddressQuery<'_>, zone: &AvailabilityZone, loads: &ZoneLoads<'_>) -> usize {
+    let far = query.near_zones.len();
+    if loads.is_overloaded(zone) {
+        return far;
+    }
+    query.near_zones.iter().position(|it| it == zone).unwrap_or(far)
+}
+
+fn entry_of(candidate: &CandidateNode) -> AddressEntry {
+    AddressEntry {
+        node: candidate.node.clone(),
+        availability_zone: candidate.availability_zone.clone(),
+        address: candidate.caller,
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -1,1 +1,14 @@
-//! Home nodes of services and the answers to address questions.
+//! Placement of services on nodes and of callers on addresses.
+
+mod address_planner;
+mod candidate_node;
+mod home_limits;
+mod home_nodes;
+mod stable_hash;
+mod watcher_nodes;
+
+pub use address_planner::{AddressAnswer, AddressEntry, AddressPlanner, AddressQuery};
+pub use candidate_node::CandidateNode;
+pub use home_limits::HomeLimits;
+pub use home_nodes::home_nodes;
+pub use watcher_nodes::watcher_nodes;
