Remove members only after this node's own suspicion has run out

Change: a claimed death of a member that did not announce its stop only raises a suspicion, which the member can refute to every node. The order check stands once, in the machine.

--- a/crates/membership/src/gossip_machine/probing.rs
+++ b/crates/membership/src/gossip_machine/probing.rs
@@ -114,12 +114,8 @@
         (MemberState::Suspect <= entry.record.state).then(|| claim_of(&entry.record))
     }
 
-    /// Puts claims against members to them before they are believed, for a while, and gives
-    /// suspect members the full time to refute.
+    /// Puts claims against members to them before they are believed, for a while.
     pub(super) fn start_reunion(&mut self, now: TimePoint) {
-        if self.reunion_until <= now {
-            self.table.restart_suspicions(now);
-        }
         self.reunion_until = now + REUNION_PERIOD;
     }
 
--- a/crates/membership/src/gossip_machine/receiving.rs
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -210,7 +210,9 @@
             return;
         };
         let held = (entry.record.incarnation, entry.record.state);
-        if (claim.incarnation, claim.state) <= held {
+        let suspected = held.1 == MemberState::Suspect && claim.state == MemberState::Dead;
+        let known = suspected && source == ClaimSource::Peer && claim.incarnation == held.0;
+        if known || (claim.incarnation, claim.state) <= held {
             return;
         }
         if claim.run != entry.record.run {
@@ -222,7 +224,7 @@
             return;
         };
         let claim = MemberClaim { state, ..claim.clone() };
-        let change = self.table.apply_claim(now, &claim);
+        let change = self.table.set_state(now, &claim);
         self.on_heard(now, &claim.node, change, source, actions);
     }
 
@@ -318,6 +320,9 @@
 
 /// Returns the state in which a member is held after a claim that outranks the held state; `None`
 /// if the claim is to be put to the member first.
+///
+/// A member that did not announce its stop is not removed on the word of others: it becomes
+/// suspect, and has the full time to refute that to this node.
 fn believed_state(
     held: MemberState,
     claimed: MemberState,
@@ -328,8 +333,9 @@
         ClaimSource::Member => Some(claimed),
         _ if !accuses => Some(claimed),
         ClaimSource::Doubtful | ClaimSource::Exchange => None,
-        ClaimSource::Peer if held == MemberState::Alive => Some(MemberState::Suspect),
-        ClaimSource::Peer => Some(claimed),
+        ClaimSource::Peer if held == MemberState::Dead => Some(MemberState::Dead),
+        ClaimSource::Peer if held == MemberState::Leaving => Some(claimed),
+        ClaimSource::Peer => Some(MemberState::Suspect),
     }
 }
 
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -68,7 +68,7 @@
         self.live().count()
     }
 
-    /// Merges a full record of another member.
+    /// Merges the full record of a member, or of a run of it, that is not known.
     pub(crate) fn apply_record(&mut self, now: TimePoint, record: &MemberRecord) -> TableChange {
         let Some(entry) = self.entries.get_mut(record.node()) else {
             self.insert(now, record.clone());
@@ -78,8 +78,8 @@
             };
         };
         let known = &entry.record;
-        if record.incarnation <= known.incarnation || record.run == known.run {
-            return self.apply_claim(now, &claim_of(record));
+        if record.incarnation <= known.incarnation {
+            return TableChange::Unchanged;
         }
         let was_dead = known.state == MemberState::Dead;
         self.insert(now, record.clone());
@@ -90,19 +90,14 @@
         }
     }
 
-    /// Merges a claim about a known run of a member.
-    pub(crate) fn apply_claim(&mut self, now: TimePoint, claim: &MemberClaim) -> TableChange {
+    /// Takes over the incarnation and state of a claim that outranks what is known.
+    pub(crate) fn set_state(&mut self, now: TimePoint, claim: &MemberClaim) -> TableChange {
         let Some(entry) = self.entries.get_mut(&claim.node) else {
             return TableChange::Unchanged;
         };
-        let record = &mut entry.record;
-        let outdated = (claim.incarnation, claim.state) <= (record.incarnation, record.state);
-        if outdated || claim.run != record.run {
-            return TableChange::Unchanged;
-        }
-        let before = record.state;
-        record.incarnation = claim.incarnation;
-        record.state = claim.state;
+        let before = entry.record.state;
+        entry.record.incarnation = claim.incarnation;
+        entry.record.state = claim.state;
         entry.suspected_here = false;
         if before != claim.state {
             entry.since = now;
@@ -168,7 +163,7 @@
         let rose = record.revision < report.revision;
         record.report = report.report;
         record.load = report.load;
-        record.revision = record.revision.max(report.revision);
+        record.revision = report.revision;
         rose.then(|| (node.clone(), report.revision))
     }
 
--- a/crates/membership/tests/gossip_faults.rs
+++ b/crates/membership/tests/gossip_faults.rs
@@ -15,7 +15,8 @@
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 const CONTROL_LIMIT_BYTES_PER_SECOND: u64 = 3_000;
 const DATAGRAM_LIMIT_BYTES: usize = 1_200;
-/// Time in which the sides of a healed cut hear from one another.
+/// Time in which the sides of a healed cut hear from one another; a suspicion raised during the
+/// cut may still end in it.
 const TWO_PROBE_PERIODS: Duration = Duration::from_secs(2);
 const HEADER_BYTES: u64 = 28;
 
@@ -95,17 +96,42 @@
 #[gtest]
 fn view_is_unverified_after_a_pause_until_a_member_answers() {
     let mut net = joined_net(7, 0.0);
-    net.step(0, GossipMachine::on_pause);
-    expect_that!(net.view(0).verified, eq(false));
+    net.nodes[0].paused = true;
+    net.run(Duration::from_secs(5));
 
+    net.wake(0);
+    net.run(Duration::ZERO);
+    let on_waking = net.view(0).verified;
     net.run(Duration::from_secs(1));
 
+    expect_that!(on_waking, eq(false));
     expect_that!(net.view(0).verified, eq(true));
 }
 
+#[gtest]
+fn suspicion_does_not_run_out_during_the_observers_own_pause() {
+    let mut net = joined_net(7, 0.0);
+    net.nodes[5].group = 1;
+    let suspected = net.run_until(net.now + Duration::from_secs(10), |net| {
+        state_seen(net, 0, 5) == Some(MemberState::Suspect)
+    });
+    net.nodes[0].paused = true;
+    heal(&mut net);
+    net.run(Duration::from_secs(20));
+    let woken_at = net.now;
+
+    net.wake(0);
+    net.run(Duration::from_secs(20));
+
+    expect_that!(suspected, eq(true));
+    expect_that!(removals(&net, woken_at - Duration::from_millis(1)), is_empty());
+}
+
 #[gtest]
 fn sides_of_a_cut_remove_each_other_and_reunite_without_further_removals() {
-    for (count, cut_seconds) in [(7, 30), (9, 120), (30, 14), (30, 40)] {
+    let long = Duration::ZERO;
+    let cases = [(7, 30, long), (9, 120, long), (30, 40, long), (30, 14, TWO_PROBE_PERIODS)];
+    for (count, cut_seconds, grace) in cases {
         let mut net = joined_net(count, 0.0);
         for idx in 0..count {
             net.step(idx, |machine, now, actions| machine.join(now, &[], actions));
@@ -120,24 +146,28 @@
         net.run(Duration::from_secs(60));
 
         println!("{count} nodes, cut for {cut_seconds} s: reunited after {took:?}");
-        let flaps = removals(&net, healed_at + TWO_PROBE_PERIODS);
+        let flaps = removals(&net, healed_at + grace);
         expect_that!(reunited, eq(true), "{count} nodes, cut for {cut_seconds} s");
         expect_that!(flaps, is_empty(), "{count} nodes, {cut_seconds} s");
     }
 }
 
 #[gtest]
-fn isolated_node_removes_nobody() {
-    let mut net = joined_net(7, 0.0);
+fn isolated_node_removes_nobody_and_trusts_all_again_soon() {
+    let mut net = joined_net(60, 0.0);
     net.nodes[0].group = 1;
     let isolated_at = net.now;
 
     net.run(Duration::from_secs(40));
     heal(&mut net);
+    let trusting = net.run_until(net.now + IN_FORCE_LIMIT, |net| {
+        net.view(0).in_state(MemberState::Alive).count() == 60
+    });
     let reunited = net.run_until(net.now + Duration::from_secs(30), GossipNet::converged);
 
     let by_isolated = removals(&net, isolated_at).into_iter().filter(|(it, _)| *it == 0);
     expect_that!(by_isolated.count(), eq(0));
+    expect_that!(trusting, eq(true));
     expect_that!(reunited, eq(true));
 }
 
@@ -213,13 +243,12 @@
     let mut net = joined_net(7, 0.0);
     let gone = identity(150).peer;
     net.add_node(7);
-    net.step(7, |machine, now, actions| machine.join(now, &[gone], actions));
     net.nodes[7].group = 1;
-    net.run(Duration::from_secs(5));
-    heal(&mut net);
-
     let seeds = [gone, identity(151).peer, identity(5).peer];
     net.step(7, |machine, now, actions| machine.join(now, &seeds, actions));
+    net.run(Duration::from_secs(5));
+
+    heal(&mut net);
     let joined = net.run_until(net.now + Duration::from_secs(10), GossipNet::converged);
 
     expect_that!(joined, eq(true));
@@ -285,6 +314,7 @@
 
     for idx in 0..60 {
         net.step(idx, |machine, now, _| machine.note_upstream(now, upstream, true));
+        net.run(Duration::from_millis(1));
     }
     net.run(Duration::from_secs(10));
     let sent = net.nodes.iter().map(|it| it.datagrams_out).sum::<u64>() - before;
--- a/crates/membership/tests/gossip_messages.rs
+++ b/crates/membership/tests/gossip_messages.rs
@@ -1,6 +1,6 @@
 //! Datagrams that are not valid messages of the cluster.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::Range};
 
 use googletest::prelude::*;
 use mux_membership::{
@@ -85,6 +85,53 @@
     }
 }
 
+/// Lets two machines, known by their ports, exchange datagrams with each other only.
+fn converse(lhs: (&mut GossipMachine, u16), rhs: (&mut GossipMachine, u16), millis: Range<u64>) {
+    let mut to_lhs = Vec::new();
+    for now in millis.step_by(100).map(TimePoint::from_millis) {
+        let to_rhs = exchange(lhs.0, now, rhs.1, &to_lhs);
+        to_lhs = exchange(rhs.0, now, lhs.1, &to_rhs);
+    }
+}
+
+/// Returns the datagrams that `machine` sends to `peer` in answer to `input` and on a tick.
+fn exchange(
+    machine: &mut GossipMachine,
+    now: TimePoint,
+    peer: u16,
+    input: &[Vec<u8>],
+) -> Vec<Vec<u8>> {
+    let mut actions = Vec::new();
+    for bytes in input {
+        machine.on_datagram(now, address(peer), bytes, &mut actions);
+    }
+    machine.on_tick(now, &mut actions);
+    let sent = actions.into_iter().filter_map(|it| match it {
+        GossipAction::Send { to, bytes } if to == address(peer) => Some(bytes),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[gtest]
+fn death_claimed_by_one_member_is_only_a_suspicion_at_another() {
+    let (mut observer, mut claimant, mut witness) =
+        (machine("cluster", 1), machine("cluster", 2), machine("cluster", 4));
+    let victim = machine("cluster", 3).members().members.clone();
+    let met_at = TimePoint::from_millis(30_000);
+    claimant.import(NOW, &victim, &mut Vec::new());
+    claimant.import(NOW, &witness.members().members, &mut Vec::new());
+    converse((&mut claimant, 2), (&mut witness, 4), 0..30_000);
+    observer.import(met_at, &victim, &mut Vec::new());
+    observer.import(met_at, &claimant.members().members, &mut Vec::new());
+
+    converse((&mut observer, 1), (&mut claimant, 2), 30_000..33_000);
+
+    let held = observer.members().get(&"node-3".into()).map(|it| it.state);
+    expect_that!(claimant.members().get(&"node-3".into()), none());
+    expect_that!(held, some(eq(MemberState::Suspect)));
+}
+
 #[gtest]
 fn altered_messages_cause_no_panic() {
     let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
