--- /dev/null
+++ b/crates/mustardmux/src/cli/mod.rs
@@ -0,0 +1,15 @@
+//! The command line.
+
+mod audit_command;
+mod drain_command;
+mod errors;
+mod node_command;
+mod operator_client;
+mod output;
+mod program_args;
+mod query_command;
+mod service_command;
+mod settings_command;
+mod status_command;
+
+pub(crate) use program_args::{ProgramArgs, run};
--- a/crates/mustardmux/src/main.rs
+++ b/crates/mustardmux/src/main.rs
@@ -1,3 +1,11 @@
-//! Entry point.
+//! The mustardmux program: a node of the query tier and the operators' tools.
 
-fn main() {}
+mod cli;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+fn main() -> ExitCode {
+    cli::run(cli::ProgramArgs::parse())
+}
--- /dev/null
+++ b/crates/node/src/caller/address_answer.rs
@@ -0,0 +1,41 @@
+//! The answer to the question which address to use.
+
+use std::net::SocketAddr;
+
+use mux_model::{AvailabilityZone, NodeId, ServiceName};
+use serde::Serialize;
+
+/// Addresses on which to send queries for a service.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct AddressAnswer {
+    /// Service.
+    pub(crate) service: ServiceName,
+    /// Addresses, the best one first.
+    pub(crate) addresses: Vec<AddressEntry>,
+    /// Time for which the answer may be used, in milliseconds.
+    pub(crate) lifetime_ms: u64,
+    /// Session for requests that are not idempotent.
+    pub(crate) session: SessionGrant,
+}
+
+/// One address.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct AddressEntry {
+    /// Node that listens there.
+    pub(crate) node: NodeId,
+    /// Availability zone of the node.
+    pub(crate) availability_zone: AvailabilityZone,
+    /// Address for queries.
+    pub(crate) address: SocketAddr,
+}
+
+/// A session and the address to use it at.
+#[derive(Debug, Clone, Serialize)]
+pub(crate) struct SessionGrant {
+    /// Token to send with each request.
+    pub(crate) token: String,
+    /// Address of the node that minted it; other nodes forward there.
+    pub(crate) address: SocketAddr,
+    /// Time for which the session may be used, in milliseconds.
+    pub(crate) lifetime_ms: u64,
+}
--- /dev/null
+++ b/crates/node/src/caller/http_reply.rs
@@ -0,0 +1,133 @@
+//! Answers as HTTP responses.
+
+use std::net::SocketAddr;
+
+use mux_model::{Coverage, RequestId, ShardIndex, SnapshotId, Verdict};
+use serde::Serialize;
+use serde_json::value::RawValue;
+use xitca_web::{
+    body::ResponseBody,
+    http::{HeaderValue, StatusCode, WebResponse, header},
+};
+
+use crate::dispatch::{ProblemCode, QueryAnswer, QueryOutcome, QueryProblem};
+
+const MILLIS_PER_SECOND: u64 = 1_000;
+
+#[derive(Serialize)]
+struct AnswerBody<'a> {
+    request_id: String,
+    verdict: Verdict,
+    snapshot: SnapshotId,
+    coverage: CoverageBody,
+    replayed: bool,
+    results: Vec<ResultBody<'a>>,
+}
+
+#[derive(Serialize)]
+struct CoverageBody {
+    contributed: u32,
+    total: u32,
+    share: f64,
+}
+
+#[derive(Serialize)]
+struct ResultBody<'a> {
+    shard: ShardIndex,
+    result: &'a RawValue,
+}
+
+#[derive(Serialize)]
+struct ProblemBody<'a> {
+    request_id: Option<String>,
+    verdict: Verdict,
+    error: ErrorBody<'a>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+    #[serde(skip_serializing_if = "<[_]>::is_empty")]
+    addresses: &'a [SocketAddr],
+}
+
+#[derive(Serialize)]
+struct ErrorBody<'a> {
+    code: ProblemCode,
+    message: &'a str,
+}
+
+/// Turns the outcome of a query into a response.
+pub(crate) fn outcome_reply(outcome: &QueryOutcome, others: &[SocketAddr]) -> WebResponse {
+    match &outcome.result {
+        Ok(answer) => answer_reply(outcome.request, answer),
+        Err(problem) => problem_reply(Some(outcome.request), problem, others),
+    }
+}
+
+/// Turns a problem into a response.
+pub(crate) fn problem_reply(
+    request: Option<RequestId>,
+    problem: &QueryProblem,
+    others: &[SocketAddr],
+) -> WebResponse {
+    let body = ProblemBody {
+        request_id: request.map(|it| it.to_string()),
+        verdict: problem.verdict,
+        error: ErrorBody { code: problem.code, message: &problem.message },
+        retry_after_ms: problem.retry_after_ms,
+        addresses: others,
+    };
+    let mut response = json_reply(problem.code.http_status(), &body);
+    if let Some(millis) = problem.retry_after_ms {
+        let seconds = millis.div_ceil(MILLIS_PER_SECOND);
+        response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    }
+    response
+}
+
+/// Turns any serializable body into a JSON response.
+pub(crate) fn json_reply<T: Serialize>(status: u16, body: &T) -> WebResponse {
+    let Ok(bytes) = serde_json::to_vec(body) else {
+        return bytes_reply(500, Vec::new());
+    };
+    bytes_reply(status, bytes)
+}
+
+fn answer_reply(request: RequestId, answer: &QueryAnswer) -> WebResponse {
+    let results: Result<Vec<_>, _> = answer
+        .shards
+        .iter()
+        .map(|it| {
+            serde_json::from_slice(&it.body).map(|result| ResultBody { shard: it.shard, result })
+        })
+        .collect();
+    let Ok(results) = results else {
+        let message = "an upstream's result is not valid JSON";
+        let problem = QueryProblem::may_have_run(ProblemCode::Internal, message);
+        return problem_reply(Some(request), &problem, &[]);
+    };
+    let body = AnswerBody {
+        request_id: request.to_string(),
+        verdict: Verdict::Done,
+        snapshot: answer.snapshot,
+        coverage: CoverageBody::from(answer.coverage),
+        replayed: answer.replayed,
+        results,
+    };
+    json_reply(200, &body)
+}
+
+impl From<Coverage> for CoverageBody {
+    fn from(coverage: Coverage) -> Self {
+        Self { contributed: coverage.contributed, total: coverage.total, share: coverage.share() }
+    }
+}
+
+fn bytes_reply(status: u16, bytes: Vec<u8>) -> WebResponse {
+    let length = HeaderValue::from(bytes.len());
+    let mut response = WebResponse::new(ResponseBody::from(bytes));
+    *response.status_mut() =
+        StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(header::CONTENT_LENGTH, length);
+    response
+}
--- /dev/null
+++ b/crates/node/src/conf/node_settings.rs
@@ -0,0 +1,381 @@
+//! The settings file of a node.
+
+use std::{
+    fs,
+    net::{IpAddr, SocketAddr},
+    path::Path,
+    time::Duration,
+};
+
+use mux_model::{AvailabilityZone, NodeId};
+use serde::{Deserialize, Serialize};
+
+use super::SettingsError;
+
+/// Settings of one node, read from a JSON file.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name of the node, unique within the installation; 1 to 63 of a-z, 0-9 and `-`.
+    pub node: NodeId,
+    /// Availability zone of the node.
+    pub availability_zone: AvailabilityZone,
+    /// Name of the installation; nodes of other installations are ignored.
+    #[serde(default = "defaults::installation")]
+    pub installation: String,
+    /// Addresses on which the node listens; peers and callers reach it there.
+    pub listen: ListenAddresses,
+    /// The platform's services.
+    pub platform: PlatformSettings,
+    /// Peer addresses of other nodes, tried besides the platform's VM list.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Times.
+    #[serde(default)]
+    pub timing: NodeTiming,
+    /// Limits towards callers.
+    #[serde(default)]
+    pub caller_limits: CallerLimits,
+    /// Logs.
+    #[serde(default)]
+    pub logs: LogSettings,
+}
+
+/// Addresses on which a node listens.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ListenAddresses {
+    /// HTTP for callers.
+    pub caller: SocketAddr,
+    /// UDP gossip and TCP calls between nodes.
+    pub peer: SocketAddr,
+    /// Operators' RPC (gRPC).
+    pub operator: SocketAddr,
+    /// HTTP for `/metrics`.
+    pub metrics: SocketAddr,
+}
+
+/// Where the platform's services are.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlatformSettings {
+    /// Address of the key-value service.
+    pub key_value: SocketAddr,
+    /// Longest time for one call, in milliseconds; 50 to 30000.
+    #[serde(default = "defaults::call_limit_ms")]
+    pub call_limit_ms: u64,
+}
+
+/// Times of a node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct NodeTiming {
+    /// Time between membership probes, in milliseconds; 100 to 5000.
+    pub probe_period_ms: u64,
+    /// Time without contact to the store or any peer after which the node stops admitting, in
+    /// milliseconds; 1000 to 5000.
+    pub isolation_limit_ms: u64,
+    /// Lifetime of an address answer, in milliseconds; 500 to 600000.
+    pub address_lifetime_ms: u64,
+    /// Lifetime of a session for requests that are not idempotent, in milliseconds; 10000 to
+    /// 3600000.
+    pub session_lifetime_ms: u64,
+    /// Longest wait of one watch call at the key-value service, in milliseconds; 500 to 60000.
+    pub watch_limit_ms: u64,
+    /// Time after which an upstream that sent no reply is asked for its status, in milliseconds;
+    /// 100 to 10000.
+    pub upstream_status_ms: u64,
+    /// Pause of the process after which nothing is believed until verified, in milliseconds;
+    /// 200 to 5000.
+    pub pause_limit_ms: u64,
+    /// Longest time that a planned stop waits for queries in flight after the address lifetime,
+    /// in milliseconds; 0 to 600000.
+    pub drain_limit_ms: u64,
+}
+
+impl Default for NodeTiming {
+    fn default() -> Self {
+        Self {
+            probe_period_ms: 1_000,
+            isolation_limit_ms: 4_000,
+            address_lifetime_ms: 10_000,
+            session_lifetime_ms: 600_000,
+            watch_limit_ms: 10_000,
+            upstream_status_ms: 1_000,
+            pause_limit_ms: 1_000,
+            drain_limit_ms: 30_000,
+        }
+    }
+}
+
+/// Limits towards callers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct CallerLimits {
+    /// Largest request body, in bytes; 1024 to 16777216.
+    pub body_bytes: usize,
+    /// Longest time to receive a request, in milliseconds; 100 to 60000.
+    pub receive_ms: u64,
+    /// Requests in flight from one IP address; 1 to 1000000.
+    pub requests_per_ip: u32,
+    /// Requests in flight from all callers; 1 to 1000000.
+    pub requests: u32,
+    /// Threads that serve callers; 1 to 64.
+    pub threads: usize,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 262_144,
+            receive_ms: 5_000,
+            requests_per_ip: 2_048,
+            requests: 8_192,
+            threads: 2,
+        }
+    }
+}
+
+/// How the node logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct LogSettings {
+    /// Form of the lines.
+    pub format: LogFormat,
+    /// Least level that is written.
+    pub level: LogLevel,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self { format: LogFormat::Json, level: LogLevel::Info }
+    }
+}
+
+/// Form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogFormat {
+    /// One JSON object a line.
+    Json,
+    /// For people.
+    Terminal,
+}
+
+/// Levels of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Everything.
+    Debug,
+    /// Changes of state.
+    Info,
+    /// Faults that were handled.
+    Warning,
+    /// Faults that were not.
+    Error,
+}
+
+impl NodeSettings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] that names the key, what is wrong and what is allowed.
+    pub fn load(path: &Path) -> Result<Self, SettingsError> {
+        let text = fs::read_to_string(path).map_err(|error| SettingsError::Unreadable {
+            path: path.display().to_string(),
+            why: error.to_string(),
+        })?;
+        Self::parse(&text)
+    }
+
+    /// Parses and checks the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SettingsError`] that names the key, what is wrong and what is allowed.
+    pub fn parse(text: &str) -> Result<Self, SettingsError> {
+        let settings: Self = serde_json::from_str(text)
+            .map_err(|error| SettingsError::Malformed { why: error.to_string() })?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    /// Returns complete settings with every key, as an example.
+    pub fn example() -> Self {
+        let address = |port| SocketAddr::new(IpAddr::from([127, 0, 0, 1]), port);
+        Self {
+            node: NodeId::from("muc-a-1"),
+            availability_zone: AvailabilityZone::from("muc-a"),
+            installation: defaults::installation(),
+            listen: ListenAddresses {
+                caller: address(7001),
+                peer: address(7002),
+                operator: address(7003),
+                metrics: address(7004),
+            },
+            platform: PlatformSettings {
+                key_value: address(7900),
+                call_limit_ms: defaults::call_limit_ms(),
+            },
+            seeds: vec![address(7012)],
+            timing: NodeTiming::default(),
+            caller_limits: CallerLimits::default(),
+            logs: LogSettings::default(),
+        }
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        const NAME: &str = "1 to 63 of a-z, 0-9 and `-`";
+        check_name("node", self.node.as_str(), NAME)?;
+        check_name("availability_zone", self.availability_zone.as_str(), NAME)?;
+        check_name("installation", &self.installation, NAME)?;
+        self.listen.check()?;
+        check_range(
+            "platform.call_limit_ms",
+            self.platform.call_limit_ms,
+            50..=30_000,
+            "50 to 30000 milliseconds",
+        )?;
+        self.timing.check()?;
+        self.caller_limits.check()
+    }
+}
+
+impl ListenAddresses {
+    fn check(&self) -> Result<(), SettingsError> {
+        const ALLOWED: &str = "an IP address that peers reach, and a port from 1 to 65535";
+        let all = [
+            ("listen.caller", self.caller),
+            ("listen.peer", self.peer),
+            ("listen.operator", self.operator),
+            ("listen.metrics", self.metrics),
+        ];
+        for (key, address) in all {
+            if address.port() == 0 || address.ip().is_unspecified() {
+                return Err(SettingsError::BadValue {
+                    key,
+                    value: address.to_string(),
+                    allowed: ALLOWED,
+                });
+            }
+        }
+        for (idx, (key, address)) in all.iter().enumerate() {
+            if all[..idx].iter().any(|(_, other)| other == address) {
+                return Err(SettingsError::BadValue {
+                    key,
+                    value: address.to_string(),
+                    allowed: "an address that no other listener uses",
+                });
+            }
+        }
+        Ok(())
+    }
+}
+
+impl NodeTiming {
+    fn check(&self) -> Result<(), SettingsError> {
+        let ranges = [
+            ("timing.probe_period_ms", self.probe_period_ms, 100..=5_000, "100 to 5000"),
+            ("timing.isolation_limit_ms", self.isolation_limit_ms, 1_000..=5_000, "1000 to 5000"),
+            (
+                "timing.address_lifetime_ms",
+                self.address_lifetime_ms,
+                500..=600_000,
+                "500 to 600000",
+            ),
+            (
+                "timing.session_lifetime_ms",
+                self.session_lifetime_ms,
+                10_000..=3_600_000,
+                "10000 to 3600000",
+            ),
+            ("timing.watch_limit_ms", self.watch_limit_ms, 500..=60_000, "500 to 60000"),
+            ("timing.upstream_status_ms", self.upstream_status_ms, 100..=10_000, "100 to 10000"),
+            ("timing.pause_limit_ms", self.pause_limit_ms, 200..=5_000, "200 to 5000"),
+            ("timing.drain_limit_ms", self.drain_limit_ms, 0..=600_000, "0 to 600000"),
+        ];
+        for (key, value, range, allowed) in ranges {
+            check_range(key, value, range, allowed)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the time between membership probes.
+    pub fn probe_period(&self) -> Duration {
+        Duration::from_millis(self.probe_period_ms)
+    }
+
+    /// Returns the time without contact after which the node stops admitting.
+    pub fn isolation_limit(&self) -> Duration {
+        Duration::from_millis(self.isolation_limit_ms)
+    }
+
+    /// Returns the longest wait of one watch call.
+    pub fn watch_limit(&self) -> Duration {
+        Duration::from_millis(self.watch_limit_ms)
+    }
+
+    /// Returns the lifetime of an address answer.
+    pub fn address_lifetime(&self) -> Duration {
+        Duration::from_millis(self.address_lifetime_ms)
+    }
+}
+
+impl CallerLimits {
+    fn check(&self) -> Result<(), SettingsError> {
+        check_range(
+            "caller_limits.body_bytes",
+            self.body_bytes as u64,
+            1_024..=16_777_216,
+            "1024 to 16777216",
+        )?;
+        check_range("caller_limits.receive_ms", self.receive_ms, 100..=60_000, "100 to 60000")?;
+        check_range(
+            "caller_limits.requests_per_ip",
+            u64::from(self.requests_per_ip),
+            1..=1_000_000,
+            "1 to 1000000",
+        )?;
+        check_range(
+            "caller_limits.requests",
+            u64::from(self.requests),
+            1..=1_000_000,
+            "1 to 1000000",
+        )?;
+        check_range("caller_limits.threads", self.threads as u64, 1..=64, "1 to 64")
+    }
+}
+
+fn check_name(key: &'static str, value: &str, allowed: &'static str) -> Result<(), SettingsError> {
+    let good_length = (1..=63).contains(&value.len());
+    let good_letters =
+        value.bytes().all(|it| it.is_ascii_lowercase() || it.is_ascii_digit() || it == b'-');
+    if good_length && good_letters {
+        return Ok(());
+    }
+    Err(SettingsError::BadValue { key, value: format!("{value:?}"), allowed })
+}
+
+fn check_range(
+    key: &'static str,
+    value: u64,
+    range: std::ops::RangeInclusive<u64>,
+    allowed: &'static str,
+) -> Result<(), SettingsError> {
+    if range.contains(&value) {
+        return Ok(());
+    }
+    Err(SettingsError::BadValue { key, value: value.to_string(), allowed })
+}
+
+mod defaults {
+    pub(super) fn installation() -> String {
+        "mustardmux".to_owned()
+    }
+
+    pub(super) fn call_limit_ms() -> u64 {
+        2_000
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -0,0 +1,155 @@
+//! Carries out the actions of a fan-out: calls, cancellations and waits.
+
+use bytes::Bytes;
+use futures::{
+    StreamExt,
+    future::{AbortHandle, Abortable, Aborted},
+    stream::FuturesUnordered,
+};
+use mux_model::{
+    CallFailure, CallId, FastMap, ServiceName, ShardIndex, SnapshotId, TimePoint, UpstreamId,
+};
+use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
+use mux_timer::TimerService;
+use mux_upstream::{CallHeader, UpstreamPool, UpstreamReply};
+use tokio::sync::mpsc;
+
+use super::ServiceRuntime;
+use crate::Node;
+
+/// What a finished call says about its upstream besides the result.
+#[derive(Debug)]
+pub(crate) struct CallReport {
+    /// The upstream.
+    pub(crate) upstream: UpstreamId,
+    /// Snapshot that was asked for.
+    pub(crate) snapshot: SnapshotId,
+    /// Reply or failure.
+    pub(crate) result: Result<UpstreamReply, CallFailure>,
+}
+
+/// Drives one fan-out to its end.
+pub(crate) struct FanOutDriver<'a> {
+    node: &'a Node,
+    timer: &'a TimerService,
+    pool: &'a UpstreamPool,
+    runtime: &'a ServiceRuntime,
+    service: &'a ServiceName,
+    plan: FanOutPlan,
+    body: Bytes,
+}
+
+struct CallEnd {
+    call: CallId,
+    upstream: UpstreamId,
+    sent_at: TimePoint,
+    result: Result<UpstreamReply, CallFailure>,
+}
+
+impl<'a> FanOutDriver<'a> {
+    /// Creates a driver for one plan.
+    pub(crate) fn new(
+        node: &'a Node,
+        runtime: &'a ServiceRuntime,
+        plan: FanOutPlan,
+        body: Bytes,
+    ) -> Self {
+        let (timer, pool) = (node.timer(), node.pool());
+        Self { node, timer, pool, runtime, service: runtime.name(), plan, body }
+    }
+
+    /// Runs the fan-out and returns its result, or `None` if the caller went away.
+    pub(crate) async fn run(self, caller_gone: &mut mpsc::Receiver<()>) -> Option<FanOutResult> {
+        let router = self.runtime.router();
+        let mut fan_out = FanOut::new(self.plan.clone());
+        let mut calls = FuturesUnordered::new();
+        let mut handles = FastMap::default();
+        let mut actions = Vec::with_capacity(self.plan.map.shard_count() as usize + 1);
+        let mut wake_at = self.plan.deadline;
+        let mut watch_caller = true;
+        fan_out.start(self.timer.now(), router, &mut actions);
+        loop {
+            for action in actions.drain(..) {
+                match action {
+                    FanOutAction::Send { call, shard, upstream, deadline } => {
+                        let (handle, registration) = AbortHandle::new_pair();
+                        handles.insert(call, handle);
+                        let future = self.call(call, shard, upstream, deadline);
+                        calls.push(Abortable::new(future, registration));
+                    }
+                    FanOutAction::Cancel(call) => {
+                        if let Some(handle) = handles.remove(&call) {
+                            handle.abort();
+                        }
+                    }
+                    FanOutAction::WakeAt(moment) => wake_at = moment,
+                    FanOutAction::Finish(result) => return Some(result),
+                }
+            }
+            tokio::select! {
+                biased;
+                Some(ended) = calls.next(), if !calls.is_empty() => {
+                    let Ok::<CallEnd, Aborted>(end) = ended else {
+                        continue;
+                    };
+                    handles.remove(&end.call);
+                    self.take_end(&mut fan_out, end, &mut actions);
+                }
+                () = self.timer.sleep_until(wake_at) => {
+                    wake_at = self.plan.deadline;
+                    fan_out.on_wake(self.timer.now(), router, &mut actions);
+                }
+                _ = caller_gone.recv(), if watch_caller => {
+                    watch_caller = false;
+                    if self.plan.idempotent {
+                        fan_out.abandon(self.timer.now(), router, &mut actions);
+                        return None;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn call(
+        &self,
+        call: CallId,
+        shard: ShardIndex,
+        upstream: UpstreamId,
+        deadline: TimePoint,
+    ) -> CallEnd {
+        let header = CallHeader {
+            request: self.plan.request,
+            call,
+            service: self.service.clone(),
+            snapshot: self.plan.map.snapshot(),
+            shard,
+            deadline,
+        };
+        let sent_at = self.timer.now();
+        let result = self.pool.call(upstream, &header, self.body.clone()).await;
+        CallEnd { call, upstream, sent_at, result }
+    }
+
+    fn take_end(&self, fan_out: &mut FanOut, end: CallEnd, actions: &mut Vec<FanOutAction>) {
+        let now = self.timer.now();
+        let latency = now.since(end.sent_at);
+        let snapshot = self.plan.map.snapshot();
+        let report = CallReport { upstream: end.upstream, snapshot, result: end.result };
+        if let Some(draining) = self.runtime.observe_call(now, &report) {
+            self.node.note_draining(report.upstream, draining);
+        }
+        let router = self.runtime.router();
+        match report.result {
+            Ok(reply) => {
+                let reply = CallReply {
+                    request: self.plan.request,
+                    snapshot: reply.snapshot,
+                    shard: reply.shard,
+                    body: reply.body,
+                };
+                fan_out.on_reply(now, router, end.call, reply, latency, actions);
+            }
+            Err(failure) => fan_out.on_failure(now, router, end.call, failure, latency, actions),
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/query_outcome.rs
@@ -0,0 +1,176 @@
+//! The final outcome of a query.
+
+use bytes::Bytes;
+use mux_model::{Coverage, RequestId, ShardIndex, SnapshotId, Verdict};
+use serde::{Deserialize, Serialize};
+
+/// What a caller is told about its query.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct QueryOutcome {
+    /// Identity of the query.
+    pub(crate) request: RequestId,
+    /// Answer, or what went wrong.
+    pub(crate) result: Result<QueryAnswer, QueryProblem>,
+}
+
+/// A complete answer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct QueryAnswer {
+    /// The one snapshot that all results were drawn from.
+    pub(crate) snapshot: SnapshotId,
+    /// Share of that snapshot's shards that contributed.
+    pub(crate) coverage: Coverage,
+    /// Results in shard order.
+    pub(crate) shards: Vec<ShardBody>,
+    /// Whether this is the recorded answer of an earlier attempt.
+    pub(crate) replayed: bool,
+}
+
+/// The result of one shard.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct ShardBody {
+    /// The shard.
+    pub(crate) shard: ShardIndex,
+    /// Result as JSON text.
+    pub(crate) body: Bytes,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct QueryProblem {
+    /// Whether the query may have run.
+    pub(crate) verdict: Verdict,
+    /// Stable name of the problem.
+    pub(crate) code: ProblemCode,
+    /// What is wrong and what to do.
+    pub(crate) message: String,
+    /// When to come back, in milliseconds.
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+impl QueryProblem {
+    /// Creates a problem of a query that did not run.
+    pub(crate) fn not_run(code: ProblemCode, message: impl Into<String>) -> Self {
+        Self { verdict: Verdict::NotRun, code, message: message.into(), retry_after_ms: None }
+    }
+
+    /// Creates a problem of a query that may have run.
+    pub(crate) fn may_have_run(code: ProblemCode, message: impl Into<String>) -> Self {
+        Self { verdict: Verdict::MayHaveRun, ..Self::not_run(code, message) }
+    }
+
+    /// Adds the time after which to come back.
+    pub(crate) fn retry_after_ms(mut self, millis: u64) -> Self {
+        self.retry_after_ms = Some(millis);
+        self
+    }
+}
+
+/// Stable names of problems.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum ProblemCode {
+    /// The request is not valid.
+    MalformedRequest,
+    /// The body is larger than the limit.
+    BodyTooLarge,
+    /// The body did not arrive in time.
+    ReceiveTimeout,
+    /// The content type is not JSON.
+    UnsupportedMediaType,
+    /// The path takes another method.
+    MethodNotAllowed,
+    /// The path does not exist.
+    UnknownPath,
+    /// The service does not exist here.
+    UnknownService,
+    /// The caller, or all callers, have too many requests in flight.
+    TooManyRequests,
+    /// The service has more queries than its upstreams can take.
+    Overloaded,
+    /// The node cannot vouch for its configuration at present.
+    NotReady,
+    /// The node is stopping.
+    Draining,
+    /// No snapshot of the service's data is known yet.
+    NoSnapshot,
+    /// The minimum coverage could not be reached.
+    CoverageUnreachable,
+    /// The deadline passed.
+    DeadlinePassed,
+    /// The service needs a session and a sequence number.
+    SessionRequired,
+    /// The session was not minted by any node, or is damaged.
+    SessionInvalid,
+    /// The session's lifetime is over.
+    SessionExpired,
+    /// The sequence number is below those that the session remembers.
+    SequenceForgotten,
+    /// The same request is still running.
+    InProgress,
+    /// The same request ran before and its answer is no longer kept.
+    AnswerForgotten,
+    /// The node that minted the session cannot be reached or is gone.
+    SessionOwnerUnreachable,
+    /// No home node of the service could be reached.
+    HomeUnreachable,
+    /// A fault within the node.
+    Internal,
+}
+
+impl ProblemCode {
+    /// Returns the name used on the wire and in metrics.
+    pub(crate) const fn as_str(self) -> &'static str {
+        match self {
+            Self::MalformedRequest => "malformed_request",
+            Self::BodyTooLarge => "body_too_large",
+            Self::ReceiveTimeout => "receive_timeout",
+            Self::UnsupportedMediaType => "unsupported_media_type",
+            Self::MethodNotAllowed => "method_not_allowed",
+            Self::UnknownPath => "unknown_path",
+            Self::UnknownService => "unknown_service",
+            Self::TooManyRequests => "too_many_requests",
+            Self::Overloaded => "overloaded",
+            Self::NotReady => "not_ready",
+            Self::Draining => "draining",
+            Self::NoSnapshot => "no_snapshot",
+            Self::CoverageUnreachable => "coverage_unreachable",
+            Self::DeadlinePassed => "deadline_passed",
+            Self::SessionRequired => "session_required",
+            Self::SessionInvalid => "session_invalid",
+            Self::SessionExpired => "session_expired",
+            Self::SequenceForgotten => "sequence_forgotten",
+            Self::InProgress => "in_progress",
+            Self::AnswerForgotten => "answer_forgotten",
+            Self::SessionOwnerUnreachable => "session_owner_unreachable",
+            Self::HomeUnreachable => "home_unreachable",
+            Self::Internal => "internal",
+        }
+    }
+
+    /// Returns the HTTP status of an answer with this problem.
+    pub(crate) const fn http_status(self) -> u16 {
+        match self {
+            Self::MalformedRequest | Self::SessionRequired | Self::SessionInvalid => 400,
+            Self::UnknownPath | Self::UnknownService => 404,
+            Self::MethodNotAllowed => 405,
+            Self::ReceiveTimeout => 408,
+            Self::InProgress
+            | Self::SessionExpired
+            | Self::SequenceForgotten
+            | Self::AnswerForgotten => 409,
+            Self::BodyTooLarge => 413,
+            Self::UnsupportedMediaType => 415,
+            Self::TooManyRequests => 429,
+            Self::Internal => 500,
+            Self::SessionOwnerUnreachable => 502,
+            Self::DeadlinePassed => 504,
+            Self::Overloaded
+            | Self::NotReady
+            | Self::Draining
+            | Self::NoSnapshot
+            | Self::CoverageUnreachable
+            | Self::HomeUnreachable => 503,
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch/service_runtime.rs
@@ -0,0 +1,315 @@
+//! One service as this node runs it.
+
+use std::{
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use mux_config::{ConcurrencyMode, HedgeMode, ServiceDefinition, ShardMapSource};
+use mux_model::{
+    AvailabilityZone, CallFailure, FastMap, NotRunReason, RevisionNumber, ServiceName, SnapshotId,
+    SnapshotMap, TimePoint, UpstreamId,
+};
+use mux_query::{SnapshotCatalog, SnapshotClaim};
+use mux_routing::{
+    HedgePolicy, ReplicaRouter, RoutingPolicy, ServiceRouter, UpstreamHint, UpstreamPlace,
+};
+use mux_upstream::UpstreamStatus;
+
+use super::fan_out_driver::CallReport;
+
+const PERCENT: f64 = 100.0;
+
+/// Counts of one service since the node started.
+#[derive(Debug, Default)]
+pub(crate) struct RuntimeCounters {
+    /// Queries answered.
+    pub(crate) answered: AtomicU64,
+    /// Queries answered with less than full coverage.
+    pub(crate) partial: AtomicU64,
+    /// Queries without an answer.
+    pub(crate) failed: AtomicU64,
+    /// Calls sent to upstreams.
+    pub(crate) calls: AtomicU64,
+    /// Shards that those calls were for, each counted once a query.
+    pub(crate) shards: AtomicU64,
+    /// Queries refused for overload.
+    pub(crate) refused: AtomicU64,
+    /// Queries started over with another snapshot.
+    pub(crate) repinned: AtomicU64,
+}
+
+impl RuntimeCounters {
+    /// Returns the values.
+    pub(crate) fn read(&self) -> CounterValues {
+        let value = |it: &AtomicU64| it.load(Ordering::Relaxed);
+        CounterValues {
+            calls: value(&self.calls),
+            shards: value(&self.shards),
+            refused: value(&self.refused),
+        }
+    }
+
+    /// Adds to one counter.
+    pub(crate) fn add(counter: &AtomicU64, count: u64) {
+        counter.fetch_add(count, Ordering::Relaxed);
+    }
+}
+
+/// Values of [`RuntimeCounters`] at one moment.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CounterValues {
+    /// Calls sent to upstreams.
+    pub(crate) calls: u64,
+    /// Shards that those calls were for.
+    pub(crate) shards: u64,
+    /// Queries refused for overload.
+    pub(crate) refused: u64,
+}
+
+/// What the latest reply of an upstream said.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamActivity {
+    replied_at: TimePoint,
+    draining: bool,
+}
+
+/// One service: its definition, its routing and what is known of its snapshots.
+#[derive(Debug)]
+pub(crate) struct ServiceRuntime {
+    definition: ServiceDefinition,
+    revision: RevisionNumber,
+    placement: ServicePlacement,
+    router: Arc<ServiceRouter>,
+    catalog: Arc<Mutex<SnapshotCatalog>>,
+    activity: Arc<Mutex<FastMap<UpstreamId, UpstreamActivity>>>,
+    counters: Arc<RuntimeCounters>,
+}
+
+impl ServiceRuntime {
+    /// Creates the runtime of a service that was not known before.
+    pub(crate) fn new(
+        definition: ServiceDefinition,
+        revision: RevisionNumber,
+        placement: &ServicePlacement,
+        seed: u64,
+    ) -> Self {
+        let policy = routing_policy(&definition, placement);
+        let places = upstream_places(&definition);
+        let catalog = new_catalog(&definition.shard_map);
+        Self {
+            placement: placement.clone(),
+            router: Arc::new(ServiceRouter::new(policy, &places, seed)),
+            catalog: Arc::new(Mutex::new(catalog)),
+            activity: Arc::default(),
+            counters: Arc::default(),
+            definition,
+            revision,
+        }
+    }
+
+    /// Creates the runtime of a changed definition or placement; what was learned stays.
+    pub(crate) fn renew(
+        &self,
+        definition: ServiceDefinition,
+        revision: RevisionNumber,
+        placement: &ServicePlacement,
+    ) -> Self {
+        let places = upstream_places(&definition);
+        self.router.update(routing_policy(&definition, placement), &places);
+        self.renew_catalog(&definition);
+        Self {
+            placement: placement.clone(),
+            router: Arc::clone(&self.router),
+            catalog: Arc::clone(&self.catalog),
+            activity: Arc::clone(&self.activity),
+            counters: Arc::clone(&self.counters),
+            definition,
+            revision,
+        }
+    }
+
+    /// Returns the name.
+    pub(crate) fn name(&self) -> &ServiceName {
+        &self.definition.name
+    }
+
+    /// Returns the definition.
+    pub(crate) fn definition(&self) -> &ServiceDefinition {
+        &self.definition
+    }
+
+    /// Returns the revision at which the service was last changed.
+    pub(crate) fn revision(&self) -> RevisionNumber {
+        self.revision
+    }
+
+    /// Returns whether this node holds connections to the service's upstreams.
+    pub(crate) fn is_home(&self) -> bool {
+        self.placement.home
+    }
+
+    /// Returns the connections that this node may hold to each upstream.
+    pub(crate) fn connection_share(&self) -> u32 {
+        self.placement.connection_share
+    }
+
+    /// Returns the router.
+    pub(crate) fn router(&self) -> &ServiceRouter {
+        &self.router
+    }
+
+    /// Returns the counters.
+    pub(crate) fn counters(&self) -> &RuntimeCounters {
+        &self.counters
+    }
+
+    /// Returns the map of the best snapshot that is not in `excluded`.
+    pub(crate) fn pin(&self, excluded: &[SnapshotId]) -> Option<Arc<SnapshotMap>> {
+        self.lock_catalog().pin(self.definition.coverage_target, excluded)
+    }
+
+    /// Learns from the end of a call; returns whether the upstream drains if that is news.
+    pub(crate) fn observe_call(&self, now: TimePoint, report: &CallReport) -> Option<bool> {
+        let upstream = report.upstream;
+        match &report.result {
+            Ok(reply) => {
+                if let Some(newest) = reply.newest_snapshot {
+                    self.lock_catalog().on_newest(now, upstream, newest);
+                }
+                let hint = UpstreamHint { in_flight: reply.in_flight, draining: reply.draining };
+                self.router.observe(now, upstream, hint);
+                self.note_activity(now, upstream, reply.draining)
+            }
+            Err(CallFailure::NotRun { reason: NotRunReason::SnapshotMissing, .. }) => {
+                self.lock_catalog().on_missing(now, upstream, report.snapshot);
+                None
+            }
+            Err(CallFailure::NotRun { reason: NotRunReason::Draining, .. }) => {
+                self.observe_draining(now, upstream, true);
+                self.note_activity(now, upstream, true)
+            }
+            Err(_) => None,
+        }
+    }
+
+    /// Learns from an upstream's status; returns whether the upstream drains if that is news.
+    pub(crate) fn observe_status(
+        &self,
+        now: TimePoint,
+        upstream: UpstreamId,
+        status: &UpstreamStatus,
+    ) -> Option<bool> {
+        let hint = UpstreamHint { in_flight: Some(status.in_flight), draining: status.draining };
+        self.router.observe(now, upstream, hint);
+        let claims = status.snapshots.iter().map(|it| SnapshotClaim {
+            snapshot: it.snapshot,
+            shard_count: it.shard_count,
+            shards: &it.shards,
+        });
+        self.lock_catalog().on_status(now, upstream, claims);
+        self.note_activity(now, upstream, status.draining)
+    }
+
+    /// Returns the time since `upstream` last replied.
+    pub(crate) fn reply_age(&self, now: TimePoint, upstream: UpstreamId) -> Option<Duration> {
+        let activity = self.activity.lock().unwrap_or_else(PoisonError::into_inner);
+        activity.get(&upstream).map(|it| now.since(it.replied_at))
+    }
+
+    /// Returns the upstreams whose snapshots are known to have changed.
+    pub(crate) fn stale_sources(&self) -> Vec<UpstreamId> {
+        self.lock_catalog().stale_sources().collect()
+    }
+
+    /// Learns that an upstream started or stopped draining, from another node.
+    pub(crate) fn observe_draining(&self, now: TimePoint, upstream: UpstreamId, draining: bool) {
+        let hint = UpstreamHint { in_flight: None, draining };
+        self.router.observe(now, upstream, hint);
+    }
+
+    fn renew_catalog(&self, definition: &ServiceDefinition) {
+        let mut catalog = self.lock_catalog();
+        if definition.shard_map != self.definition.shard_map {
+            *catalog = new_catalog(&definition.shard_map);
+        }
+        for old in &self.definition.upstreams {
+            if !definition.upstreams.iter().any(|it| it.address == old.address) {
+                catalog.remove_upstream(old.address);
+            }
+        }
+    }
+
+    fn note_activity(&self, now: TimePoint, upstream: UpstreamId, draining: bool) -> Option<bool> {
+        let mut table = self.activity.lock().unwrap_or_else(PoisonError::into_inner);
+        let before = table.insert(upstream, UpstreamActivity { replied_at: now, draining });
+        let was_draining = before.is_some_and(|it| it.draining);
+        (was_draining != draining).then_some(draining)
+    }
+
+    fn lock_catalog(&self) -> MutexGuard<'_, SnapshotCatalog> {
+        self.catalog.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// What the members of the installation mean for one service at this node.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct ServicePlacement {
+    /// Whether this node is a home node of the service.
+    pub(crate) home: bool,
+    /// Home nodes of the service.
+    pub(crate) home_count: u32,
+    /// Connections that this node may hold to each upstream.
+    pub(crate) connection_share: u32,
+    /// Availability zone of this node.
+    pub(crate) availability_zone: AvailabilityZone,
+}
+
+fn routing_policy(definition: &ServiceDefinition, placement: &ServicePlacement) -> RoutingPolicy {
+    let limits = &definition.limits;
+    let hedging = &definition.hedging;
+    let slots = match limits.concurrency {
+        ConcurrencyMode::Adaptive => Some(limits.slots_per_upstream),
+        ConcurrencyMode::Unlimited => None,
+    };
+    let hedge = match hedging.mode {
+        HedgeMode::Off => HedgePolicy::Off,
+        HedgeMode::Fixed => HedgePolicy::Fixed(Duration::from_millis(hedging.fixed_delay_ms)),
+        HedgeMode::Adaptive => HedgePolicy::Quantile(hedging.quantile),
+    };
+    let budget = match hedging.mode {
+        HedgeMode::Fixed => None,
+        HedgeMode::Off | HedgeMode::Adaptive => Some(hedging.budget_percent / PERCENT),
+    };
+    RoutingPolicy {
+        slots_per_upstream: slots,
+        sharing_nodes: placement.home_count,
+        queries_in_flight: limits.queries_in_flight,
+        hedge,
+        extra_load_budget: budget,
+        availability_zone: placement.availability_zone.clone(),
+    }
+}
+
+fn upstream_places(definition: &ServiceDefinition) -> Vec<UpstreamPlace> {
+    definition
+        .upstreams
+        .iter()
+        .map(|it| UpstreamPlace {
+            upstream: it.address,
+            availability_zone: it.availability_zone.clone(),
+        })
+        .collect()
+}
+
+fn new_catalog(source: &ShardMapSource) -> SnapshotCatalog {
+    match source {
+        ShardMapSource::Learned => SnapshotCatalog::learned(),
+        ShardMapSource::Fixed { snapshot, shards } => {
+            SnapshotCatalog::fixed(SnapshotMap::new(*snapshot, shards.clone()))
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/errors.rs
@@ -0,0 +1,38 @@
+//! Failures of starting a node.
+
+use std::{fmt, io, net::SocketAddr};
+
+use mux_membership::GossipError;
+
+/// Why a node could not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// The runtime could not be built.
+    Runtime(io::Error),
+    /// A listener could not be opened.
+    Listen {
+        /// Settings key of the listener.
+        key: &'static str,
+        /// Its address.
+        address: SocketAddr,
+        /// Cause.
+        source: io::Error,
+    },
+    /// Gossip could not be started.
+    Gossip(GossipError),
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Runtime(source) => write!(f, "cannot start the runtime: {source}"),
+            Self::Listen { key, address, source } => write!(
+                f,
+                "cannot listen on {address} ({key}): {source}; choose a free address of this VM"
+            ),
+            Self::Gossip(source) => write!(f, "cannot start gossip on listen.peer: {source}"),
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,18 @@
-//! One node: listeners, drivers and wiring.
+//! One node of the query tier: listeners, drivers and wiring.
+
+mod caller;
+pub mod conf;
+mod dispatch;
+mod errors;
+mod logs;
+mod metrics;
+mod node;
+mod operator;
+mod peer;
+mod run_node;
+mod sync;
+
+pub use errors::StartError;
+pub use run_node::run;
+
+pub(crate) use node::Node;
--- /dev/null
+++ b/crates/node/src/logs/build_logger.rs
@@ -0,0 +1,44 @@
+//! The root logger.
+
+use std::{io, sync::Mutex};
+
+use slog::{Drain, Level, LevelFilter, Logger, o};
+use slog_async::OverflowStrategy;
+
+use crate::conf::{LogFormat, LogLevel, LogSettings, NodeSettings};
+
+const QUEUE_LINES: usize = 4_096;
+
+/// Builds the root logger; lines that find its queue full are dropped and counted.
+pub(crate) fn build_logger(settings: &NodeSettings) -> Logger {
+    let LogSettings { format, level } = settings.logs;
+    let level = match level {
+        LogLevel::Debug => Level::Debug,
+        LogLevel::Info => Level::Info,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Error => Level::Error,
+    };
+    let values = o!("node" => settings.node.to_string());
+    match format {
+        LogFormat::Json => {
+            let drain = Mutex::new(slog_json::Json::default(io::stderr())).fuse();
+            Logger::root(queue(LevelFilter::new(drain, level).fuse()), values)
+        }
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let drain = Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse();
+            Logger::root(queue(LevelFilter::new(drain, level).fuse()), values)
+        }
+    }
+}
+
+fn queue<D>(drain: D) -> slog::Fuse<slog_async::Async>
+where
+    D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
+{
+    slog_async::Async::new(drain)
+        .chan_size(QUEUE_LINES)
+        .overflow_strategy(OverflowStrategy::DropAndReport)
+        .build()
+        .fuse()
+}
--- /dev/null
+++ b/crates/node/src/metrics/mod.rs
@@ -0,0 +1,9 @@
+//! Metrics and the endpoint that serves them.
+
+mod metrics_server;
+mod node_metrics;
+
+pub(crate) use metrics_server::MetricsServer;
+pub(crate) use node_metrics::{
+    NodeGauges, NodeMetrics, service_label, state_label, upstream_labels,
+};
--- /dev/null
+++ b/crates/node/src/node/mod.rs
@@ -0,0 +1,186 @@
+//! The state of a node and what its listeners ask of it.
+
+mod addresses;
+mod admission;
+mod config;
+mod draining;
+mod node_parts;
+mod status;
+mod stop_state;
+mod telemetry;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use mux_config::{ConfigReplica, FreshnessGuard};
+use mux_membership::{GossipService, MemberRecord};
+use mux_model::{NodeId, TimePoint};
+use mux_platform::HttpStore;
+use mux_timer::TimerService;
+use mux_upstream::UpstreamPool;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use crate::{
+    conf::NodeSettings,
+    dispatch::{QueryDispatcher, ServiceRegistry},
+    logs::LogThrottle,
+    metrics::NodeMetrics,
+    peer::PeerClient,
+};
+
+pub(crate) use node_parts::NodeParts;
+pub(crate) use stop_state::{StopPhase, StopState};
+
+/// Everything that one node consists of.
+pub(crate) struct Node {
+    settings: NodeSettings,
+    timer: TimerService,
+    logger: Logger,
+    started: TimePoint,
+    incarnation: mux_model::NodeIncarnation,
+    store: HttpStore,
+    gossip: GossipService,
+    peers: Arc<PeerClient>,
+    pool: UpstreamPool,
+    replica: Mutex<ConfigReplica>,
+    guard: Mutex<FreshnessGuard>,
+    registry: ServiceRegistry,
+    dispatcher: QueryDispatcher,
+    metrics: NodeMetrics,
+    stop: StopState,
+    stop_request: Notify,
+    queries: Arc<AtomicU32>,
+    contacts: Mutex<ContactTimes>,
+    refusal_throttle: LogThrottle,
+}
+
+/// When others were last in contact with this node.
+#[derive(Debug, Clone, Copy, Default)]
+struct ContactTimes {
+    store: Option<TimePoint>,
+    peer: Option<TimePoint>,
+}
+
+/// Counts a query as in flight until it is dropped.
+#[derive(Debug)]
+pub(crate) struct RunningQuery {
+    queries: Arc<AtomicU32>,
+}
+
+impl Node {
+    /// Returns the name.
+    pub(crate) fn name(&self) -> &NodeId {
+        &self.settings.node
+    }
+
+    /// Returns the settings.
+    pub(crate) fn settings(&self) -> &NodeSettings {
+        &self.settings
+    }
+
+    /// Returns the timer service.
+    pub(crate) fn timer(&self) -> &TimerService {
+        &self.timer
+    }
+
+    /// Returns the logger.
+    pub(crate) fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    /// Returns the key-value service.
+    pub(crate) fn store(&self) -> &HttpStore {
+        &self.store
+    }
+
+    /// Returns the gossip service.
+    pub(crate) fn gossip(&self) -> &GossipService {
+        &self.gossip
+    }
+
+    /// Returns the connections to other nodes.
+    pub(crate) fn peers(&self) -> &PeerClient {
+        &self.peers
+    }
+
+    /// Returns the connections to upstreams.
+    pub(crate) fn pool(&self) -> &UpstreamPool {
+        &self.pool
+    }
+
+    /// Returns the services in force.
+    pub(crate) fn registry(&self) -> &ServiceRegistry {
+        &self.registry
+    }
+
+    /// Returns the dispatcher of queries.
+    pub(crate) fn dispatcher(&self) -> &QueryDispatcher {
+        &self.dispatcher
+    }
+
+    /// Returns the phases of the planned stop.
+    pub(crate) fn stop(&self) -> &StopState {
+        &self.stop
+    }
+
+    /// Asks for the planned stop.
+    pub(crate) fn request_stop(&self) {
+        self.stop_request.notify_one();
+    }
+
+    /// Waits until an operator asks for the planned stop.
+    pub(crate) async fn stop_requested(&self) {
+        self.stop_request.notified().await;
+    }
+
+    /// Returns whether this node watches the key-value service for others.
+    pub(crate) fn watches_store(&self) -> bool {
+        true
+    }
+
+    /// Returns the number of queries in flight.
+    pub(crate) fn queries_in_flight(&self) -> u32 {
+        self.queries.load(Ordering::Acquire)
+    }
+
+    /// Counts a query as in flight for as long as the result lives.
+    pub(crate) fn count_query(&self) -> RunningQuery {
+        self.queries.fetch_add(1, Ordering::AcqRel);
+        RunningQuery { queries: Arc::clone(&self.queries) }
+    }
+
+    /// Returns the peer address of a member that is not dead.
+    pub(crate) fn peer_address(&self, node: &NodeId) -> Option<SocketAddr> {
+        self.gossip.members().get(node).map(|it| it.identity.peer)
+    }
+
+    /// Merges the members that another node knows and returns those that this one knows.
+    pub(crate) fn exchange_members(&self, records: &[MemberRecord]) -> Vec<MemberRecord> {
+        self.gossip.import(records);
+        self.gossip.export()
+    }
+
+    fn lock_guard(&self) -> MutexGuard<'_, FreshnessGuard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_replica(&self) -> MutexGuard<'_, ConfigReplica> {
+        self.replica.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn contacts(&self) -> ContactTimes {
+        *self.contacts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for RunningQuery {
+    fn drop(&mut self) {
+        self.queries.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/node_parts.rs
@@ -0,0 +1,93 @@
+//! Assembles a node.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
+use mux_membership::GossipService;
+use mux_model::NodeIncarnation;
+use mux_platform::{HttpStore, StoreSettings};
+use mux_query::{LedgerLimits, SessionLedger, SessionMint};
+use mux_timer::TimerService;
+use mux_upstream::{PoolSettings, UpstreamPool};
+use slog::Logger;
+use tokio::sync::Notify;
+
+use super::{Node, StopState};
+use crate::{
+    conf::NodeSettings,
+    dispatch::{QueryDispatcher, ServiceRegistry},
+    logs::LogThrottle,
+    metrics::NodeMetrics,
+    peer::PeerClient,
+};
+
+const READY_RETRY: Duration = Duration::from_millis(500);
+const REFUSAL_LOG_PERIOD: Duration = Duration::from_secs(10);
+const REFUSAL_LOG_LINES: u32 = 5;
+
+/// What a node is assembled from.
+#[derive(Debug)]
+pub(crate) struct NodeParts {
+    /// Settings.
+    pub(crate) settings: NodeSettings,
+    /// Timer service.
+    pub(crate) timer: TimerService,
+    /// Logger.
+    pub(crate) logger: Logger,
+    /// Number of this run.
+    pub(crate) incarnation: NodeIncarnation,
+    /// Gossip.
+    pub(crate) gossip: GossipService,
+}
+
+impl NodeParts {
+    /// Assembles the node.
+    pub(crate) fn assemble(self) -> Arc<Node> {
+        let Self { settings, timer, logger, incarnation, gossip } = self;
+        let store = HttpStore::new(
+            timer.clone(),
+            &StoreSettings {
+                address: settings.platform.key_value,
+                call_limit: Duration::from_millis(settings.platform.call_limit_ms),
+            },
+        );
+        let pool = UpstreamPool::start(PoolSettings::default(), timer.clone(), logger.clone());
+        let peers = Arc::new(PeerClient::new(timer.clone()));
+        let lifetime = Duration::from_millis(settings.timing.session_lifetime_ms);
+        let mint = SessionMint::new(settings.node.clone(), incarnation, lifetime);
+        let limits = FreshnessLimits {
+            contact_limit: settings.timing.isolation_limit(),
+            lag_limit: settings.timing.isolation_limit(),
+            retry_after: READY_RETRY,
+        };
+        Arc::new_cyclic(|node| Node {
+            started: timer.now(),
+            incarnation,
+            dispatcher: QueryDispatcher::new(
+                node.clone(),
+                timer.clone(),
+                SessionLedger::new(mint, LedgerLimits::default()),
+                Arc::clone(&peers),
+            ),
+            settings,
+            timer,
+            logger,
+            store,
+            gossip,
+            peers,
+            pool,
+            replica: Mutex::new(ConfigReplica::new()),
+            guard: Mutex::new(FreshnessGuard::new(limits)),
+            registry: ServiceRegistry::default(),
+            metrics: NodeMetrics::new(),
+            stop: StopState::default(),
+            stop_request: Notify::new(),
+            queries: Arc::default(),
+            contacts: Mutex::default(),
+            refusal_throttle: LogThrottle::new(REFUSAL_LOG_LINES, REFUSAL_LOG_PERIOD),
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/telemetry.rs
@@ -0,0 +1,112 @@
+//! What the node records and serves as metrics.
+
+use std::time::Duration;
+
+use mux_config::Readiness;
+use mux_membership::MemberState;
+use mux_model::ServiceName;
+use mux_query::FanOutResult;
+use mux_routing::ReplicaRouter;
+use slog::warn;
+
+use super::{Node, StopPhase};
+use crate::{
+    dispatch::{QueryAnswer, QueryProblem, ServiceRuntime},
+    metrics::{self, NodeGauges},
+};
+
+const MEMBER_STATES: [(MemberState, &str); 4] = [
+    (MemberState::Alive, "alive"),
+    (MemberState::Leaving, "leaving"),
+    (MemberState::Suspect, "suspect"),
+    (MemberState::Dead, "dead"),
+];
+
+impl Node {
+    /// Counts a request refused before it became a query.
+    pub(crate) fn count_refusal(&self, problem: &QueryProblem) {
+        self.count_problem(problem);
+        if let Some(suppressed) = self.refusal_throttle.allow(self.timer.now()) {
+            warn!(self.logger, "caller: refused"; "code" => problem.code.as_str(),
+                "message" => &problem.message, "suppressed" => suppressed);
+        }
+    }
+
+    /// Counts a query refused because its service is overloaded.
+    pub(crate) fn count_overload(&self, service: &ServiceName) {
+        self.metrics.count_refusal(service);
+    }
+
+    /// Counts the outcome of a query.
+    pub(crate) fn record_outcome(&self, result: &Result<QueryAnswer, QueryProblem>) {
+        match result {
+            Ok(_) => self.metrics.count_outcome("done", "answered"),
+            Err(problem) => self.count_problem(problem),
+        }
+    }
+
+    /// Records the time that a query took at this node.
+    pub(crate) fn record_latency(&self, service: &ServiceName, latency: Duration) {
+        // Names that callers make up must not become labels.
+        if self.registry.find(service).is_some() {
+            self.metrics.record_latency(service, latency);
+        }
+    }
+
+    /// Records the coverage of a fan-out that gave an answer.
+    pub(crate) fn record_coverage(&self, service: &ServiceName, result: &FanOutResult) {
+        if result.stop.is_none() {
+            self.metrics.record_coverage(service, result.coverage);
+        }
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn render_metrics(&self) -> String {
+        let gauges = self.metrics.gauges();
+        self.fill_node_gauges(gauges);
+        for service in self.registry.all() {
+            self.fill_service_gauges(gauges, &service);
+        }
+        self.metrics.render()
+    }
+
+    fn count_problem(&self, problem: &QueryProblem) {
+        self.metrics.count_outcome(problem.verdict.as_str(), problem.code.as_str());
+    }
+
+    fn fill_node_gauges(&self, gauges: &NodeGauges) {
+        let now = self.timer.now();
+        let contacts = self.contacts();
+        let age = |it: Option<_>| it.map_or(f64::NAN, |at| now.since(at).as_secs_f64());
+        gauges.revision.set(to_gauge(self.revision().0));
+        gauges.store_contact_age.set(age(contacts.store));
+        gauges.peer_contact_age.set(age(contacts.peer));
+        gauges.ready.set(i64::from(self.readiness() == Readiness::Ready));
+        gauges.draining.set(i64::from(self.stop.phase() != StopPhase::Serving));
+        gauges.queries_in_flight.set(i64::from(self.queries_in_flight()));
+        gauges.sessions.set(to_gauge(self.dispatcher.ledger().session_count() as u64));
+        let gossip = self.gossip.counters();
+        gauges.gossip_datagrams_out.set(to_gauge(gossip.datagrams_out));
+        gauges.gossip_bytes_out.set(to_gauge(gossip.bytes_out));
+        gauges.gossip_bytes_in.set(to_gauge(gossip.bytes_in));
+        let members = self.gossip.members();
+        for (state, name) in MEMBER_STATES {
+            let count = members.in_state(state).count() as u64;
+            gauges.members.get_or_create(&metrics::state_label(name)).set(to_gauge(count));
+        }
+    }
+
+    fn fill_service_gauges(&self, gauges: &NodeGauges, service: &ServiceRuntime) {
+        let label = metrics::service_label(service.name());
+        let counters = service.counters().read();
+        gauges.upstream_calls.get_or_create(&label).set(to_gauge(counters.calls));
+        gauges.upstream_shards.get_or_create(&label).set(to_gauge(counters.shards));
+        let delay = service.router().hedge_delay(self.timer.now());
+        let seconds = delay.map_or(0.0, |it| it.as_secs_f64());
+        gauges.hedge_delay.get_or_create(&label).set(seconds);
+    }
+}
+
+fn to_gauge(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/operator/mod.rs
@@ -0,0 +1,6 @@
+//! The operators' remote procedure calls.
+
+mod change_reply;
+mod operator_server;
+
+pub(crate) use operator_server::OperatorServer;
--- /dev/null
+++ b/crates/node/src/run_node.rs
@@ -0,0 +1,121 @@
+//! Starts a node and runs it until its planned stop.
+
+use std::{
+    io,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use mux_membership::{GossipEvent, GossipService, GossipSettings, NodeIdentity};
+use mux_model::NodeIncarnation;
+use mux_timer::TimerService;
+use slog::{Logger, info};
+use tokio::{
+    runtime::{Builder, Handle},
+    signal::unix::{SignalKind, signal},
+    sync::mpsc,
+};
+
+use crate::{
+    Node, StartError, caller::CallerServer, conf::NodeSettings, logs, metrics::MetricsServer,
+    node::NodeParts, operator::OperatorServer, peer::PeerServer, sync,
+};
+
+const HTTP_STOP_LIMIT: Duration = Duration::from_secs(2);
+
+/// Runs a node until SIGTERM, SIGINT or an operator's call has stopped it as planned.
+///
+/// # Errors
+///
+/// Returns [`StartError`] if a listener or the runtime cannot be started.
+pub fn run(settings: NodeSettings) -> Result<(), StartError> {
+    let runtime = Builder::new_multi_thread().enable_all().build().map_err(StartError::Runtime)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), StartError> {
+    let logger = logs::build_logger(&settings);
+    let (node, events) = start_parts(settings, logger)?;
+    let listen = &node.settings().listen;
+    let peer_server = PeerServer::new(Arc::clone(&node));
+    peer_server
+        .listen(listen.peer, node.logger().clone())
+        .await
+        .map_err(|it| listen_error("listen.peer", listen.peer, it))?;
+    OperatorServer::new(Arc::clone(&node))
+        .listen(listen.operator)
+        .await
+        .map_err(|it| listen_error("listen.operator", listen.operator, it))?;
+    let limits = node.settings().caller_limits.clone();
+    let callers = CallerServer::new(Arc::clone(&node), Handle::current(), limits)
+        .listen(listen.caller)
+        .map_err(|it| listen_error("listen.caller", listen.caller, it))?;
+    let metrics = MetricsServer::new(Arc::clone(&node))
+        .listen(listen.metrics)
+        .map_err(|it| listen_error("listen.metrics", listen.metrics, it))?;
+    spawn_tasks(&node, events);
+    info!(node.logger(), "node: started"; "callers" => listen.caller.to_string(),
+        "operators" => listen.operator.to_string());
+    let mut callers = callers;
+    let handle = callers.handle().map_err(StartError::Runtime)?;
+    let http = tokio::spawn(async move { tokio::join!(callers, metrics) });
+    wait_for_stop(&node).await.map_err(StartError::Runtime)?;
+    handle.stop(true);
+    // What is still open after the limit is idle: every query has been answered.
+    let _ = node.timer().timeout(HTTP_STOP_LIMIT, http).await;
+    Ok(())
+}
+
+fn start_parts(
+    settings: NodeSettings,
+    logger: Logger,
+) -> Result<(Arc<Node>, mpsc::Receiver<GossipEvent>), StartError> {
+    let timer = TimerService::start(Duration::from_millis(settings.timing.pause_limit_ms));
+    let incarnation = NodeIncarnation(unix_millis());
+    let identity = NodeIdentity {
+        node: settings.node.clone(),
+        availability_zone: settings.availability_zone.clone(),
+        peer: settings.listen.peer,
+        caller: settings.listen.caller,
+        operator: settings.listen.operator,
+    };
+    let gossip_settings = GossipSettings {
+        probe_period: settings.timing.probe_period(),
+        ..GossipSettings::new(&settings.installation)
+    };
+    let (gossip, events) =
+        GossipService::start(gossip_settings, identity, incarnation, timer.clone(), logger.clone())
+            .map_err(StartError::Gossip)?;
+    let node = NodeParts { settings, timer, logger, incarnation, gossip }.assemble();
+    Ok((node, events))
+}
+
+fn spawn_tasks(node: &Arc<Node>, events: mpsc::Receiver<GossipEvent>) {
+    tokio::spawn(sync::handle_gossip(Arc::clone(node), events));
+    tokio::spawn(sync::watch_members(Arc::clone(node)));
+    tokio::spawn(sync::watch_config(Arc::clone(node)));
+    tokio::spawn(sync::watch_vms(Arc::clone(node)));
+    tokio::spawn(sync::poll_upstreams(Arc::clone(node)));
+}
+
+async fn wait_for_stop(node: &Arc<Node>) -> io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = node.stop_requested() => {}
+    }
+    sync::stop_node(Arc::clone(node)).await;
+    Ok(())
+}
+
+fn listen_error(key: &'static str, address: SocketAddr, source: io::Error) -> StartError {
+    StartError::Listen { key, address, source }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/node/src/sync/member_watch.rs
@@ -0,0 +1,95 @@
+//! Acts on what gossip hears.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use mux_config::OfferOutcome;
+use mux_membership::{GossipEvent, MemberRecord};
+use mux_model::RevisionNumber;
+use slog::{info, warn};
+use tokio::sync::mpsc;
+
+use crate::Node;
+
+const CHECK_PERIOD: Duration = Duration::from_millis(200);
+
+/// Handles the events of gossip until it ends.
+pub(crate) async fn handle_gossip(node: Arc<Node>, mut events: mpsc::Receiver<GossipEvent>) {
+    while let Some(event) = events.recv().await {
+        handle_event(&node, event);
+    }
+}
+
+/// Feeds what the members say into the decision whether to admit.
+pub(crate) async fn watch_members(node: Arc<Node>) {
+    let mut ticks = node.timer().subscribe(CHECK_PERIOD);
+    let mut pauses = node.timer().subscribe_pauses();
+    loop {
+        tokio::select! {
+            now = ticks.next() => {
+                let members = node.gossip().members();
+                let others = members.members.iter().filter(|it| it.node() != node.name());
+                let revision = others.clone().map(|it| it.revision).max().unwrap_or_default();
+                node.on_other_nodes(others.count());
+                if members.verified && now.since(members.last_contact) < CHECK_PERIOD * 2 {
+                    node.on_peer_contact(members.last_contact, revision);
+                }
+                let load = u16::try_from(node.queries_in_flight()).unwrap_or(u16::MAX);
+                node.gossip().set_load(load);
+            }
+            Ok(()) = pauses.changed() => {
+                warn!(node.logger(), "node: was paused, verifies before it admits");
+                node.on_pause();
+            }
+        }
+    }
+}
+
+fn handle_event(node: &Arc<Node>, event: GossipEvent) {
+    match event {
+        GossipEvent::MemberUp { member } => {
+            log_member(node, "up", &member);
+            node.rebuild_services();
+        }
+        GossipEvent::MemberDown { member } => {
+            log_member(node, "down", &member);
+            node.rebuild_services();
+        }
+        GossipEvent::MemberChanged { member } => {
+            log_member(node, "changed", &member);
+            node.rebuild_services();
+        }
+        GossipEvent::PeerHeard { peer, revision, .. }
+        | GossipEvent::RevisionAnnounced { peer, revision, .. } => {
+            tokio::spawn(pull_config(Arc::clone(node), peer, revision));
+        }
+        GossipEvent::RevisionAcked { .. } => {}
+        GossipEvent::UpstreamNoted { note } => {
+            node.observe_draining(note.upstream, note.draining);
+        }
+        GossipEvent::NameConflict { other } => {
+            warn!(node.logger(), "gossip: another process has this node's name";
+                "peer" => other.identity.peer.to_string());
+        }
+    }
+}
+
+/// Pulls the configuration from a peer that has a higher revision.
+async fn pull_config(node: Arc<Node>, peer: SocketAddr, revision: RevisionNumber) {
+    if revision <= node.revision() {
+        return;
+    }
+    let Ok(update) = node.peers().read_config(peer, node.revision()).await else {
+        return;
+    };
+    if node.offer_config(&update) != OfferOutcome::NeedFull {
+        return;
+    }
+    if let Ok(whole) = node.peers().read_config(peer, RevisionNumber::default()).await {
+        node.offer_config(&whole);
+    }
+}
+
+fn log_member(node: &Node, change: &str, member: &MemberRecord) {
+    info!(node.logger(), "gossip: member {}", change;
+        "member" => member.node().to_string(), "state" => format!("{:?}", member.state));
+}
--- /dev/null
+++ b/crates/node/src/sync/vm_watch.rs
@@ -0,0 +1,61 @@
+//! Reads the platform's list of VMs.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use mux_model::UpstreamId;
+use mux_platform::{KvStore, VmEntry, VmList, VmState};
+
+use crate::Node;
+
+const WATCHER_PERIOD: Duration = Duration::from_secs(1);
+const LONELY_PERIOD: Duration = Duration::from_secs(2);
+const CHECK_PERIOD: Duration = Duration::from_secs(1);
+const NODE_ROLE: &str = "node";
+const UPSTREAM_ROLE: &str = "upstream";
+
+/// Seeds the members from the list and passes on which upstreams are leaving.
+///
+/// The list lags, so that it never removes a member. Only watchers, and nodes that know no peer,
+/// read it.
+pub(crate) async fn watch_vms(node: Arc<Node>) {
+    node.gossip().join(&node.settings().seeds);
+    loop {
+        let lonely = node.gossip().members().members.len() <= 1;
+        if lonely || node.watches_store() {
+            read_list(&node).await;
+        }
+        let period = if lonely { LONELY_PERIOD } else { WATCHER_PERIOD };
+        node.timer().sleep(period.max(CHECK_PERIOD)).await;
+    }
+}
+
+async fn read_list(node: &Node) {
+    let Ok(list) = node.store().list_vms().await else {
+        return;
+    };
+    let seeds = node_seeds(&list, node.settings().listen.peer);
+    if !seeds.is_empty() {
+        let all: Vec<_> = seeds.into_iter().chain(node.settings().seeds.iter().copied()).collect();
+        node.gossip().join(&all);
+    }
+    for upstream in leaving_upstreams(&list) {
+        node.note_draining(upstream, true);
+    }
+}
+
+fn node_seeds(list: &VmList, own: SocketAddr) -> Vec<SocketAddr> {
+    let nodes = list.vms.iter().filter(|it| it.role == NODE_ROLE);
+    nodes.filter_map(main_address).filter(|it| *it != own).collect()
+}
+
+fn leaving_upstreams(list: &VmList) -> impl Iterator<Item = UpstreamId> {
+    list.vms
+        .iter()
+        .filter(|it| it.role == UPSTREAM_ROLE && it.state == VmState::Leaving)
+        .flat_map(|vm| vm.ports.iter().map(|port| UpstreamId(SocketAddr::new(vm.ip, *port))))
+}
+
+fn main_address(vm: &VmEntry) -> Option<SocketAddr> {
+    let port = vm.ports.first()?;
+    Some(SocketAddr::new(vm.ip, *port))
+}
--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -2,7 +2,14 @@
 
 #![expect(clippy::disallowed_methods, reason = "the one place that waits on the runtime's clock")]
 
-use std::{fmt, sync::Arc, time::Duration};
+use std::{
+    fmt,
+    sync::{
+        Arc, Weak,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
 
 use mux_model::TimePoint;
 use tokio::{
@@ -34,6 +41,8 @@
 #[derive(Debug)]
 struct TimerState {
     origin: Instant,
+    pause_limit: Duration,
+    heartbeat_micros: AtomicU64,
     pauses: watch::Sender<u64>,
 }
 
@@ -44,8 +53,13 @@
     ///
     /// Panics outside a tokio runtime.
     pub fn start(pause_limit: Duration) -> Self {
-        let inner = Arc::new(TimerState { origin: Instant::now(), pauses: watch::Sender::new(0) });
-        tokio::spawn(watch_pauses(Arc::downgrade(&inner), pause_limit));
+        let inner = Arc::new(TimerState {
+            origin: Instant::now(),
+            pause_limit,
+            heartbeat_micros: AtomicU64::new(0),
+            pauses: watch::Sender::new(0),
+        });
+        tokio::spawn(watch_pauses(Arc::downgrade(&inner)));
         Self { inner }
     }
 
@@ -61,6 +75,14 @@
         TickStream { timer: self.clone(), interval }
     }
 
+    /// Returns whether the heartbeat is late by more than the pause limit.
+    ///
+    /// True from the end of a pause until the heartbeat has run and reported it.
+    pub fn is_stalled(&self) -> bool {
+        let heartbeat = TimePoint::from_micros(self.inner.heartbeat_micros.load(Ordering::Acquire));
+        self.inner.pause_limit < self.now().since(heartbeat)
+    }
+
     /// Subscribes to the count of pauses seen so far.
     pub fn subscribe_pauses(&self) -> watch::Receiver<u64> {
         self.inner.pauses.subscribe()
@@ -109,7 +131,7 @@
     }
 }
 
-async fn watch_pauses(state: std::sync::Weak<TimerState>, pause_limit: Duration) {
+async fn watch_pauses(state: Weak<TimerState>) {
     let mut last = Instant::now();
     loop {
         time::sleep(HEARTBEAT_PERIOD).await;
@@ -117,9 +139,11 @@
             return;
         };
         let now = Instant::now();
-        if pause_limit < now.duration_since(last) {
+        if state.pause_limit < now.duration_since(last) {
             state.pauses.send_modify(|count| *count += 1);
         }
         last = now;
+        let moment = TimePoint::ZERO + now.duration_since(state.origin);
+        state.heartbeat_micros.store(moment.as_micros(), Ordering::Release);
     }
 }
