Let traces and properties share one set of inputs

Cause: the trace replay and the property test each had their own events, plans and router settings. Ruled out: fewer cases. Change: PlanScript, RouterScript and Input are read from the traces and drawn by the properties; two ledger cases became a table with a third, may-have-run.

--- a/crates/query/src/snapshot_claims.rs
+++ b/crates/query/src/snapshot_claims.rs
@@ -74,8 +74,7 @@
         source.withdrawn.retain(|it| now < it.until);
         let mut held = check_claims(claims);
         held.retain(|snapshot, _| !source.has_withdrawn(*snapshot));
-        let dropped = self.drop_claims(upstream, |it| held.contains_key(&it));
-        let mut changed = dropped;
+        let mut changed = self.drop_claims(upstream, |it| held.contains_key(&it));
         for (snapshot, held) in held {
             let known =
                 self.snapshots.entry(snapshot).or_insert_with(|| KnownSnapshot::new(snapshot));
--- a/crates/query/tests/fan_out_properties.rs
+++ b/crates/query/tests/fan_out_properties.rs
@@ -2,31 +2,18 @@
 
 mod fixtures;
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::collections::BTreeSet;
 
-use fixtures::{Harness, Input, REQUEST, RouterScript, SNAPSHOT, millis, reply, upstream};
-use mux_model::{
-    CallFailure, NotRunReason, ShardIndex, SnapshotId, SnapshotMap, TimePoint, UpstreamId, Verdict,
-};
-use mux_query::{CallReply, FanOutPlan, FanOutResult};
+use fixtures::{Harness, Input, PlanScript, RouterScript, failure, millis};
+use mux_model::{ShardIndex, TimePoint, Verdict};
+use mux_query::{FanOutPlan, FanOutResult};
 use proptest::{
     prelude::*,
-    sample::{Index, select, subsequence},
+    sample::{select, subsequence},
     test_runner::{RngSeed, TestCaseResult},
 };
 
-const DEADLINE_MS: u64 = 1_000;
-
-/// One event; calls are chosen among all that were sent, ended ones included.
-#[derive(Debug, Clone)]
-enum Step {
-    Reply(Index),
-    Foreign(Index),
-    Fail(Index, CallFailure),
-    Saturate(u32),
-    SlotsFree,
-    Wake,
-}
+const UPSTREAMS: &[u32] = &[0, 1, 2, 3, 4, 5];
 
 proptest! {
     #![proptest_config(ProptestConfig {
@@ -40,9 +27,9 @@
     fn promises_hold_for_every_order_of_events(
         plan in plan(),
         script in script(),
-        steps in prop::collection::vec((0..60_u64, step()), 0..60),
+        steps in prop::collection::vec((0..60_u64, input()), 0..60),
     ) {
-        Replay::new(plan, script).run(steps)?;
+        Replay::new(plan.plan(), script).run(steps)?;
     }
 }
 
@@ -61,63 +48,26 @@
         Self { plan, harness, answered: BTreeSet::new(), unrun: BTreeSet::new() }
     }
 
-    fn run(&mut self, steps: Vec<(u64, Step)>) -> TestCaseResult {
+    fn run(&mut self, steps: Vec<(u64, Input)>) -> TestCaseResult {
         let mut now = 0;
-        self.input(millis(now), Input::Start)?;
-        for (pause, step) in steps {
+        self.step(millis(now), Input::Start)?;
+        for (pause, input) in steps {
             now += pause;
-            self.step(millis(now), step)?;
+            if input.call().is_none_or(|it| (it as usize) < self.harness.sent.len()) {
+                self.step(millis(now), input)?;
+            }
         }
-        self.input(millis(DEADLINE_MS.max(now)), Input::Wake)?;
+        self.step(self.plan.deadline.max(millis(now)), Input::Wake)?;
         prop_assert_eq!(self.harness.results.len(), 1);
         prop_assert_eq!(self.harness.script(|it| it.open_slots()), 0);
         Ok(())
     }
 
-    fn step(&mut self, now: TimePoint, step: Step) -> TestCaseResult {
-        let input = match step {
-            Step::Wake => Input::Wake,
-            Step::Saturate(number) => {
-                self.harness.script(|it| it.saturated.insert(upstream(number)));
-                return Ok(());
-            }
-            Step::SlotsFree => {
-                self.harness.script(|it| it.saturated.clear());
-                return Ok(());
-            }
-            _ if self.harness.sent.is_empty() => return Ok(()),
-            Step::Reply(idx) => self.reply(idx),
-            Step::Foreign(idx) => {
-                let call = idx.index(self.harness.sent.len());
-                let reply = reply(self.harness.sent[call].shard);
-                Input::Reply(call as u32, CallReply { snapshot: SnapshotId(41), ..reply })
-            }
-            Step::Fail(idx, failure) => self.fail(idx, failure),
-        };
-        self.input(now, input)
-    }
-
-    fn reply(&mut self, idx: Index) -> Input {
-        let call = idx.index(self.harness.sent.len());
-        let sent = self.harness.sent[call];
-        if sent.open {
-            self.answered.insert(sent.shard);
-        }
-        Input::Reply(call as u32, reply(sent.shard))
-    }
-
-    fn fail(&mut self, idx: Index, failure: CallFailure) -> Input {
-        let call = idx.index(self.harness.sent.len());
-        if self.harness.sent[call].open && failure.verdict() == Verdict::NotRun {
-            self.unrun.insert(call);
-        }
-        Input::Fail(call as u32, failure)
-    }
-
-    fn input(&mut self, now: TimePoint, input: Input) -> TestCaseResult {
+    fn step(&mut self, now: TimePoint, input: Input) -> TestCaseResult {
         let was_finished = self.harness.fan_out.is_finished();
         let first_new = self.harness.sent.len();
-        self.harness.input(now, input);
+        self.note(&input);
+        self.harness.input(now, &input);
         let open_calls = self.harness.sent.iter().filter(|it| it.open).count();
         prop_assert_eq!(self.harness.script(|it| it.open_slots()), open_calls);
         prop_assert!(self.harness.results.len() <= 1);
@@ -136,6 +86,21 @@
         Ok(())
     }
 
+    /// Notes what an end of an open call proves.
+    fn note(&mut self, input: &Input) {
+        let call = input.call().map(|it| (it, *self.harness.call(it)));
+        let Some((number, call)) = call.filter(|it| it.1.open) else {
+            return;
+        };
+        match input {
+            Input::Reply(_) => _ = self.answered.insert(call.shard),
+            Input::Fail(_, text) if failure(text).verdict() == Verdict::NotRun => {
+                self.unrun.insert(number as usize);
+            }
+            _ => {}
+        }
+    }
+
     fn check_call(&self, call: usize) -> TestCaseResult {
         let sent = self.harness.sent[call];
         prop_assert!(!self.answered.contains(&sent.shard));
@@ -170,20 +135,12 @@
 
 prop_compose! {
     fn plan()(
-        replicas in prop::collection::vec(subsequence(upstreams(), 0..4), 1..7),
+        shards in prop::collection::vec(subsequence(UPSTREAMS, 0..4), 1..7),
         idempotent in any::<bool>(),
         coverage_target in select(vec![0.5, 0.9, 1.0]),
         coverage_minimum in select(vec![0.0, 0.3, 0.5, 1.0]),
-    ) -> FanOutPlan {
-        FanOutPlan {
-            request: REQUEST,
-            map: Arc::new(SnapshotMap::new(SNAPSHOT, replicas)),
-            idempotent,
-            latency_target: millis(100),
-            deadline: millis(DEADLINE_MS),
-            coverage_target,
-            coverage_minimum,
-        }
+    ) -> PlanScript {
+        PlanScript { shards, idempotent, coverage_target, coverage_minimum, ..PlanScript::default() }
     }
 }
 
@@ -191,40 +148,23 @@
     fn script()(
         hedge_ms in prop::option::of(5..200_u64),
         extra_calls in 0..8_u32,
-        down in subsequence(upstreams(), 0..2),
-        slots_per_upstream in prop::option::of(1..3_u32),
+        down in subsequence(UPSTREAMS, 0..2),
+        slots in prop::option::of(1..3_u32),
     ) -> RouterScript {
-        let hedge_delay = hedge_ms.map(Duration::from_millis);
-        RouterScript {
-            hedge_delay,
-            extra_calls,
-            down: down.into_iter().collect(),
-            slots_per_upstream,
-            slot_after: Duration::from_millis(30),
-            ..RouterScript::default()
-        }
+        RouterScript { hedge_ms, extra_calls, down, slots, slot_after_ms: 30, ..Default::default() }
     }
 }
 
-fn step() -> impl Strategy<Value = Step> {
-    let not_run = |reason| CallFailure::NotRun { reason, retry_after: None };
-    let failures = vec![
-        not_run(NotRunReason::NotSent),
-        not_run(NotRunReason::Shed),
-        not_run(NotRunReason::SnapshotMissing),
-        CallFailure::ConnectionLost,
-        CallFailure::Silent,
-    ];
+fn input() -> impl Strategy<Value = Input> {
+    let failures = ["not sent", "shed by the upstream", "snapshot not held", "connection lost"];
+    let failure = select(failures.to_vec()).prop_map(String::from);
+    let foreign = |call| Input::Foreign { call, request: None, snapshot: Some(41), shard: None };
     prop_oneof![
-        4 => any::<Index>().prop_map(Step::Reply),
-        1 => any::<Index>().prop_map(Step::Foreign),
-        3 => (any::<Index>(), select(failures)).prop_map(|(call, it)| Step::Fail(call, it)),
-        1 => (0..6_u32).prop_map(Step::Saturate),
-        1 => Just(Step::SlotsFree),
-        3 => Just(Step::Wake),
+        6 => (0..16_u32).prop_map(Input::Reply),
+        2 => (0..16_u32).prop_map(foreign),
+        5 => (0..16_u32, failure).prop_map(|(call, it)| Input::Fail(call, it)),
+        1 => (0..6_u32).prop_map(Input::Saturate),
+        1 => Just(Input::SlotsFree),
+        3 => Just(Input::Wake),
     ]
 }
-
-fn upstreams() -> Vec<UpstreamId> {
-    (0..6).map(upstream).collect()
-}
--- a/crates/query/tests/session_ledger.rs
+++ b/crates/query/tests/session_ledger.rs
@@ -16,27 +16,26 @@
 const LIFETIME_MS: u64 = 60_000;
 
 #[gtest]
-fn repeat_of_a_running_request_does_not_run() {
-    let ledger = ledger(LedgerLimits::default());
-    let token = ledger.mint(at(0));
-
-    let _ticket = run(&ledger, at(1), &token, 1);
-    let repeat = ledger.begin(at(2), &token, 1);
-
-    expect_that!(repeat, eq(&BeginOutcome::InProgress));
-}
-
-#[gtest]
-fn repeat_of_a_finished_request_gets_the_first_answer() {
-    let ledger = ledger(LedgerLimits::default());
-    let token = ledger.mint(at(0));
+fn repeat_does_not_run_and_gets_what_is_known() {
     let answer = Some(Bytes::from_static(b"refunded"));
+    let finished = |verdict, answer| BeginOutcome::Finished { verdict, answer };
+    let cases = [
+        (None, BeginOutcome::InProgress),
+        (Some((Verdict::Done, answer.clone())), finished(Verdict::Done, answer)),
+        (Some((Verdict::MayHaveRun, None)), finished(Verdict::MayHaveRun, None)),
+    ];
 
-    let ticket = run(&ledger, at(1), &token, 1);
-    ledger.complete(ticket, Verdict::Done, answer.clone());
-    let repeat = ledger.begin(at(2), &token, 1);
+    for (end, expected) in cases {
+        let ledger = ledger(LedgerLimits::default());
+        let token = ledger.mint(at(0));
+
+        let ticket = run(&ledger, at(1), &token, 1);
+        if let Some((verdict, answer)) = end {
+            ledger.complete(ticket, verdict, answer);
+        }
 
-    expect_that!(repeat, eq(&BeginOutcome::Finished { verdict: Verdict::Done, answer }));
+        expect_that!(ledger.begin(at(2), &token, 1), eq(&expected));
+    }
 }
 
 #[gtest]
