Ask again for a hedge that got no slot or budget

Cause: a hedge that found the other replicas full, or the budget empty, was dropped for good, so that a straggler kept its query until it ended. Ruled out: blocking hedges while shards wait for slots (a hedge whose loser is cancelled frees the slot that a straggler holds). Change: such a hedge joins the waiting shards and is asked for again, after the time that the router names or after another hedge delay; it takes a slot that a reply of its own query frees. Hedges and waiting have their own files.

--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -2,6 +2,8 @@
 
 mod dispatch;
 mod ending;
+mod hedging;
+mod waiting;
 
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
     CallReply, FanOutAction, FanOutPlan, FanOutStop,
     call_table::{CallTable, ShardPhase},
     coverage_goal::CoverageGoal,
+    fan_out::waiting::WaitingShard,
 };
 
 /// The calls of one query, from the first call to the one final result.
@@ -37,13 +40,6 @@
     finished: bool,
 }
 
-/// A shard whose replicas were all at their limits.
-#[derive(Debug, Clone, Copy)]
-struct WaitingShard {
-    shard: ShardIndex,
-    ask_at: TimePoint,
-}
-
 /// Shards that cannot contribute any more, by cause.
 #[derive(Debug, Clone, Copy, Default)]
 struct LostShards {
