Hedge a slow hedge in turn

Cause: in a query of 73 shards with 1% of calls slow, about 0.7% of queries have a hedge that is slow itself; they kept the 99th percentile near the straggler's own time. Ruled out: a shorter delay or a larger budget (both add load to every query). Change: up to three calls to one shard are open at once; the third follows when the second is due for a hedge itself, from the same budget.

--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -1,4 +1,4 @@
-//! How a fan-out asks a second replica for a shard whose call is slow.
+//! How a fan-out asks another replica for a shard whose call is slow.
 
 use std::time::Duration;
 
@@ -7,8 +7,11 @@
 
 use crate::{FanOutAction, fan_out::FanOut};
 
+/// Calls to one shard that are open at once.
+const MAX_OPEN_CALLS: u32 = 3;
+
 impl FanOut {
-    /// Asks second replicas for the shards whose only call is due for a hedge.
+    /// Asks another replica for each shard whose newest call is due for a hedge.
     pub(super) fn hedge_due<R: ReplicaRouter>(
         &mut self,
         now: TimePoint,
@@ -38,8 +41,9 @@
         None
     }
 
-    /// Hedges `slow` if it is the only open call to its shard.
+    /// Hedges `slow`, which may be a hedge itself, unless its shard has enough open calls.
     ///
+    /// In a query of many shards it is likely that a hedge somewhere is slow, too.
     /// A hedge that gets no slot or budget is asked for again: the longer a call is open, the more
     /// a hedge is worth.
     pub(super) fn hedge<R: ReplicaRouter>(
@@ -52,7 +56,7 @@
         let Some(shard) = self.table.open_call(slow).map(|it| it.shard) else {
             return;
         };
-        if 1 < self.table.shard(shard).open_calls {
+        if MAX_OPEN_CALLS <= self.table.shard(shard).open_calls {
             return;
         }
         match self.acquire(now, router, shard, CallKind::Hedge) {
