--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -188,6 +188,21 @@
         self.advance(now, router, actions);
     }
 
+    /// Ends the fan-out with [`FanOutStop::SnapshotGone`] if upstreams that no longer hold the
+    /// snapshot put the coverage target out of reach and the request may be repeated.
+    ///
+    /// For a query that can start over with another snapshot, known to be complete.
+    pub fn leave_snapshot<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        if !self.finished && self.is_target_lost() && self.is_snapshot_to_blame() {
+            self.finish(now, router, Err(FanOutStop::SnapshotGone), actions);
+        }
+    }
+
     /// Ends the fan-out because nobody waits for its answer.
     ///
     /// The result still says whether the request may have run. A request that is not idempotent is
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -12,6 +12,7 @@
 };
 
 impl FanOut {
+    /// Calls a replica of `shard`, which has no open call.
     pub(super) fn ask<R: ReplicaRouter>(
         &mut self,
         now: TimePoint,
@@ -46,6 +47,7 @@
         }
     }
 
+    /// Reserves a slot at a replica of `shard` not called before.
     pub(super) fn acquire<R: ReplicaRouter>(
         &mut self,
         now: TimePoint,
@@ -61,6 +63,7 @@
         router.acquire(now, candidates, tried, kind)
     }
 
+    /// Notes that `shard` cannot contribute any more.
     pub(super) fn lose(&mut self, shard: ShardIndex) {
         let state = self.table.shard_mut(shard);
         state.phase = ShardPhase::Lost;
@@ -68,6 +71,7 @@
         self.lost.snapshot_missing += u32::from(state.snapshot_missing);
     }
 
+    /// Tells the driver to send a call.
     pub(super) fn send(&self, call: CallId, actions: &mut Vec<FanOutAction>) {
         let Some(state) = self.table.call(call) else {
             return;
@@ -80,12 +84,14 @@
         });
     }
 
+    /// Sends the calls that were reserved at the start.
     pub(super) fn send_reserved(&self, actions: &mut Vec<FanOutAction>) {
         for call in self.table.call_ids() {
             self.send(call, actions);
         }
     }
 
+    /// Gives back the slots of calls that were reserved at the start and not sent.
     pub(super) fn withdraw_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
         for call in self.table.call_ids() {
             if let Some(state) = self.table.close(call) {
--- a/crates/query/src/fan_out/ending.rs
+++ b/crates/query/src/fan_out/ending.rs
@@ -157,11 +157,8 @@
     }
 
     /// Returns why too few shards are left.
-    ///
-    /// Another snapshot helps only if the request may be repeated.
     fn unreachable_cause(&self) -> FanOutStop {
-        let may_repeat = self.plan.idempotent || !self.may_have_run();
-        if 0 < self.lost.snapshot_missing && may_repeat {
+        if self.is_snapshot_to_blame() {
             return FanOutStop::SnapshotGone;
         }
         if 0 < self.lost.saturated {
@@ -170,6 +167,17 @@
         FanOutStop::CoverageUnreachable
     }
 
+    /// Returns whether another snapshot may help, which also takes that the request may be repeated.
+    pub(super) fn is_snapshot_to_blame(&self) -> bool {
+        let may_repeat = self.plan.idempotent || !self.may_have_run();
+        0 < self.lost.snapshot_missing && may_repeat
+    }
+
+    /// Returns whether the coverage target can no longer be reached.
+    pub(super) fn is_target_lost(&self) -> bool {
+        self.goal.total < self.lost.total.saturating_add(self.goal.target)
+    }
+
     /// Returns whether the request may have run anywhere, open calls included.
     fn may_have_run(&self) -> bool {
         self.verdict != Verdict::NotRun || self.table.has_open_calls()
--- a/crates/query/src/snapshot_catalog.rs
+++ b/crates/query/src/snapshot_catalog.rs
@@ -78,14 +78,16 @@
     /// only if there is no other. Snapshots in `gone` are left out; a query adds a snapshot there
     /// when its upstreams have proved that they no longer hold it.
     pub fn pin(&self, coverage_target: f64, gone: &[SnapshotId]) -> Option<Arc<SnapshotMap>> {
-        let is_usable = |it: &&RankedSnapshot| {
-            0 < it.map.reachable_count() && !gone.contains(&it.map.snapshot())
-        };
-        let usable = self.ranking.iter().filter(is_usable);
+        let usable = self.usable(gone);
         let best = usable.max_by(|lhs, rhs| lhs.compare(rhs, coverage_target))?;
         Some(Arc::clone(&best.map))
     }
 
+    /// Returns whether a snapshot other than those in `gone` meets `coverage_target`.
+    pub fn has_complete(&self, coverage_target: f64, gone: &[SnapshotId]) -> bool {
+        self.usable(gone).any(|it| it.corroborated && it.reachable.meets(coverage_target))
+    }
+
     /// Returns the number of shards of `snapshot` by the highest claim so far.
     ///
     /// It can exceed that of a map pinned earlier; coverage is then counted against this number.
@@ -133,6 +135,13 @@
         claims.into_iter().flat_map(SnapshotClaims::stale_sources)
     }
 
+    fn usable(&self, gone: &[SnapshotId]) -> impl Iterator<Item = &RankedSnapshot> {
+        let is_usable = |it: &&RankedSnapshot| {
+            0 < it.map.reachable_count() && !gone.contains(&it.map.snapshot())
+        };
+        self.ranking.iter().filter(is_usable)
+    }
+
     fn learn(&mut self, change: impl FnOnce(&mut SnapshotClaims) -> bool) {
         let CatalogSource::Learned(claims) = &mut self.source else {
             return;
--- a/crates/query/tests/fan_out_properties.rs
+++ b/crates/query/tests/fan_out_properties.rs
@@ -165,6 +165,7 @@
         5 => (0..16_u32, failure).prop_map(|(call, it)| Input::Fail(call, it)),
         1 => (0..6_u32).prop_map(Input::Saturate),
         1 => Just(Input::SlotsFree),
+        1 => Just(Input::LeaveSnapshot),
         3 => Just(Input::Wake),
     ]
 }
--- a/crates/query/tests/snapshot_catalog.rs
+++ b/crates/query/tests/snapshot_catalog.rs
@@ -122,6 +122,24 @@
     expect_that!(catalog.pin(1.0, &[SnapshotId(40), SnapshotId(41)]), none());
 }
 
+#[gtest]
+fn complete_snapshot_needs_its_share_and_two_witnesses() {
+    let catalog = catalog(&[
+        (0, 40, 2, &[0]),
+        (1, 40, 2, &[1]),
+        (0, 41, 2, &[0]),
+        (1, 41, 2, &[0]),
+        (1, 42, 2, &[0, 1]),
+    ]);
+
+    let found = [40, 41, 42].map(|snapshot| {
+        let others: Vec<_> = (40..43).filter(|it| *it != snapshot).map(SnapshotId).collect();
+        catalog.has_complete(1.0, &others)
+    });
+
+    expect_that!(found, eq([true, false, false]));
+}
+
 #[gtest]
 fn unchanged_status_keeps_the_map() {
     let claims: [Claim; 2] = [(0, 40, 1, &[0]), (1, 40, 1, &[0])];
