Test the relay stand-in and make its cut a reset

Cause: the modes of the relay had only been tried by hand.

Change: tests run the relay as a process and check each mode on open and new links and on datagrams. The test for a cut failed: the halves of the split stream end it in order when they are dropped, so that the other end saw an end of file and no reset. The relay now splits the stream so that the drop resets.

Also: scenario names in settings and in results are the same.

--- a/crates/membership/src/gossip_machine/receiving.rs
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -118,9 +118,8 @@
     }
 
     fn judge_source(&self, now: TimePoint, sender: &NodeId) -> ClaimSource {
-        let in_good_standing = self.table.get(sender).is_some_and(|it| {
-            it.record.state < MemberState::Suspect
-        });
+        let in_good_standing =
+            self.table.get(sender).is_some_and(|it| it.record.state < MemberState::Suspect);
         match in_good_standing && self.reunion_until <= now {
             true => ClaimSource::Peer,
             false => ClaimSource::Doubtful,
@@ -304,11 +303,7 @@
 }
 
 fn claim_of_sender(sender: &SenderHeader) -> MemberClaim {
-    MemberClaim {
-        node: sender.node.clone(),
-        incarnation: sender.incarnation,
-        state: sender.state,
-    }
+    MemberClaim { node: sender.node.clone(), incarnation: sender.incarnation, state: sender.state }
 }
 
 fn report_of_sender(sender: &SenderHeader) -> MemberReport {
--- a/crates/membership/src/gossip_service.rs
+++ b/crates/membership/src/gossip_service.rs
@@ -166,10 +166,7 @@
 
 impl ServiceState {
     /// Runs `operation` on the machine, publishes its view and carries out its actions.
-    fn step(
-        &self,
-        operation: impl FnOnce(&mut GossipMachine, TimePoint, &mut Vec<GossipAction>),
-    ) {
+    fn step(&self, operation: impl FnOnce(&mut GossipMachine, TimePoint, &mut Vec<GossipAction>)) {
         let mut actions = Vec::new();
         let mut machine = self.lock_machine();
         operation(&mut machine, self.timer.now(), &mut actions);
--- a/crates/membership/src/member_table.rs
+++ b/crates/membership/src/member_table.rs
@@ -2,9 +2,7 @@
 
 use std::hash::BuildHasher;
 
-use mux_model::{
-    FastHasher, FastMap, NodeId, NodeIncarnation, RevisionNumber, TimePoint,
-};
+use mux_model::{FastHasher, FastMap, NodeId, NodeIncarnation, RevisionNumber, TimePoint};
 
 use crate::{
     MemberRecord, MemberState,
@@ -184,9 +182,9 @@
     pub(crate) fn digest(&self, local: &MemberRecord) -> u64 {
         let hasher = FastHasher::default();
         let records = self.live().map(|it| &it.record);
-        records.chain([local]).fold(0, |digest, it| {
-            digest ^ hasher.hash_one((it.node(), it.incarnation, it.state))
-        })
+        records
+            .chain([local])
+            .fold(0, |digest, it| digest ^ hasher.hash_one((it.node(), it.incarnation, it.state)))
     }
 
     fn insert(&mut self, now: TimePoint, record: MemberRecord) {
--- a/crates/membership/src/revision_spread.rs
+++ b/crates/membership/src/revision_spread.rs
@@ -61,12 +61,7 @@
     }
 
     /// Acknowledges `revision` to `peer` until it is confirmed or the attempts are used up.
-    pub(crate) fn start_ack(
-        &mut self,
-        now: TimePoint,
-        peer: SocketAddr,
-        revision: RevisionNumber,
-    ) {
+    pub(crate) fn start_ack(&mut self, now: TimePoint, peer: SocketAddr, revision: RevisionNumber) {
         self.ack = Some(PendingAck { peer, revision, next_at: now, attempts_left: ACK_ATTEMPTS });
     }
 
--- a/crates/standins/src/experiment/scenario.rs
+++ b/crates/standins/src/experiment/scenario.rs
@@ -49,8 +49,8 @@
     /// Returns the name.
     pub(crate) const fn name(self) -> &'static str {
         match self {
-            Self::StragglerOnePercent => "straggler-1-percent",
-            Self::StragglerFivePercent => "straggler-5-percent",
+            Self::StragglerOnePercent => "straggler-one-percent",
+            Self::StragglerFivePercent => "straggler-five-percent",
             Self::LostReplica => "lost-replica",
             Self::SheddingUpstream => "shedding-upstream",
             Self::MisleadingLoad => "misleading-load",
--- a/crates/standins/src/relay/tcp_relay.rs
+++ b/crates/standins/src/relay/tcp_relay.rs
@@ -4,11 +4,8 @@
 
 use mux_timer::TimerService;
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
-    net::{
-        TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
-    },
+    io::{self as async_io, AsyncReadExt, AsyncWriteExt, ReadHalf, WriteHalf},
+    net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
 };
 
@@ -56,15 +53,16 @@
     async fn join_ends(self, stream: TcpStream, target: SocketAddr) -> io::Result<()> {
         let upstream = TcpStream::connect(target).await?;
         upstream.set_nodelay(true)?;
-        let (near_read, near_write) = stream.into_split();
-        let (far_read, far_write) = upstream.into_split();
+        // The halves of `TcpStream::into_split` would end the stream in order when dropped.
+        let (near_read, near_write) = async_io::split(stream);
+        let (far_read, far_write) = async_io::split(upstream);
         let outward = self.clone().forward(near_read, far_write);
         let inward = self.forward(far_read, near_write);
         tokio::try_join!(outward, inward).map(drop)
     }
 
     /// Reads and writes side by side, so that a delay doesn't lower the throughput.
-    async fn forward(self, from: OwnedReadHalf, to: OwnedWriteHalf) -> io::Result<()> {
+    async fn forward(self, from: ReadHalf<TcpStream>, to: WriteHalf<TcpStream>) -> io::Result<()> {
         let (chunks_tx, chunks_rx) = mpsc::channel(CHUNKS_IN_FLIGHT);
         let read = self.clone().read_chunks(from, chunks_tx);
         let write = self.write_chunks(to, chunks_rx);
@@ -73,7 +71,7 @@
 
     async fn read_chunks(
         self,
-        mut from: OwnedReadHalf,
+        mut from: ReadHalf<TcpStream>,
         chunks: mpsc::Sender<RelayChunk>,
     ) -> io::Result<()> {
         loop {
@@ -91,7 +89,7 @@
 
     async fn write_chunks(
         mut self,
-        mut to: OwnedWriteHalf,
+        mut to: WriteHalf<TcpStream>,
         mut chunks: mpsc::Receiver<RelayChunk>,
     ) -> io::Result<()> {
         while let Some(chunk) = chunks.recv().await {
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -1,4 +1,6 @@
-//! A leaf stand-in in a process of its own.
+//! Stand-ins in processes of their own.
+
+#![allow(dead_code, reason = "each test file uses its own part")]
 
 use std::{
     fs,
@@ -31,7 +33,7 @@
     pub(crate) upstream: UpstreamId,
     control: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
-    process: Child,
+    _process: StandinProcess,
 }
 
 impl LeafFixture {
@@ -48,14 +50,14 @@
         for (key, value) in settings.as_object().expect("an object") {
             leaf[key] = value.clone();
         }
-        let process = start_process(&json!({ "leaves": [leaf] }));
+        let process = StandinProcess::start("leaf", &json!({ "leaves": [leaf] }));
         let timer = TimerService::start(Duration::from_secs(1));
         let log = Logger::root(Discard, o!());
         let pool = UpstreamPool::start(PoolSettings::default(), timer.clone(), log);
         let upstream = UpstreamId(listen);
         pool.set_limit(upstream, 1);
         let client = Client::builder(TokioExecutor::new()).build_http();
-        let fixture = Self { pool, timer, upstream, control, client, process };
+        let fixture = Self { pool, timer, upstream, control, client, _process: process };
         fixture.report_when(|_| true).await;
         fixture
     }
@@ -117,28 +119,39 @@
     }
 }
 
-impl Drop for LeafFixture {
-    fn drop(&mut self) {
-        self.process.kill().expect("the leaf still runs");
-        self.process.wait().expect("the leaf ends");
+/// A process that ends when this is dropped.
+pub(crate) struct StandinProcess {
+    child: Child,
+}
+
+impl StandinProcess {
+    /// Starts `standins` with `command` and `settings`.
+    #[expect(clippy::disallowed_methods, reason = "the test runs the stand-in as a process")]
+    pub(crate) fn start(command: &str, settings: &Value) -> Self {
+        static COUNTER: AtomicU32 = AtomicU32::new(0);
+        let number = COUNTER.fetch_add(1, Ordering::Relaxed);
+        let name = format!("{command}-{}-{number}.json", std::process::id());
+        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+        fs::write(&path, settings.to_string()).expect("settings file");
+        let child = Command::new(env!("CARGO_BIN_EXE_standins"))
+            .args([command, "--settings", &path.to_string_lossy()])
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the stand-in starts");
+        Self { child }
     }
 }
 
-#[expect(clippy::disallowed_methods, reason = "the test runs the stand-in as a process")]
-fn start_process(settings: &Value) -> Child {
-    static COUNTER: AtomicU32 = AtomicU32::new(0);
-    let number = COUNTER.fetch_add(1, Ordering::Relaxed);
-    let name = format!("leaf-contract-{}-{number}.json", std::process::id());
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
-    fs::write(&path, settings.to_string()).expect("settings file");
-    Command::new(env!("CARGO_BIN_EXE_standins"))
-        .args(["leaf", "--settings", &path.to_string_lossy()])
-        .stdout(Stdio::null())
-        .spawn()
-        .expect("the stand-in starts")
+impl Drop for StandinProcess {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
 }
 
-fn free_address() -> SocketAddr {
+/// Returns a loopback address that nothing listens on.
+pub(crate) fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
     listener.local_addr().expect("bound address")
 }
