Let the histograms of the load tool grow

Cause: every quantile was 0.0 in the first run against a node, because the histogram was told to clamp values to its range, which starts tiny.

Change: values are recorded so that the range grows.

--- a/crates/standins/src/experiment/node_cost.rs
+++ b/crates/standins/src/experiment/node_cost.rs
@@ -84,10 +84,10 @@
     for _ in 0..LATENCY_SAMPLES {
         let started = context.timer.now();
         client.call(upstream, ShardIndex(0)).await;
-        direct.saturating_record(micros(context.timer.now().since(started)));
+        direct.record(micros(context.timer.now().since(started))).map_err(io::Error::other)?;
         let started = context.timer.now();
         query(&context, bench.caller, &service).await?;
-        through.saturating_record(micros(context.timer.now().since(started)));
+        through.record(micros(context.timer.now().since(started))).map_err(io::Error::other)?;
     }
     let added = |q| through.value_at_quantile(q) as i64 - direct.value_at_quantile(q) as i64;
     Ok(format!(
--- a/crates/standins/src/load/load_report.rs
+++ b/crates/standins/src/load/load_report.rs
@@ -121,7 +121,8 @@
 
     fn record_answer(&mut self, latency: Duration, query: &serde_json::Value, reply: &QueryReply) {
         let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        self.done_micros.saturating_record(micros.max(1));
+        // The histogram grows with its values.
+        let _ = self.done_micros.record(micros.max(1));
         let share = reply.share().unwrap_or(0.0);
         self.coverage_sum += share;
         self.coverage_min = self.coverage_min.min(share);
