--- a/crates/config/src/freshness_guard.rs
+++ b/crates/config/src/freshness_guard.rs
@@ -42,7 +42,7 @@
 
 /// Whether a node may admit requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Readiness {
+pub enum ReadyState {
     /// Requests may be admitted.
     Ready,
     /// Requests are refused as not run.
@@ -117,10 +117,10 @@
     }
 
     /// Returns whether the node may admit requests at `now`.
-    pub fn readiness(&self, now: TimePoint) -> Readiness {
+    pub fn readiness(&self, now: TimePoint) -> ReadyState {
         match self.unready_reason(now) {
-            None => Readiness::Ready,
-            Some(reason) => Readiness::NotReady { reason, retry_after: self.limits.retry_after },
+            None => ReadyState::Ready,
+            Some(reason) => ReadyState::NotReady { reason, retry_after: self.limits.retry_after },
         }
     }
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -30,7 +30,7 @@
 pub use config_writer::{ChangeOutcome, ChangePreview, ConfigWriter};
 pub use definition_diff::{FieldDiff, diff_definitions};
 pub use errors::{BadValue, ChangeError, DefinitionError, LoadError};
-pub use freshness_guard::{FreshnessGuard, FreshnessLimits, Readiness, UnreadyReason};
+pub use freshness_guard::{FreshnessGuard, FreshnessLimits, ReadyState, UnreadyReason};
 pub use in_force_tracker::{InForceProgress, InForceTracker};
 pub use lease_holder::LeaseHolder;
 pub use service_change::{ChangeAction, ServiceChange};
--- a/crates/platform/src/memory/kv_state.rs
+++ b/crates/platform/src/memory/kv_state.rs
@@ -27,13 +27,13 @@
 #[derive(Debug, Default)]
 pub struct KvState {
     values: BTreeMap<String, StoredValue>,
-    leases: FastMap<LeaseId, Lease>,
+    leases: FastMap<LeaseId, LeaseState>,
     last_version: u64,
     last_lease: u64,
 }
 
 #[derive(Debug)]
-struct Lease {
+struct LeaseState {
     ttl: Duration,
     lapses_at: TimePoint,
 }
@@ -94,7 +94,7 @@
     pub fn grant(&mut self, now: TimePoint, ttl: Duration) -> LeaseId {
         self.last_lease += 1;
         let lease = LeaseId(self.last_lease);
-        self.leases.insert(lease, Lease { ttl, lapses_at: now + ttl });
+        self.leases.insert(lease, LeaseState { ttl, lapses_at: now + ttl });
         lease
     }
 
