--- a/crates/node/src/caller/address_answer.rs
+++ b/crates/node/src/caller/address_answer.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use mux_model::{AvailabilityZone, NodeId, ServiceName};
+use mux_placement::AddressEntry as PlannedAddress;
 use serde::Serialize;
 
 /// Addresses on which to send queries for a service.
@@ -39,3 +40,10 @@
     /// Time for which the session may be used, in milliseconds.
     pub(crate) lifetime_ms: u64,
 }
+
+impl From<PlannedAddress> for AddressEntry {
+    fn from(planned: PlannedAddress) -> Self {
+        let PlannedAddress { node, availability_zone, address } = planned;
+        Self { node, availability_zone, address }
+    }
+}
--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -100,7 +100,7 @@
             isolation_limit_ms: 4_000,
             address_lifetime_ms: 10_000,
             session_lifetime_ms: 600_000,
-            watch_limit_ms: 10_000,
+            watch_limit_ms: 2_000,
             upstream_status_ms: 1_000,
             pause_limit_ms: 1_000,
             drain_limit_ms: 30_000,
@@ -316,11 +316,6 @@
     pub fn watch_limit(&self) -> Duration {
         Duration::from_millis(self.watch_limit_ms)
     }
-
-    /// Returns the lifetime of an address answer.
-    pub fn address_lifetime(&self) -> Duration {
-        Duration::from_millis(self.address_lifetime_ms)
-    }
 }
 
 impl CallerLimits {
--- a/crates/node/src/node/addresses.rs
+++ b/crates/node/src/node/addresses.rs
@@ -3,8 +3,9 @@
 use std::{net::SocketAddr, time::Duration};
 
 use mux_config::ServiceDefinition;
-use mux_membership::MemberRecord;
-use mux_model::{AvailabilityZone, ServiceName};
+use mux_membership::{MemberRecord, MemberState};
+use mux_model::{AvailabilityZone, NodeId, ServiceName};
+use mux_placement::{AddressQuery, CandidateNode, HomeLimits, home_nodes};
 
 use super::{Node, StopPhase};
 use crate::{
@@ -31,13 +32,16 @@
             let message = format!("there is no service {service}");
             return Err(QueryProblem::not_run(ProblemCode::UnknownService, message));
         };
-        let zone = zone.map(AvailabilityZone::from);
-        let homes = self.home_members(runtime.definition());
-        let addresses = self.choose_addresses(&homes, zone.as_ref(), caller);
+        let zone = zone.filter(|it| !it.is_empty());
+        let zone = zone.map_or_else(|| self.availability_zone().clone(), AvailabilityZone::from);
+        let near_zones = [zone];
+        let query = AddressQuery { caller, near_zones: &near_zones, seed: rand::random() };
+        let homes = self.home_candidates(runtime.definition());
+        let planned = self.planner.plan(&query, &homes);
         Ok(AddressAnswer {
             service: service.clone(),
-            addresses,
-            lifetime_ms: to_millis(self.settings.timing.address_lifetime()),
+            addresses: planned.addresses.into_iter().map(AddressEntry::from).collect(),
+            lifetime_ms: planned.lifetime_ms,
             session: self.grant_session(),
         })
     }
@@ -58,25 +62,34 @@
         let Some(runtime) = self.registry.find(service) else {
             return Vec::new();
         };
-        self.home_members(runtime.definition())
-            .iter()
-            .filter(|it| it.node() != self.name())
-            .map(|it| it.identity.peer)
-            .collect()
+        let members = self.gossip.members();
+        let homes = self.home_names(runtime.definition());
+        let others = homes.iter().filter(|it| *it != self.name());
+        others.filter_map(|it| members.get(it)).map(|it| it.identity.peer).collect()
     }
 
-    /// Returns the home nodes of a service among the members.
-    pub(crate) fn home_members(&self, _definition: &ServiceDefinition) -> Vec<MemberRecord> {
-        self.gossip.members().available().cloned().collect()
+    /// Returns the names of the home nodes of a service.
+    pub(super) fn home_names(&self, definition: &ServiceDefinition) -> Vec<NodeId> {
+        let candidates = self.candidates();
+        let limits = &definition.limits;
+        let limits = HomeLimits::new(limits.connections_per_upstream, limits.connection_reserve);
+        let count = limits.home_count(candidates.len());
+        home_nodes(&definition.name, &candidates, count)
     }
 
-    fn choose_addresses(
-        &self,
-        homes: &[MemberRecord],
-        _zone: Option<&AvailabilityZone>,
-        _caller: &str,
-    ) -> Vec<AddressEntry> {
-        homes.iter().map(address_entry).collect()
+    /// Returns the members that may be given work for longer than a moment.
+    pub(super) fn candidates(&self) -> Vec<CandidateNode> {
+        let members = self.gossip.members();
+        let staying = members
+            .members
+            .iter()
+            .filter(|it| matches!(it.state, MemberState::Alive | MemberState::Suspect));
+        staying.map(candidate).collect()
+    }
+
+    fn home_candidates(&self, definition: &ServiceDefinition) -> Vec<CandidateNode> {
+        let homes = self.home_names(definition);
+        self.candidates().into_iter().filter(|it| homes.contains(&it.node)).collect()
     }
 
     fn grant_session(&self) -> SessionGrant {
@@ -92,11 +105,13 @@
     }
 }
 
-fn address_entry(member: &MemberRecord) -> AddressEntry {
-    AddressEntry {
+fn candidate(member: &MemberRecord) -> CandidateNode {
+    CandidateNode {
         node: member.node().clone(),
         availability_zone: member.identity.availability_zone.clone(),
-        address: member.identity.caller,
+        caller: member.identity.caller,
+        load: member.load,
+        available: member.is_available(),
     }
 }
 
--- a/crates/node/src/node/admission.rs
+++ b/crates/node/src/node/admission.rs
@@ -1,6 +1,6 @@
 //! Whether the node admits queries.
 
-use mux_config::{Readiness, UnreadyReason};
+use mux_config::{ReadyState, UnreadyReason};
 use mux_model::{RevisionNumber, TimePoint};
 
 use super::{Node, StopPhase};
@@ -20,7 +20,7 @@
             return Err(QueryProblem::not_run(ProblemCode::Draining, message)
                 .retry_after_ms(REFUSING_RETRY_MS));
         }
-        let Readiness::NotReady { reason, retry_after } = self.readiness() else {
+        let ReadyState::NotReady { reason, retry_after } = self.readiness() else {
             return Ok(());
         };
         let millis = u64::try_from(retry_after.as_millis()).unwrap_or(u64::MAX);
@@ -30,7 +30,7 @@
     /// Returns whether the configuration may be relied on.
     ///
     /// A pause that the heartbeat has not noticed yet counts as noticed.
-    pub(crate) fn readiness(&self) -> Readiness {
+    pub(crate) fn readiness(&self) -> ReadyState {
         if self.timer.is_stalled() {
             self.on_pause();
         }
@@ -57,7 +57,7 @@
         contacts.peer = Some(moment);
     }
 
-    /// Records how many other nodes may be running.
+    /// Records how many other nodes may be running, lost ones included.
     pub(crate) fn on_other_nodes(&self, count: usize) {
         self.lock_guard().on_other_nodes(count);
     }
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -1,14 +1,15 @@
 //! Applies configurations and derives what runs from them.
 
-use std::sync::Arc;
+use std::sync::{Arc, atomic::Ordering};
 
 use mux_config::{
     ConfigState, ConfigUpdate, OfferOutcome, ServiceDefinition, ServiceEntry, ServiceLimits,
 };
 use mux_model::{RevisionNumber, UpstreamId};
+use mux_placement::{HomeLimits, watcher_nodes};
 use slog::{info, warn};
 
-use super::Node;
+use super::{Node, StopPhase};
 use crate::dispatch::{ServicePlacement, ServiceRuntime};
 
 impl Node {
@@ -45,6 +46,16 @@
         outcome
     }
 
+    /// Takes in that the members changed.
+    pub(crate) fn on_members_changed(&self) {
+        let watchers = watcher_nodes(&self.candidates());
+        self.watches_store.store(watchers.contains(self.name()), Ordering::Release);
+        let members = self.gossip.members();
+        let peers: Vec<_> = members.members.iter().map(|it| it.identity.peer).collect();
+        self.peers.retain(&peers);
+        self.rebuild_services();
+    }
+
     /// Derives the services and connection shares from the configuration and the members.
     pub(crate) fn rebuild_services(&self) {
         // The lock is held so that a slower rebuild never replaces a newer one.
@@ -79,18 +90,16 @@
     }
 
     fn place_service(&self, definition: &ServiceDefinition) -> ServicePlacement {
-        let homes = self.home_members(definition);
-        let home_count = u32::try_from(homes.len().max(1)).unwrap_or(u32::MAX);
+        let homes = self.home_names(definition);
+        let limits = &definition.limits;
+        let limits = HomeLimits::new(limits.connections_per_upstream, limits.connection_reserve);
+        // A node that is leaving keeps its connections until its last query is done.
+        let leaving = self.stop.phase() != StopPhase::Serving;
         ServicePlacement {
-            home: homes.iter().any(|it| it.node() == self.name()),
-            home_count,
-            connection_share: connection_share(&definition.limits, home_count),
+            home: leaving || homes.contains(self.name()),
+            home_count: u32::try_from(homes.len().max(1)).unwrap_or(u32::MAX),
+            connection_share: limits.connection_share(homes.len()),
             availability_zone: self.settings.availability_zone.clone(),
         }
     }
 }
-
-fn connection_share(limits: &ServiceLimits, home_count: u32) -> u32 {
-    let usable = limits.connections_per_upstream.saturating_sub(limits.connection_reserve);
-    (usable / home_count.max(1)).max(1)
-}
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -13,13 +13,15 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
+    time::Duration,
 };
 
 use mux_config::{ConfigReplica, FreshnessGuard};
 use mux_membership::{GossipService, MemberRecord};
-use mux_model::{NodeId, TimePoint};
+use mux_model::{AvailabilityZone, NodeId, TimePoint};
+use mux_placement::AddressPlanner;
 use mux_platform::HttpStore;
 use mux_timer::TimerService;
 use mux_upstream::UpstreamPool;
@@ -54,6 +56,8 @@
     dispatcher: QueryDispatcher,
     metrics: NodeMetrics,
     stop: StopState,
+    planner: AddressPlanner,
+    watches_store: AtomicBool,
     stop_request: Notify,
     queries: Arc<AtomicU32>,
     contacts: Mutex<ContactTimes>,
@@ -79,6 +83,16 @@
         &self.settings.node
     }
 
+    /// Returns the availability zone.
+    pub(crate) fn availability_zone(&self) -> &AvailabilityZone {
+        &self.settings.availability_zone
+    }
+
+    /// Returns the longest time for which an address answer may be used.
+    pub(crate) fn longest_address_lifetime(&self) -> Duration {
+        Duration::from_millis(self.planner.longest_lifetime_ms())
+    }
+
     /// Returns the settings.
     pub(crate) fn settings(&self) -> &NodeSettings {
         &self.settings
@@ -141,7 +155,7 @@
 
     /// Returns whether this node watches the key-value service for others.
     pub(crate) fn watches_store(&self) -> bool {
-        true
+        self.watches_store.load(Ordering::Acquire)
     }
 
     /// Returns the number of queries in flight.
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -1,13 +1,14 @@
 //! Assembles a node.
 
 use std::{
-    sync::{Arc, Mutex},
+    sync::{Arc, Mutex, atomic::AtomicBool},
     time::Duration,
 };
 
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
 use mux_membership::GossipService;
 use mux_model::NodeIncarnation;
+use mux_placement::AddressPlanner;
 use mux_platform::{HttpStore, StoreSettings};
 use mux_query::{LedgerLimits, SessionLedger, SessionMint};
 use mux_timer::TimerService;
@@ -63,6 +64,10 @@
             lag_limit: settings.timing.isolation_limit(),
             retry_after: READY_RETRY,
         };
+        let planner = AddressPlanner {
+            lifetime_ms: settings.timing.address_lifetime_ms,
+            ..AddressPlanner::default()
+        };
         Arc::new_cyclic(|node| Node {
             started: timer.now(),
             incarnation,
@@ -84,6 +89,8 @@
             registry: ServiceRegistry::default(),
             metrics: NodeMetrics::new(),
             stop: StopState::default(),
+            planner,
+            watches_store: AtomicBool::new(true),
             stop_request: Notify::new(),
             queries: Arc::default(),
             contacts: Mutex::default(),
--- a/crates/node/src/node/status.rs
+++ b/crates/node/src/node/status.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mux_admin::{MemberStatus, NodeStatus, ServiceStatus, UpstreamState};
-use mux_config::Readiness;
+use mux_config::ReadyState;
 use mux_membership::{MemberRecord, MemberState};
 use mux_model::FastMap;
 use mux_routing::ReplicaRouter;
@@ -46,8 +46,8 @@
             return ("draining", "a planned stop was asked for");
         }
         match self.readiness() {
-            Readiness::Ready => ("ready", ""),
-            Readiness::NotReady { reason, .. } => ("not_ready", admission::describe(reason)),
+            ReadyState::Ready => ("ready", ""),
+            ReadyState::NotReady { reason, .. } => ("not_ready", admission::describe(reason)),
         }
     }
 
--- a/crates/node/src/node/telemetry.rs
+++ b/crates/node/src/node/telemetry.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mux_config::Readiness;
+use mux_config::ReadyState;
 use mux_membership::MemberState;
 use mux_model::ServiceName;
 use mux_query::FanOutResult;
@@ -81,7 +81,7 @@
         gauges.revision.set(to_gauge(self.revision().0));
         gauges.store_contact_age.set(age(contacts.store));
         gauges.peer_contact_age.set(age(contacts.peer));
-        gauges.ready.set(i64::from(self.readiness() == Readiness::Ready));
+        gauges.ready.set(i64::from(self.readiness() == ReadyState::Ready));
         gauges.draining.set(i64::from(self.stop.phase() != StopPhase::Serving));
         gauges.queries_in_flight.set(i64::from(self.queries_in_flight()));
         gauges.sessions.set(to_gauge(self.dispatcher.ledger().session_count() as u64));
--- a/crates/node/src/operator/operator_server.rs
+++ b/crates/node/src/operator/operator_server.rs
@@ -256,8 +256,9 @@
         let operator = request.into_inner().operator;
         info!(self.node.logger(), "operator: asked for a planned stop"; "operator" => operator);
         self.node.request_stop();
-        let lifetime = self.node.settings().timing.address_lifetime_ms;
-        Ok(Response::new(DrainNodeReply { exits_after_ms: lifetime }))
+        let lifetime = self.node.longest_address_lifetime().as_millis();
+        let exits_after_ms = u64::try_from(lifetime).unwrap_or(u64::MAX);
+        Ok(Response::new(DrainNodeReply { exits_after_ms }))
     }
 }
 
--- a/crates/node/src/sync/member_watch.rs
+++ b/crates/node/src/sync/member_watch.rs
@@ -48,15 +48,15 @@
     match event {
         GossipEvent::MemberUp { member } => {
             log_member(node, "up", &member);
-            node.rebuild_services();
+            node.on_members_changed();
         }
         GossipEvent::MemberDown { member } => {
             log_member(node, "down", &member);
-            node.rebuild_services();
+            node.on_members_changed();
         }
         GossipEvent::MemberChanged { member } => {
             log_member(node, "changed", &member);
-            node.rebuild_services();
+            node.on_members_changed();
         }
         GossipEvent::PeerHeard { peer, revision, .. }
         | GossipEvent::RevisionAnnounced { peer, revision, .. } => {
--- a/crates/node/src/sync/planned_stop.rs
+++ b/crates/node/src/sync/planned_stop.rs
@@ -21,7 +21,7 @@
     }
     info!(node.logger(), "stop: leaving, still serves");
     node.gossip().leave();
-    node.timer().sleep(node.settings().timing.address_lifetime() + GOSSIP_MARGIN).await;
+    node.timer().sleep(node.longest_address_lifetime() + GOSSIP_MARGIN).await;
     node.stop().advance(StopPhase::Refusing);
     info!(node.logger(), "stop: refuses new queries"; "in_flight" => node.queries_in_flight());
     node.timer().sleep(REFUSING_TIME).await;
