Keep verdicts true over restarts of a query, and wire reports and upkeep

Ruled out: keeping the attempts in the dispatcher (a second copy of the rule that QueryAttempts proves).

The exchange of members over TCP is gone: gossip synchronises by itself.

Before: the verdict over attempts was wrong by reading.

--- a/crates/node/src/dispatch/fan_out_driver.rs
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -1,5 +1,7 @@
 //! Carries out the actions of a fan-out: calls, cancellations and waits.
 
+use std::pin::pin;
+
 use bytes::Bytes;
 use futures::{
     StreamExt,
@@ -7,9 +9,10 @@
     stream::FuturesUnordered,
 };
 use mux_model::{
-    CallFailure, CallId, FastMap, ServiceName, ShardIndex, SnapshotId, TimePoint, UpstreamId,
+    CallFailure, CallId, FastMap, NotRunReason, ServiceName, ShardIndex, SnapshotId, TimePoint,
+    UpstreamId,
 };
-use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
+use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult, QueryAttempts};
 use mux_timer::TimerService;
 use mux_upstream::{CallHeader, UpstreamPool, UpstreamReply};
 use tokio::sync::mpsc;
@@ -58,15 +61,22 @@
         Self { node, timer, pool, runtime, service: runtime.name(), plan, body }
     }
 
-    /// Runs the fan-out and returns its result, or `None` if the caller went away.
-    pub(crate) async fn run(self, caller_gone: &mut mpsc::Receiver<()>) -> Option<FanOutResult> {
+    /// Runs the fan-out to its result.
+    ///
+    /// An idempotent query is abandoned when the caller goes away; any other runs on, so that its
+    /// outcome is known to a repeat.
+    pub(crate) async fn run(
+        self,
+        attempts: &QueryAttempts,
+        caller_gone: &mut mpsc::Receiver<()>,
+    ) -> FanOutResult {
         let router = self.runtime.router();
-        let mut fan_out = FanOut::new(self.plan.clone());
+        let mut fan_out = FanOut::with_first_call(self.plan.clone(), attempts.next_call());
         let mut calls = FuturesUnordered::new();
         let mut handles = FastMap::default();
         let mut actions = Vec::with_capacity(self.plan.map.shard_count() as usize + 1);
-        let mut wake_at = self.plan.deadline;
-        let mut watch_caller = true;
+        let mut wake = pin!(self.timer.sleep_until(self.plan.deadline));
+        let mut watch_caller = self.plan.idempotent;
         fan_out.start(self.timer.now(), router, &mut actions);
         loop {
             for action in actions.drain(..) {
@@ -82,8 +92,8 @@
                             handle.abort();
                         }
                     }
-                    FanOutAction::WakeAt(moment) => wake_at = moment,
-                    FanOutAction::Finish(result) => return Some(result),
+                    FanOutAction::WakeAt(moment) => wake.set(self.timer.sleep_until(moment)),
+                    FanOutAction::Finish(result) => return result,
                 }
             }
             tokio::select! {
@@ -93,18 +103,15 @@
                         continue;
                     };
                     handles.remove(&end.call);
-                    self.take_end(&mut fan_out, end, &mut actions);
+                    self.take_end(&mut fan_out, attempts, end, &mut actions);
                 }
-                () = self.timer.sleep_until(wake_at) => {
-                    wake_at = self.plan.deadline;
+                () = &mut wake => {
+                    wake.set(self.timer.sleep_until(self.plan.deadline));
                     fan_out.on_wake(self.timer.now(), router, &mut actions);
                 }
                 _ = caller_gone.recv(), if watch_caller => {
                     watch_caller = false;
-                    if self.plan.idempotent {
-                        fan_out.abandon(self.timer.now(), router, &mut actions);
-                        return None;
-                    }
+                    fan_out.abandon(self.timer.now(), router, &mut actions);
                 }
             }
         }
@@ -130,7 +137,13 @@
         CallEnd { call, upstream, sent_at, result }
     }
 
-    fn take_end(&self, fan_out: &mut FanOut, end: CallEnd, actions: &mut Vec<FanOutAction>) {
+    fn take_end(
+        &self,
+        fan_out: &mut FanOut,
+        attempts: &QueryAttempts,
+        end: CallEnd,
+        actions: &mut Vec<FanOutAction>,
+    ) {
         let now = self.timer.now();
         let latency = now.since(end.sent_at);
         let snapshot = self.plan.map.snapshot();
@@ -149,7 +162,16 @@
                 };
                 fan_out.on_reply(now, router, end.call, reply, latency, actions);
             }
-            Err(failure) => fan_out.on_failure(now, router, end.call, failure, latency, actions),
+            Err(failure) => {
+                fan_out.on_failure(now, router, end.call, failure, latency, actions);
+                let missing = matches!(
+                    failure,
+                    CallFailure::NotRun { reason: NotRunReason::SnapshotMissing, .. }
+                );
+                if missing && self.runtime.has_other_snapshot(attempts.gone(), snapshot) {
+                    fan_out.leave_snapshot(now, router, actions);
+                }
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/node/src/dispatch/fan_out_runner.rs
@@ -0,0 +1,109 @@
+//! Runs an admitted query at this node, over as many snapshots as it takes.
+
+use std::{sync::Arc, time::Duration};
+
+use mux_model::{SnapshotMap, TimePoint};
+use mux_query::{FanOutPlan, FanOutResult, QueryAttempts};
+use mux_routing::ReplicaRouter;
+use mux_timer::TimerService;
+use tokio::sync::mpsc;
+
+use super::{
+    ProblemCode, QueryCommand, QueryProblem, RuntimeCounters, ServiceRuntime,
+    fan_out_driver::FanOutDriver,
+    outcome_mapping::{DEFAULT_RETRY_MS, QueryResult, to_answer, to_millis},
+};
+use crate::Node;
+
+/// Runs one query at this node.
+pub(super) struct FanOutRunner<'a> {
+    node: &'a Node,
+    runtime: &'a ServiceRuntime,
+    deadline: TimePoint,
+}
+
+impl<'a> FanOutRunner<'a> {
+    /// Creates a runner for a query that ends by `deadline`.
+    pub(super) fn new(node: &'a Node, runtime: &'a ServiceRuntime, deadline: TimePoint) -> Self {
+        Self { node, runtime, deadline }
+    }
+
+    /// Runs the query if the service has room for it.
+    pub(super) async fn run(
+        &self,
+        command: QueryCommand,
+        mut caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        let timer = self.node.timer();
+        if let Err(refusal) = self.runtime.router().admit(timer.now()) {
+            self.node.count_overload(self.runtime.name());
+            let message = "the service has as many queries as its upstreams can take";
+            return Err(QueryProblem::not_run(ProblemCode::Overloaded, message)
+                .retry_after_ms(to_millis(refusal.retry_after)));
+        }
+        let admitted = AdmittedQuery { runtime: self.runtime, timer };
+        let result = self.try_snapshots(command, &mut caller_gone).await;
+        drop(admitted);
+        result
+    }
+
+    async fn try_snapshots(
+        &self,
+        command: QueryCommand,
+        caller_gone: &mut mpsc::Receiver<()>,
+    ) -> QueryResult {
+        let mut attempts = QueryAttempts::new();
+        loop {
+            let Some(map) = self.runtime.pin(attempts.gone()) else {
+                return attempts.into_last().map_or_else(|| Err(no_snapshot()), to_answer);
+            };
+            let plan = self.plan(&command, map);
+            let driver = FanOutDriver::new(self.node, self.runtime, plan, command.body.clone());
+            let result = driver.run(&attempts, caller_gone).await;
+            let Some(result) = attempts.finish(result) else {
+                RuntimeCounters::add(&self.runtime.counters().repinned, 1);
+                continue;
+            };
+            self.count_result(&result);
+            return to_answer(result);
+        }
+    }
+
+    fn plan(&self, command: &QueryCommand, map: Arc<SnapshotMap>) -> FanOutPlan {
+        let definition = self.runtime.definition();
+        let latency_target = Duration::from_millis(definition.latency_target_ms);
+        FanOutPlan {
+            request: command.request,
+            map,
+            idempotent: definition.idempotent,
+            latency_target: (self.node.timer().now() + latency_target).min(self.deadline),
+            deadline: self.deadline,
+            coverage_target: definition.coverage_target,
+            coverage_minimum: definition.coverage_minimum,
+        }
+    }
+
+    fn count_result(&self, result: &FanOutResult) {
+        let counters = self.runtime.counters();
+        RuntimeCounters::add(&counters.calls, u64::from(result.calls));
+        RuntimeCounters::add(&counters.shards, u64::from(result.coverage.total));
+        self.node.record_coverage(self.runtime.name(), result);
+    }
+}
+
+/// Gives an admitted query's place back when it ends.
+struct AdmittedQuery<'a> {
+    runtime: &'a ServiceRuntime,
+    timer: &'a TimerService,
+}
+
+impl Drop for AdmittedQuery<'_> {
+    fn drop(&mut self) {
+        self.runtime.router().finish(self.timer.now());
+    }
+}
+
+fn no_snapshot() -> QueryProblem {
+    let message = "no snapshot of the service's data is known to be complete enough";
+    QueryProblem::not_run(ProblemCode::NoSnapshot, message).retry_after_ms(DEFAULT_RETRY_MS)
+}
--- a/crates/node/src/dispatch/mod.rs
+++ b/crates/node/src/dispatch/mod.rs
@@ -1,6 +1,8 @@
 //! Runs queries: admission, sessions, home nodes, the fan-out and its result.
 
 mod fan_out_driver;
+mod fan_out_runner;
+mod outcome_mapping;
 mod query_command;
 mod query_dispatcher;
 mod query_outcome;
--- /dev/null
+++ b/crates/node/src/dispatch/outcome_mapping.rs
@@ -0,0 +1,95 @@
+//! Turns the ends of fan-outs and the words of the ledger into outcomes.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use mux_model::Verdict;
+use mux_query::{BeginOutcome, FanOutResult, FanOutStop};
+
+use super::{ProblemCode, QueryAnswer, QueryProblem, ShardBody};
+
+/// Result of a query.
+pub(super) type QueryResult = Result<QueryAnswer, QueryProblem>;
+
+/// Time to come back if nothing better is known.
+pub(super) const DEFAULT_RETRY_MS: u64 = 200;
+
+const IN_PROGRESS_RETRY_MS: u64 = 50;
+
+/// Turns the end of a fan-out into the result of its query.
+pub(super) fn to_answer(result: FanOutResult) -> QueryResult {
+    let Some(stop) = result.stop else {
+        let shards =
+            result.shards.into_iter().map(|it| ShardBody { shard: it.shard, body: it.body });
+        return Ok(QueryAnswer {
+            snapshot: result.snapshot,
+            coverage: result.coverage,
+            shards: shards.collect(),
+            replayed: false,
+        });
+    };
+    let (code, message) = match stop {
+        FanOutStop::CoverageUnreachable => (
+            ProblemCode::CoverageUnreachable,
+            "too many shards failed for the service's minimum coverage",
+        ),
+        FanOutStop::DeadlinePassed => {
+            (ProblemCode::DeadlinePassed, "the deadline passed below the minimum coverage")
+        }
+        FanOutStop::SnapshotGone => {
+            (ProblemCode::NoSnapshot, "the upstreams no longer hold the snapshot")
+        }
+        FanOutStop::Saturated => (ProblemCode::Overloaded, "every replica is at its limit"),
+        FanOutStop::Abandoned => (ProblemCode::Internal, "the caller went away"),
+    };
+    let retry_after = result.retry_after.map_or(DEFAULT_RETRY_MS, to_millis);
+    let problem = QueryProblem::not_run(code, message).retry_after_ms(retry_after);
+    Err(QueryProblem { verdict: result.verdict, ..problem })
+}
+
+/// Answers a repeat of a request that has ended.
+pub(super) fn replay(verdict: Verdict, answer: Option<Bytes>) -> QueryResult {
+    let answer = answer.and_then(|it| serde_json::from_slice::<QueryAnswer>(&it).ok());
+    if let Some(answer) = answer {
+        return Ok(QueryAnswer { replayed: true, ..answer });
+    }
+    let message = match verdict {
+        Verdict::Done => "the request ran before and its answer is no longer kept",
+        _ => "the request was tried before and may have run",
+    };
+    Err(QueryProblem::may_have_run(ProblemCode::AnswerForgotten, message))
+}
+
+/// Turns the ledger's refusal into a problem.
+pub(super) fn session_problem(outcome: &BeginOutcome) -> QueryProblem {
+    let (code, message) = match outcome {
+        BeginOutcome::InProgress => (ProblemCode::InProgress, "the same request is running"),
+        BeginOutcome::Forgotten => (
+            ProblemCode::SequenceForgotten,
+            "the sequence number is older than those that the session remembers",
+        ),
+        BeginOutcome::Expired => (
+            ProblemCode::SessionExpired,
+            "the session's lifetime is over; an earlier attempt may have run",
+        ),
+        BeginOutcome::TableFull { .. } => {
+            (ProblemCode::TooManyRequests, "the node remembers as many sessions as it can")
+        }
+        _ => (
+            ProblemCode::SessionInvalid,
+            "the session belongs to an earlier run of this node; an earlier attempt may have run",
+        ),
+    };
+    let verdict = outcome.verdict().unwrap_or(Verdict::MayHaveRun);
+    let problem = QueryProblem { verdict, ..QueryProblem::not_run(code, message) };
+    match outcome {
+        BeginOutcome::InProgress => problem.retry_after_ms(IN_PROGRESS_RETRY_MS),
+        BeginOutcome::TableFull { retry_after } => problem.retry_after_ms(to_millis(*retry_after)),
+        _ => problem,
+    }
+}
+
+/// Returns whole milliseconds, at least 1.
+pub(super) fn to_millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX).max(1)
+}
--- a/crates/node/src/dispatch/service_runtime.rs
+++ b/crates/node/src/dispatch/service_runtime.rs
@@ -26,18 +26,10 @@
 /// Counts of one service since the node started.
 #[derive(Debug, Default)]
 pub(crate) struct RuntimeCounters {
-    /// Queries answered.
-    pub(crate) answered: AtomicU64,
-    /// Queries answered with less than full coverage.
-    pub(crate) partial: AtomicU64,
-    /// Queries without an answer.
-    pub(crate) failed: AtomicU64,
     /// Calls sent to upstreams.
     pub(crate) calls: AtomicU64,
     /// Shards that those calls were for, each counted once a query.
     pub(crate) shards: AtomicU64,
-    /// Queries refused for overload.
-    pub(crate) refused: AtomicU64,
     /// Queries started over with another snapshot.
     pub(crate) repinned: AtomicU64,
 }
@@ -46,11 +38,7 @@
     /// Returns the values.
     pub(crate) fn read(&self) -> CounterValues {
         let value = |it: &AtomicU64| it.load(Ordering::Relaxed);
-        CounterValues {
-            calls: value(&self.calls),
-            shards: value(&self.shards),
-            refused: value(&self.refused),
-        }
+        CounterValues { calls: value(&self.calls), shards: value(&self.shards) }
     }
 
     /// Adds to one counter.
@@ -66,8 +54,6 @@
     pub(crate) calls: u64,
     /// Shards that those calls were for.
     pub(crate) shards: u64,
-    /// Queries refused for overload.
-    pub(crate) refused: u64,
 }
 
 /// What the latest reply of an upstream said.
@@ -172,6 +158,17 @@
         self.lock_catalog().pin(self.definition.coverage_target, excluded)
     }
 
+    /// Returns whether a snapshot other than `gone` and `current` meets the coverage target.
+    pub(crate) fn has_other_snapshot(&self, gone: &[SnapshotId], current: SnapshotId) -> bool {
+        let excluded: Vec<_> = gone.iter().copied().chain([current]).collect();
+        self.lock_catalog().has_complete(self.definition.coverage_target, &excluded)
+    }
+
+    /// Learns that an upstream's status could not be read.
+    pub(crate) fn observe_unreachable(&self, upstream: UpstreamId) {
+        self.lock_catalog().on_unreachable(upstream);
+    }
+
     /// Learns from the end of a call; returns whether the upstream drains if that is news.
     pub(crate) fn observe_call(&self, now: TimePoint, report: &CallReport) -> Option<bool> {
         let upstream = report.upstream;
--- a/crates/node/src/metrics/mod.rs
+++ b/crates/node/src/metrics/mod.rs
@@ -5,5 +5,5 @@
 
 pub(crate) use metrics_server::MetricsServer;
 pub(crate) use node_metrics::{
-    NodeGauges, NodeMetrics, service_label, state_label, upstream_labels,
+    NodeGauges, NodeMetrics, connection_label, service_label, state_label, upstream_labels,
 };
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -42,6 +42,12 @@
     upstream: String,
 }
 
+/// Label of the connections to one upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ConnectionLabel {
+    upstream: String,
+}
+
 /// Label of the members in one state.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct StateLabel {
@@ -90,9 +96,11 @@
     /// Limit of calls in flight at one upstream.
     pub(crate) upstream_limit: Family<UpstreamLabels, Gauge>,
     /// Open connections to one upstream.
-    pub(crate) upstream_connections: Family<UpstreamLabels, Gauge>,
+    pub(crate) upstream_connections: Family<ConnectionLabel, Gauge>,
     /// Connections to one upstream retired because they were silent.
-    pub(crate) silent_connections: Family<UpstreamLabels, Gauge>,
+    pub(crate) silent_connections: Family<ConnectionLabel, Gauge>,
+    /// Queries of a service that may be in flight at present.
+    pub(crate) query_limit: Family<ServiceLabel, Gauge>,
 }
 
 /// All metrics of a node.
@@ -210,6 +218,7 @@
             Unit::Seconds,
             it.hedge_delay.clone(),
         );
+        registry.register("query_limit", "Queries that may be in flight", it.query_limit.clone());
         registry.register("upstream_in_flight", "Calls in flight", it.upstream_in_flight.clone());
         registry.register("upstream_limit", "Limit of calls in flight", it.upstream_limit.clone());
         registry.register(
@@ -235,6 +244,11 @@
     UpstreamLabels { service: service.to_string(), upstream: upstream.to_owned() }
 }
 
+/// Returns the label of the connections to one upstream.
+pub(crate) fn connection_label(upstream: &str) -> ConnectionLabel {
+    ConnectionLabel { upstream: upstream.to_owned() }
+}
+
 /// Returns the label of a member state.
 pub(crate) fn state_label(state: &'static str) -> StateLabel {
     StateLabel { state }
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -2,9 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
-use mux_config::{
-    ConfigState, ConfigUpdate, OfferOutcome, ServiceDefinition, ServiceEntry, ServiceLimits,
-};
+use mux_config::{ConfigState, ConfigUpdate, OfferOutcome, ServiceDefinition, ServiceEntry};
 use mux_model::{RevisionNumber, UpstreamId};
 use mux_placement::{HomeLimits, watcher_nodes};
 use slog::{info, warn};
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -19,7 +19,7 @@
 };
 
 use mux_config::{ConfigReplica, FreshnessGuard};
-use mux_membership::{GossipService, MemberRecord};
+use mux_membership::GossipService;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
 use mux_placement::AddressPlanner;
 use mux_platform::HttpStore;
@@ -174,12 +174,6 @@
         self.gossip.members().get(node).map(|it| it.identity.peer)
     }
 
-    /// Merges the members that another node knows and returns those that this one knows.
-    pub(crate) fn exchange_members(&self, records: &[MemberRecord]) -> Vec<MemberRecord> {
-        self.gossip.import(records);
-        self.gossip.export()
-    }
-
     fn lock_guard(&self) -> MutexGuard<'_, FreshnessGuard> {
         self.guard.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/node/status.rs
+++ b/crates/node/src/node/status.rs
@@ -5,14 +5,14 @@
 use mux_admin::{MemberStatus, NodeStatus, ServiceStatus, UpstreamState};
 use mux_config::ReadyState;
 use mux_membership::{MemberRecord, MemberState};
-use mux_model::FastMap;
-use mux_routing::ReplicaRouter;
+use mux_model::{FastMap, TimePoint, UpstreamId};
+use mux_routing::{UpstreamCondition, UpstreamReport as RouterUpstream};
 use mux_upstream::UpstreamReport;
 
 use super::{Node, StopPhase, admission};
 use crate::dispatch::ServiceRuntime;
 
-type PoolTable = FastMap<mux_model::UpstreamId, UpstreamReport>;
+type PoolTable = FastMap<UpstreamId, UpstreamReport>;
 
 impl Node {
     /// Returns what this node knows about itself, its peers and its services.
@@ -54,7 +54,7 @@
     fn service_status(&self, service: &ServiceRuntime, pool: &PoolTable) -> ServiceStatus {
         let now = self.timer.now();
         let map = service.pin(&[]);
-        let counters = service.counters().read();
+        let router = service.router().report(now);
         ServiceStatus {
             name: service.name().to_string(),
             revision: service.revision().0,
@@ -62,15 +62,14 @@
             snapshot: map.as_ref().map_or(0, |it| it.snapshot().0),
             shards_reachable: map.as_ref().map_or(0, |it| it.reachable_count()),
             shards_total: map.as_ref().map_or(0, |it| it.shard_count()),
-            queries_in_flight: 0,
-            hedge_delay_us: service.router().hedge_delay(now).map_or(0, to_micros),
-            extra_load_budget: 0.0,
-            refusals: counters.refused,
-            upstreams: service
-                .definition()
+            queries_in_flight: router.queries_in_flight,
+            hedge_delay_us: router.hedge_delay.map_or(0, to_micros),
+            extra_load_budget: router.budget_left.unwrap_or(f64::INFINITY),
+            refusals: router.counts.refused_queries,
+            upstreams: router
                 .upstreams
                 .iter()
-                .map(|it| upstream_state(service, it.address, pool, now))
+                .map(|it| upstream_state(service, it, pool, now))
                 .collect(),
         }
     }
@@ -78,20 +77,30 @@
 
 fn upstream_state(
     service: &ServiceRuntime,
-    upstream: mux_model::UpstreamId,
+    router: &RouterUpstream,
     pool: &PoolTable,
-    now: mux_model::TimePoint,
+    now: TimePoint,
 ) -> UpstreamState {
-    let connections = pool.get(&upstream);
     UpstreamState {
-        address: upstream.to_string(),
-        state: String::new(),
-        in_flight: connections.map_or(0, |it| it.calls_in_flight),
-        limit: 0,
-        latency_us: 0,
-        connections: connections.map_or(0, |it| it.open),
-        last_reply_age_ms: service.reply_age(now, upstream).map_or(0, to_millis),
-        draining: false,
+        address: router.upstream.to_string(),
+        state: describe_condition(router.condition).to_owned(),
+        in_flight: router.in_flight,
+        limit: router.limit.unwrap_or(0),
+        latency_us: to_micros(router.latency),
+        connections: pool.get(&router.upstream).map_or(0, |it| it.open),
+        last_reply_age_ms: service.reply_age(now, router.upstream).map_or(0, to_millis),
+        draining: router.condition == UpstreamCondition::Draining,
+    }
+}
+
+fn describe_condition(condition: UpstreamCondition) -> &'static str {
+    match condition {
+        UpstreamCondition::Serving => "serving",
+        UpstreamCondition::Paused => "paused",
+        UpstreamCondition::Draining => "draining",
+        UpstreamCondition::Ejected => "ejected",
+        UpstreamCondition::Probing => "probing",
+        UpstreamCondition::Removed => "removed",
     }
 }
 
--- a/crates/node/src/node/telemetry.rs
+++ b/crates/node/src/node/telemetry.rs
@@ -6,7 +6,6 @@
 use mux_membership::MemberState;
 use mux_model::ServiceName;
 use mux_query::FanOutResult;
-use mux_routing::ReplicaRouter;
 use slog::warn;
 
 use super::{Node, StopPhase};
@@ -67,6 +66,7 @@
         for service in self.registry.all() {
             self.fill_service_gauges(gauges, &service);
         }
+        self.fill_pool_gauges(gauges);
         self.metrics.render()
     }
 
@@ -89,6 +89,7 @@
         gauges.gossip_datagrams_out.set(to_gauge(gossip.datagrams_out));
         gauges.gossip_bytes_out.set(to_gauge(gossip.bytes_out));
         gauges.gossip_bytes_in.set(to_gauge(gossip.bytes_in));
+        gauges.store_calls.set(to_gauge(self.store.call_count()));
         let members = self.gossip.members();
         for (state, name) in MEMBER_STATES {
             let count = members.in_state(state).count() as u64;
@@ -99,11 +100,29 @@
     fn fill_service_gauges(&self, gauges: &NodeGauges, service: &ServiceRuntime) {
         let label = metrics::service_label(service.name());
         let counters = service.counters().read();
+        let router = service.router().report(self.timer.now());
         gauges.upstream_calls.get_or_create(&label).set(to_gauge(counters.calls));
         gauges.upstream_shards.get_or_create(&label).set(to_gauge(counters.shards));
-        let delay = service.router().hedge_delay(self.timer.now());
-        let seconds = delay.map_or(0.0, |it| it.as_secs_f64());
+        let seconds = router.hedge_delay.map_or(0.0, |it| it.as_secs_f64());
         gauges.hedge_delay.get_or_create(&label).set(seconds);
+        let budget = router.budget_left.unwrap_or(f64::INFINITY);
+        gauges.extra_load_budget.get_or_create(&label).set(budget);
+        gauges.query_limit.get_or_create(&label).set(i64::from(router.query_limit));
+        for upstream in &router.upstreams {
+            let labels = metrics::upstream_labels(service.name(), &upstream.upstream.to_string());
+            gauges.upstream_in_flight.get_or_create(&labels).set(i64::from(upstream.in_flight));
+            let limit = upstream.limit.map_or(0, i64::from);
+            gauges.upstream_limit.get_or_create(&labels).set(limit);
+        }
+    }
+
+    fn fill_pool_gauges(&self, gauges: &NodeGauges) {
+        for upstream in self.pool.report().upstreams {
+            let label = metrics::connection_label(&upstream.upstream.to_string());
+            gauges.upstream_connections.get_or_create(&label).set(i64::from(upstream.open));
+            let silent = to_gauge(upstream.silent_connections);
+            gauges.silent_connections.get_or_create(&label).set(silent);
+        }
     }
 }
 
--- a/crates/node/src/peer/peer_client.rs
+++ b/crates/node/src/peer/peer_client.rs
@@ -8,7 +8,6 @@
 };
 
 use mux_config::ConfigUpdate;
-use mux_membership::MemberRecord;
 use mux_model::{FastMap, RevisionNumber};
 use mux_timer::TimerService;
 use tarpc::{
@@ -92,21 +91,6 @@
         self.settle(peer, result)
     }
 
-    /// Exchanges all known members.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`PeerError`] if no reply came.
-    pub(crate) async fn exchange_members(
-        &self,
-        peer: SocketAddr,
-        records: Vec<MemberRecord>,
-    ) -> Result<Vec<MemberRecord>, PeerError> {
-        let client = self.connection(peer).await?;
-        let result = client.exchange_members(within(CONTROL_CALL_LIMIT), records).await;
-        self.settle(peer, result)
-    }
-
     /// Closes the connections to nodes that are not in `peers`.
     pub(crate) fn retain(&self, peers: &[SocketAddr]) {
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/peer/peer_protocol.rs
+++ b/crates/node/src/peer/peer_protocol.rs
@@ -1,7 +1,6 @@
 //! The calls that nodes make to one another.
 
 use mux_config::ConfigUpdate;
-use mux_membership::MemberRecord;
 use mux_model::RevisionNumber;
 
 use crate::dispatch::{QueryCommand, QueryOutcome};
@@ -17,7 +16,4 @@
 
     /// Returns the configuration revision in force at the node.
     async fn read_revision() -> RevisionNumber;
-
-    /// Exchanges all members that either side knows.
-    async fn exchange_members(records: Vec<MemberRecord>) -> Vec<MemberRecord>;
 }
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -4,7 +4,6 @@
 
 use futures::StreamExt;
 use mux_config::ConfigUpdate;
-use mux_membership::MemberRecord;
 use mux_model::RevisionNumber;
 use slog::{Logger, debug};
 use tarpc::{
@@ -91,8 +90,4 @@
     async fn read_revision(self, _: Context) -> RevisionNumber {
         self.node.revision()
     }
-
-    async fn exchange_members(self, _: Context, records: Vec<MemberRecord>) -> Vec<MemberRecord> {
-        self.node.exchange_members(&records)
-    }
 }
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -92,10 +92,10 @@
 }
 
 fn spawn_tasks(node: &Arc<Node>, events: mpsc::Receiver<GossipEvent>) {
-    tokio::spawn(sync::handle_gossip(Arc::clone(node), events));
-    tokio::spawn(sync::watch_members(Arc::clone(node)));
+    tokio::spawn(sync::watch_members(Arc::clone(node), events));
     tokio::spawn(sync::watch_config(Arc::clone(node)));
     tokio::spawn(sync::watch_vms(Arc::clone(node)));
+    tokio::spawn(sync::run_janitor(Arc::clone(node)));
     tokio::spawn(sync::poll_upstreams(Arc::clone(node)));
 }
 
--- a/crates/node/src/sync/member_watch.rs
+++ b/crates/node/src/sync/member_watch.rs
@@ -4,38 +4,24 @@
 
 use mux_config::OfferOutcome;
 use mux_membership::{GossipEvent, MemberRecord};
-use mux_model::RevisionNumber;
+use mux_model::{RevisionNumber, TimePoint};
 use slog::{info, warn};
 use tokio::sync::mpsc;
 
+use super::lost_members::LostMembers;
 use crate::Node;
 
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 
-/// Handles the events of gossip until it ends.
-pub(crate) async fn handle_gossip(node: Arc<Node>, mut events: mpsc::Receiver<GossipEvent>) {
-    while let Some(event) = events.recv().await {
-        handle_event(&node, event);
-    }
-}
-
-/// Feeds what the members say into the decision whether to admit.
-pub(crate) async fn watch_members(node: Arc<Node>) {
+/// Acts on gossip for as long as the node lives.
+pub(crate) async fn watch_members(node: Arc<Node>, mut events: mpsc::Receiver<GossipEvent>) {
+    let mut lost = LostMembers::default();
     let mut ticks = node.timer().subscribe(CHECK_PERIOD);
     let mut pauses = node.timer().subscribe_pauses();
     loop {
         tokio::select! {
-            now = ticks.next() => {
-                let members = node.gossip().members();
-                let others = members.members.iter().filter(|it| it.node() != node.name());
-                let revision = others.clone().map(|it| it.revision).max().unwrap_or_default();
-                node.on_other_nodes(others.count());
-                if members.verified && now.since(members.last_contact) < CHECK_PERIOD * 2 {
-                    node.on_peer_contact(members.last_contact, revision);
-                }
-                let load = u16::try_from(node.queries_in_flight()).unwrap_or(u16::MAX);
-                node.gossip().set_load(load);
-            }
+            Some(event) = events.recv() => handle_event(&node, &mut lost, event),
+            now = ticks.next() => report_contacts(&node, &mut lost, now),
             Ok(()) = pauses.changed() => {
                 warn!(node.logger(), "node: was paused, verifies before it admits");
                 node.on_pause();
@@ -44,18 +30,29 @@
     }
 }
 
-fn handle_event(node: &Arc<Node>, event: GossipEvent) {
+/// Feeds what the members say into the decision whether to admit.
+fn report_contacts(node: &Node, lost: &mut LostMembers, now: TimePoint) {
+    let members = node.gossip().members();
+    let others = members.members.iter().filter(|it| it.node() != node.name());
+    let revision = others.clone().map(|it| it.revision).max().unwrap_or_default();
+    node.on_other_nodes(others.count() + lost.count(now));
+    if members.verified {
+        node.on_peer_contact(members.last_contact, revision);
+    }
+    let load = u16::try_from(node.queries_in_flight()).unwrap_or(u16::MAX);
+    node.gossip().set_load(load);
+}
+
+fn handle_event(node: &Arc<Node>, lost: &mut LostMembers, event: GossipEvent) {
     match event {
-        GossipEvent::MemberUp { member } => {
-            log_member(node, "up", &member);
+        GossipEvent::MemberUp { member } | GossipEvent::MemberChanged { member } => {
+            lost.on_present(&member);
+            log_member(node, &member);
             node.on_members_changed();
         }
         GossipEvent::MemberDown { member } => {
-            log_member(node, "down", &member);
-            node.on_members_changed();
-        }
-        GossipEvent::MemberChanged { member } => {
-            log_member(node, "changed", &member);
+            lost.on_removed(node.timer().now(), &member);
+            log_member(node, &member);
             node.on_members_changed();
         }
         GossipEvent::PeerHeard { peer, revision, .. }
@@ -89,7 +86,7 @@
     }
 }
 
-fn log_member(node: &Node, change: &str, member: &MemberRecord) {
-    info!(node.logger(), "gossip: member {}", change;
+fn log_member(node: &Node, member: &MemberRecord) {
+    info!(node.logger(), "gossip: member changed";
         "member" => member.node().to_string(), "state" => format!("{:?}", member.state));
 }
--- a/crates/node/src/sync/mod.rs
+++ b/crates/node/src/sync/mod.rs
@@ -1,13 +1,16 @@
 //! Keeps configuration, members and upstreams up to date.
 
 mod config_watch;
+mod janitor_task;
+mod lost_members;
 mod member_watch;
 mod planned_stop;
 mod upstream_poll;
 mod vm_watch;
 
 pub(crate) use config_watch::watch_config;
-pub(crate) use member_watch::{handle_gossip, watch_members};
+pub(crate) use janitor_task::run_janitor;
+pub(crate) use member_watch::watch_members;
 pub(crate) use planned_stop::stop_node;
 pub(crate) use upstream_poll::poll_upstreams;
 pub(crate) use vm_watch::watch_vms;
--- a/crates/node/src/sync/upstream_poll.rs
+++ b/crates/node/src/sync/upstream_poll.rs
@@ -53,6 +53,7 @@
 
 async fn ask_status(node: Arc<Node>, service: Arc<ServiceRuntime>, upstream: UpstreamId) {
     let Ok(status) = node.pool().status(upstream).await else {
+        service.observe_unreachable(upstream);
         return;
     };
     let now = node.timer().now();
--- a/crates/platform/src/http_store.rs
+++ b/crates/platform/src/http_store.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
     time::Duration,
 };
 
@@ -39,6 +42,7 @@
     client: Client<HttpConnector, Full<Bytes>>,
     address: Mutex<SocketAddr>,
     call_limit: Duration,
+    calls: AtomicU64,
 }
 
 /// One call before it is sent.
@@ -100,6 +104,7 @@
             client: Client::builder(TokioExecutor::new()).build(connector),
             address: Mutex::new(settings.address),
             call_limit: settings.call_limit,
+            calls: AtomicU64::new(0),
         };
         Self { inner: Arc::new(inner) }
     }
@@ -109,12 +114,18 @@
         *self.inner.address.lock().unwrap_or_else(PoisonError::into_inner) = address;
     }
 
+    /// Returns the number of calls so far; a waiting watch counts as one.
+    pub fn call_count(&self) -> u64 {
+        self.inner.calls.load(Ordering::Relaxed)
+    }
+
     fn call(&self, method: Method, path: String) -> StoreCall {
         StoreCall { method, path, body: Vec::new(), limit: self.inner.call_limit }
     }
 
     async fn send(&self, call: StoreCall) -> Result<StoreReply, StoreError> {
         let writes = call.method != Method::GET;
+        self.inner.calls.fetch_add(1, Ordering::Relaxed);
         match self.inner.timer.timeout(call.limit, self.inner.exchange(call)).await {
             Ok(Ok(reply)) => reply.refuse_errors(writes),
             Ok(Err(StoreError::Unknown(why))) => Err(sent_failure(writes, why)),
