Add an empty crate for tests of separate processes

Cause: faults such as kills, freezes and cuts need the program as processes; the tests of the crates run in one. Ruled out: tests within the program's crate (they would need the stand-ins' binary as well). Nothing is tested by it yet.

--- /dev/null
+++ b/crates/proofs/src/lib.rs
@@ -0,0 +1,1 @@
+//! Support for tests of the program as separate processes; not shipped.
