Show how busy the machine was in each cell

Cause: other work on the machine distorts single cells, which can't be seen in the results.

Change: each row shows the busy share of all processors while its load was offered.

--- a/crates/standins/src/experiment/cell_run.rs
+++ b/crates/standins/src/experiment/cell_run.rs
@@ -6,6 +6,7 @@
 
 use super::{
     leaf_group::{GroupCalls, LeafGroup},
+    machine_load::MachineTicks,
     node_bench::NodeBench,
     routing_choice::RoutingChoice,
     scenario::Scenario,
@@ -35,6 +36,8 @@
 pub(crate) struct CellOutcome {
     pub(crate) tally: LoadTally,
     pub(crate) calls: GroupCalls,
+    /// Processor time of the machine while load was offered.
+    pub(crate) machine: MachineTicks,
 }
 
 impl CellPlan {
@@ -53,10 +56,12 @@
         bench.apply(&definition).await?;
         bench.wait_until_ready(&service).await?;
         let run = LoadRun::new(self.load(bench, service.clone()), bench.context.timer.clone());
+        let ticks = MachineTicks::read()?;
         let (tally, ()) = tokio::join!(run.offer(), self.inject_fault(bench, &mut group));
+        let machine = MachineTicks::read()?.since(ticks);
         let calls = group.count_calls().await;
         bench.remove(&service).await?;
-        Ok(CellOutcome { tally, calls })
+        Ok(CellOutcome { tally, calls, machine })
     }
 
     fn name(&self) -> String {
--- a/crates/standins/src/experiment/mod.rs
+++ b/crates/standins/src/experiment/mod.rs
@@ -5,6 +5,7 @@
 mod child_process;
 mod experiment_settings;
 mod leaf_group;
+mod machine_load;
 mod node_bench;
 mod node_cost;
 mod port_range;
--- a/crates/standins/src/experiment/result_table.rs
+++ b/crates/standins/src/experiment/result_table.rs
@@ -5,6 +5,7 @@
 use super::{
     cell_run::{CellOutcome, CellPlan},
     leaf_group::GroupCalls,
+    machine_load::MachineTicks,
     routing_choice::RoutingChoice,
     scenario::Scenario,
     shape::ServiceShape,
@@ -21,6 +22,7 @@
 struct MergedCell {
     report: LoadReport,
     calls: GroupCalls,
+    machine: MachineTicks,
     load_per_s: f64,
 }
 
@@ -54,8 +56,8 @@
     pub(crate) fn to_markdown(&self, shapes: &[ServiceShape], scenarios: &[Scenario]) -> String {
         let mut text = String::from(
             "| Scenario | Shape | Policy | Offered/s | p50 ms | p99 ms | p99.9 ms | Coverage mean \
-             | Coverage min | Extra load | Refused | Goodput/s | Not whole | Errors |\n\
-             |---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|\n",
+             | Coverage min | Extra load | Refused | Goodput/s | Not whole | Machine busy | Errors |\n\
+             |---|---|---|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|---|\n",
         );
         for scenario in scenarios {
             for shape in shapes {
@@ -121,11 +123,13 @@
         let (plan, first) = cells.next()?;
         let mut tally: LoadTally = first.tally.clone();
         let mut calls = first.calls;
+        let mut machine = first.machine;
         for (_, cell) in cells {
             tally.merge(&cell.tally);
             calls.add(cell.calls);
+            machine.add(cell.machine);
         }
-        Some(MergedCell { report: tally.report(), calls, load_per_s: plan.rate })
+        Some(MergedCell { report: tally.report(), calls, machine, load_per_s: plan.rate })
     }
 }
 
@@ -154,7 +158,7 @@
     let _ = writeln!(
         text,
         "| {} | {} | {} | {:.0} | {:.1} | {:.1} | {:.1} | {:.4} | {:.2} | {:.2} % | {} of {} \
-         | {:.0} | {} | {} |",
+         | {:.0} | {} | {:.0} % | {} |",
         scenario.name(),
         shape.name(),
         choice.name(),
@@ -169,6 +173,7 @@
         report.sent,
         report.goodput,
         report.not_whole,
+        cell.machine.busy_share() * 100.0,
         codes.join(", "),
     );
 }
