Run HTTP servers on threads of their own

Cause: after a planned stop the process printed a panic: the HTTP server owns a runtime and was dropped on a worker thread of the node's runtime. Ruled out: leaking the server (its connections would be cut by exit while it still writes). Change: each server is waited for on its own thread and stopped through its handle. Before: panic text after 'stop: done'.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod conf;
 mod dispatch;
 mod errors;
+mod http_thread;
 mod logs;
 mod metrics;
 mod node;
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -18,8 +18,8 @@
 };
 
 use crate::{
-    Node, StartError, caller::CallerServer, conf::NodeSettings, logs, metrics::MetricsServer,
-    node::NodeParts, operator::OperatorServer, peer::PeerServer, sync,
+    Node, StartError, caller::CallerServer, conf::NodeSettings, http_thread::HttpThread, logs,
+    metrics::MetricsServer, node::NodeParts, operator::OperatorServer, peer::PeerServer, sync,
 };
 
 const HTTP_STOP_LIMIT: Duration = Duration::from_secs(2);
@@ -57,13 +57,12 @@
     spawn_tasks(&node, events);
     info!(node.logger(), "node: started"; "callers" => listen.caller.to_string(),
         "operators" => listen.operator.to_string());
-    let mut callers = callers;
-    let handle = callers.handle().map_err(StartError::Runtime)?;
-    let http = tokio::spawn(async move { tokio::join!(callers, metrics) });
+    let callers = HttpThread::start(callers).map_err(StartError::Runtime)?;
+    let metrics = HttpThread::start(metrics).map_err(StartError::Runtime)?;
     wait_for_stop(&node).await.map_err(StartError::Runtime)?;
-    handle.stop(true);
     // What is still open after the limit is idle: every query has been answered.
-    let _ = node.timer().timeout(HTTP_STOP_LIMIT, http).await;
+    callers.stop(node.timer(), HTTP_STOP_LIMIT).await;
+    metrics.stop(node.timer(), HTTP_STOP_LIMIT).await;
     Ok(())
 }
 
