Keep an upstream drained that only the VM list says is leaving

Cause: by reading, a reply that says nothing of draining cleared the note that came from the VM list or from another node, so such an upstream got work again at once; and a service created after a note never learned of it.

Ruled out: ignoring replies (they are the fastest sign that an upstream has stopped draining).

Change: what replies say and what other sources note are kept apart; an upstream drains while either says so. The VM watch takes its note back when the list shows the upstream live. Notes are applied to new services.

--- a/crates/node/src/dispatch/service_runtime.rs
+++ b/crates/node/src/dispatch/service_runtime.rs
@@ -1,6 +1,7 @@
 //! One service as this node runs it.
 
 use std::{
+    mem,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU64, Ordering},
@@ -56,11 +57,14 @@
     pub(crate) shards: u64,
 }
 
-/// What the latest reply of an upstream said.
-#[derive(Debug, Clone, Copy)]
+/// What was last heard of an upstream.
+#[derive(Debug, Clone, Copy, Default)]
 struct UpstreamActivity {
-    replied_at: TimePoint,
+    replied_at: Option<TimePoint>,
+    /// Whether its latest reply said that it drains.
     draining: bool,
+    /// Whether another source, such as the VM list, said that it drains.
+    noted_draining: bool,
 }
 
 /// One service: its definition, its routing and what is known of its snapshots.
@@ -177,17 +181,14 @@
                 if let Some(newest) = reply.newest_snapshot {
                     self.lock_catalog().on_newest(now, upstream, newest);
                 }
-                let hint = UpstreamHint { in_flight: reply.in_flight, draining: reply.draining };
-                self.router.observe(now, upstream, hint);
-                self.note_activity(now, upstream, reply.draining)
+                self.observe_reply(now, upstream, reply.in_flight, reply.draining)
             }
             Err(CallFailure::NotRun { reason: NotRunReason::SnapshotMissing, .. }) => {
                 self.lock_catalog().on_missing(now, upstream, report.snapshot);
                 None
             }
             Err(CallFailure::NotRun { reason: NotRunReason::Draining, .. }) => {
-                self.observe_draining(now, upstream, true);
-                self.note_activity(now, upstream, true)
+                self.observe_reply(now, upstream, None, true)
             }
             Err(_) => None,
         }
@@ -200,21 +201,31 @@
         upstream: UpstreamId,
         status: &UpstreamStatus,
     ) -> Option<bool> {
-        let hint = UpstreamHint { in_flight: Some(status.in_flight), draining: status.draining };
-        self.router.observe(now, upstream, hint);
         let claims = status.snapshots.iter().map(|it| SnapshotClaim {
             snapshot: it.snapshot,
             shard_count: it.shard_count,
             shards: &it.shards,
         });
         self.lock_catalog().on_status(now, upstream, claims);
-        self.note_activity(now, upstream, status.draining)
+        self.observe_reply(now, upstream, Some(status.in_flight), status.draining)
+    }
+
+    /// Learns from another source that an upstream started or stopped draining.
+    pub(crate) fn observe_draining(&self, now: TimePoint, upstream: UpstreamId, draining: bool) {
+        let said_draining = {
+            let mut table = self.lock_activity();
+            let activity = table.entry(upstream).or_default();
+            activity.noted_draining = draining;
+            activity.draining
+        };
+        let hint = UpstreamHint { in_flight: None, draining: draining || said_draining };
+        self.router.observe(now, upstream, hint);
     }
 
     /// Returns the time since `upstream` last replied.
     pub(crate) fn reply_age(&self, now: TimePoint, upstream: UpstreamId) -> Option<Duration> {
-        let activity = self.activity.lock().unwrap_or_else(PoisonError::into_inner);
-        activity.get(&upstream).map(|it| now.since(it.replied_at))
+        let replied_at = self.lock_activity().get(&upstream)?.replied_at?;
+        Some(now.since(replied_at))
     }
 
     /// Returns the upstreams whose snapshots are known to have changed.
@@ -222,12 +233,6 @@
         self.lock_catalog().stale_sources().collect()
     }
 
-    /// Learns that an upstream started or stopped draining, from another node.
-    pub(crate) fn observe_draining(&self, now: TimePoint, upstream: UpstreamId, draining: bool) {
-        let hint = UpstreamHint { in_flight: None, draining };
-        self.router.observe(now, upstream, hint);
-    }
-
     fn renew_catalog(&self, definition: &ServiceDefinition) {
         let mut catalog = self.lock_catalog();
         if definition.shard_map != self.definition.shard_map {
@@ -240,13 +245,30 @@
         }
     }
 
-    fn note_activity(&self, now: TimePoint, upstream: UpstreamId, draining: bool) -> Option<bool> {
-        let mut table = self.activity.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = table.insert(upstream, UpstreamActivity { replied_at: now, draining });
-        let was_draining = before.is_some_and(|it| it.draining);
+    /// Takes in what a reply said; a reply never overrules what another source noted.
+    fn observe_reply(
+        &self,
+        now: TimePoint,
+        upstream: UpstreamId,
+        in_flight: Option<u32>,
+        draining: bool,
+    ) -> Option<bool> {
+        let (was_draining, noted_draining) = {
+            let mut table = self.lock_activity();
+            let activity = table.entry(upstream).or_default();
+            activity.replied_at = Some(now);
+            let was_draining = mem::replace(&mut activity.draining, draining);
+            (was_draining, activity.noted_draining)
+        };
+        let hint = UpstreamHint { in_flight, draining: draining || noted_draining };
+        self.router.observe(now, upstream, hint);
         (was_draining != draining).then_some(draining)
     }
 
+    fn lock_activity(&self) -> MutexGuard<'_, FastMap<UpstreamId, UpstreamActivity>> {
+        self.activity.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn lock_catalog(&self) -> MutexGuard<'_, SnapshotCatalog> {
         self.catalog.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -63,6 +63,9 @@
             config.services().map(|(_, entry)| self.build_service(entry)).collect();
         self.share_connections(&services);
         self.registry.replace(services);
+        for note in self.gossip.upstream_notes() {
+            self.observe_draining(note.upstream, note.draining);
+        }
     }
 
     fn build_service(&self, entry: &ServiceEntry) -> Arc<ServiceRuntime> {
--- a/crates/node/src/sync/vm_watch.rs
+++ b/crates/node/src/sync/vm_watch.rs
@@ -2,14 +2,13 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use mux_model::UpstreamId;
+use mux_model::{FastSet, UpstreamId};
 use mux_platform::{KvStore, VmEntry, VmList, VmState};
 
 use crate::Node;
 
 const WATCHER_PERIOD: Duration = Duration::from_secs(1);
 const LONELY_PERIOD: Duration = Duration::from_secs(2);
-const CHECK_PERIOD: Duration = Duration::from_secs(1);
 const NODE_ROLE: &str = "node";
 const UPSTREAM_ROLE: &str = "upstream";
 
@@ -19,17 +18,18 @@
 /// read it.
 pub(crate) async fn watch_vms(node: Arc<Node>) {
     node.gossip().join(&node.settings().seeds);
+    let mut leaving = FastSet::default();
     loop {
         let lonely = node.gossip().members().members.len() <= 1;
         if lonely || node.watches_store() {
-            read_list(&node).await;
+            read_list(&node, &mut leaving).await;
         }
         let period = if lonely { LONELY_PERIOD } else { WATCHER_PERIOD };
-        node.timer().sleep(period.max(CHECK_PERIOD)).await;
+        node.timer().sleep(period).await;
     }
 }
 
-async fn read_list(node: &Node) {
+async fn read_list(node: &Node, leaving: &mut FastSet<UpstreamId>) {
     let Ok(list) = node.store().list_vms().await else {
         return;
     };
@@ -38,7 +38,13 @@
         let all: Vec<_> = seeds.into_iter().chain(node.settings().seeds.iter().copied()).collect();
         node.gossip().join(&all);
     }
-    for upstream in leaving_upstreams(&list) {
+    for upstream in upstreams_in(&list, VmState::Live) {
+        if leaving.remove(&upstream) {
+            node.note_draining(upstream, false);
+        }
+    }
+    for upstream in upstreams_in(&list, VmState::Leaving) {
+        leaving.insert(upstream);
         node.note_draining(upstream, true);
     }
 }
@@ -48,10 +54,10 @@
     nodes.filter_map(main_address).filter(|it| *it != own).collect()
 }
 
-fn leaving_upstreams(list: &VmList) -> impl Iterator<Item = UpstreamId> {
+fn upstreams_in(list: &VmList, state: VmState) -> impl Iterator<Item = UpstreamId> {
     list.vms
         .iter()
-        .filter(|it| it.role == UPSTREAM_ROLE && it.state == VmState::Leaving)
+        .filter(move |it| it.role == UPSTREAM_ROLE && it.state == state)
         .flat_map(|vm| vm.ports.iter().map(|port| UpstreamId(SocketAddr::new(vm.ip, *port))))
 }
 
