--- a/crates/standins/src/experiment/mod.rs
+++ b/crates/standins/src/experiment/mod.rs
@@ -19,14 +19,17 @@
 use mux_timer::TimerService;
 
 use cell_run::{CellOutcome, CellPlan};
-use child_process::WorkDirectory;
 use experiment_settings::ExperimentSettings;
-use node_bench::{BenchContext, NodeBench};
-use port_range::PortRange;
+use node_bench::NodeBench;
 use result_table::ResultTable;
 use routing_choice::RoutingChoice;
 use shape::ServiceShape;
 
+pub(crate) use self::{
+    child_process::{ChildProcess, WorkDirectory},
+    node_bench::BenchContext,
+    port_range::PortRange,
+};
 use crate::load::CallerClient;
 
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
--- a/crates/standins/src/load/caller_client.rs
+++ b/crates/standins/src/load/caller_client.rs
@@ -37,6 +37,23 @@
         path: &str,
         body: Bytes,
     ) -> Option<T> {
+        let body = self.exchange(method, at, path, body).await?;
+        serde_json::from_slice(&body).ok()
+    }
+
+    /// Reads a text resource; `None` if it can't be read.
+    pub(crate) async fn get_text(&self, at: SocketAddr, path: &str) -> Option<String> {
+        let body = self.exchange(Method::GET, at, path, Bytes::new()).await?;
+        String::from_utf8(body.into()).ok()
+    }
+
+    async fn exchange(
+        &self,
+        method: Method,
+        at: SocketAddr,
+        path: &str,
+        body: Bytes,
+    ) -> Option<Bytes> {
         let request = Request::builder()
             .method(method)
             .uri(format!("http://{at}{path}"))
@@ -44,7 +61,6 @@
             .body(Full::new(body))
             .ok()?;
         let response: Response<Incoming> = self.client.request(request).await.ok()?;
-        let body = response.into_body().collect().await.ok()?.to_bytes();
-        serde_json::from_slice(&body).ok()
+        Some(response.into_body().collect().await.ok()?.to_bytes())
     }
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems around mustardmux, for tests, demos and measurements; not shipped.
 
 mod experiment;
+mod fleet;
 mod kv;
 mod leaf;
 mod load;
@@ -43,6 +44,12 @@
         #[arg(long)]
         settings: PathBuf,
     },
+    /// Measures what nodes cost each other and the key-value service, by number of nodes.
+    Fleet {
+        /// Settings file (JSON).
+        #[arg(long)]
+        settings: PathBuf,
+    },
     /// Offers load and reports latency, coverage and verdicts.
     Load {
         /// Settings file (JSON).
@@ -56,6 +63,7 @@
     let args = StandinArgs::parse();
     let result: io::Result<()> = match args.command {
         StandinCommand::Experiment { settings } => experiment::run(&settings).await,
+        StandinCommand::Fleet { settings } => fleet::run(&settings).await,
         StandinCommand::Kv { settings } => kv::run(&settings).await,
         StandinCommand::Leaf { settings } => leaf::run(&settings).await,
         StandinCommand::Relay { settings } => relay::run(&settings).await,
