--- a/crates/standins/src/experiment/scenario.rs
+++ b/crates/standins/src/experiment/scenario.rs
@@ -67,6 +67,11 @@
         }
     }
 
+    /// Returns whether more is offered than the upstreams can answer.
+    pub(crate) fn is_overload(self) -> bool {
+        1.0 < self.load()
+    }
+
     /// Returns the service time of the upstream with this index.
     pub(crate) fn latency(self, leaf: u32) -> LatencySettings {
         let usual = usual_latency();
