--- /dev/null
+++ b/crates/node/src/dispatch/query_dispatcher.rs
@@ -0,0 +1,230 @@
+//! Decides where and whether a query runs, and runs it.
+
+use std::{
+    sync::{Arc, Weak},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use mux_model::{NodeId, TimePoint, Verdict};
+use mux_query::{BeginOutcome, RunTicket, SessionLedger, SessionToken};
+use mux_timer::TimerService;
+use tokio::sync::mpsc;
+
+use super::{
+    ProblemCode, QueryCommand, QueryOutcome, QueryProblem, ServiceRuntime, SessionClaim,
+    SessionUse,
+    fan_out_runner::FanOutRunner,
+    outcome_mapping::{DEFAULT_RETRY_MS, QueryResult, replay, session_problem},
+};
+use crate::{
+    Node,
+    peer::{PeerClient, PeerError},
+};
+
+const HOP_LIMIT: u8 = 1;
+const DEADLINE_MARGIN: Duration = Duration::from_millis(2);
+
+/// Runs queries, here or at another node.
+#[derive(Debug)]
+pub(crate) struct QueryDispatcher {
+    node: Weak<Node>,
+    timer: TimerService,
+    ledger: SessionLedger,
+    peers: Arc<PeerClient>,
+}
+
+impl QueryDispatcher {
+    /// Creates a dispatcher for `node`.
+    pub(crate) fn new(
+        node: Weak<Node>,
+        timer: TimerService,
+        ledger: SessionLedger,
+        peers: Arc<PeerClient>,
+    ) -> Self {
+        Self { node, timer, ledger, peers }
+    }
+
+    /// Returns the ledger of sessions that this node minted.
+    pub(crate) fn ledger(&self) -> &SessionLedger {
+        &self.ledger
+    }
+
+    /// Runs a query to its final outcome.
+    pub(crate) async fn dispatch(
+        &self,
+        command: QueryCommand,
+        caller_gone: mpsc::Receiver<()>,
+    ) -> QueryOutcome {
+        let request = command.request;
+        let Some(node) = self.node.upgrade() else {
+            let problem = QueryProblem::not_run(ProblemCode::Draining, "the node is stopping");
+            return QueryOutcome { request, result: Err(problem) };
+        };
+        let _running = node.count_query();
+        let started = self.timer.now();
+        let service = command.service.clone();
+        let result = self.route(&node, command, caller_gone).await;
+        node.record_outcome(&result);
+        node.record_latency(&service, self.timer.now().since(started));
+        QueryOutcome { request, result }
+    }
+
+    async fn route(
+        &self,
+        node: &Node,
+        command: QueryCommand,
+        caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        node.check_admission()?;
+        let Some(runtime) = node.registry().find(&command.service) else {
+            let message = format!("there is no service {}", command.service);
+            return Err(QueryProblem::not_run(ProblemCode::UnknownService, message));
+        };
+        let deadline = self.deadline(&runtime, &command);
+        if runtime.definition().idempotent {
+            return self.run_or_forward(node, &runtime, command, deadline, caller_gone).await;
+        }
+        match command.claim.clone() {
+            SessionClaim::Unnamed => {
+                let message = "requests of this service are not idempotent: send `session` from \
+                               an address answer and a new `sequence` with each request";
+                Err(QueryProblem::not_run(ProblemCode::SessionRequired, message))
+            }
+            SessionClaim::Named(session) => {
+                self.run_in_session(node, &runtime, command, &session, deadline, caller_gone).await
+            }
+            SessionClaim::Recorded => {
+                self.run_or_forward(node, &runtime, command, deadline, caller_gone).await
+            }
+        }
+    }
+
+    fn deadline(&self, runtime: &ServiceRuntime, command: &QueryCommand) -> TimePoint {
+        let longest = runtime.definition().deadline_ms;
+        let millis = command.deadline_ms.map_or(longest, |it| it.min(longest));
+        self.timer.now() + Duration::from_millis(millis)
+    }
+
+    async fn run_in_session(
+        &self,
+        node: &Node,
+        runtime: &Arc<ServiceRuntime>,
+        command: QueryCommand,
+        session: &SessionUse,
+        deadline: TimePoint,
+        caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        let Ok(token) = SessionToken::parse(&session.token) else {
+            let message = "the session is not one that an address answer gave";
+            return Err(QueryProblem::not_run(ProblemCode::SessionInvalid, message));
+        };
+        if token.owner() != node.name() {
+            return self.forward_to_owner(node, token.owner(), command, deadline).await;
+        }
+        match self.ledger.begin(self.timer.now(), &token, session.sequence) {
+            BeginOutcome::Run(ticket) => {
+                self.run_ticket(node, runtime, command, ticket, deadline, caller_gone).await
+            }
+            BeginOutcome::Finished { verdict, answer } => replay(verdict, answer),
+            other => Err(session_problem(&other)),
+        }
+    }
+
+    /// Runs a request that the ledger lets run, and records how it ended.
+    async fn run_ticket(
+        &self,
+        node: &Node,
+        runtime: &Arc<ServiceRuntime>,
+        command: QueryCommand,
+        ticket: RunTicket,
+        deadline: TimePoint,
+        caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        let command = QueryCommand { claim: SessionClaim::Recorded, hops: 0, ..command };
+        let result = self.run_or_forward(node, runtime, command, deadline, caller_gone).await;
+        let verdict = match &result {
+            Ok(_) => Verdict::Done,
+            Err(problem) => problem.verdict,
+        };
+        let kept = result.as_ref().ok().and_then(|it| serde_json::to_vec(it).ok());
+        self.ledger.complete(ticket, verdict, kept.map(Bytes::from));
+        result
+    }
+
+    async fn forward_to_owner(
+        &self,
+        node: &Node,
+        owner: &NodeId,
+        command: QueryCommand,
+        deadline: TimePoint,
+    ) -> QueryResult {
+        let gone = || {
+            let message = "the node that minted the session cannot be reached; an earlier \
+                           attempt may have run: read back before repeating in a new session";
+            QueryProblem::may_have_run(ProblemCode::SessionOwnerUnreachable, message)
+        };
+        if HOP_LIMIT <= command.hops {
+            return Err(gone());
+        }
+        let Some(peer) = node.peer_address(owner) else {
+            return Err(gone());
+        };
+        let command = self.next_hop(command, deadline);
+        let limit = deadline.since(self.timer.now());
+        match self.peers.run_query(peer, command, limit).await {
+            Ok(outcome) => outcome.result,
+            Err(_) => Err(gone()),
+        }
+    }
+
+    async fn run_or_forward(
+        &self,
+        node: &Node,
+        runtime: &Arc<ServiceRuntime>,
+        command: QueryCommand,
+        deadline: TimePoint,
+        caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        if runtime.is_home() || HOP_LIMIT <= command.hops {
+            let runner = FanOutRunner::new(node, runtime, deadline);
+            return runner.run(command, caller_gone).await;
+        }
+        self.forward_to_home(node, runtime, command, deadline).await
+    }
+
+    /// Hands the query to a home node; only a proof of not-run allows a second one.
+    async fn forward_to_home(
+        &self,
+        node: &Node,
+        runtime: &ServiceRuntime,
+        command: QueryCommand,
+        deadline: TimePoint,
+    ) -> QueryResult {
+        let idempotent = runtime.definition().idempotent;
+        let mut verdict = Verdict::NotRun;
+        for peer in node.home_peers(runtime.name()) {
+            let limit = deadline.since(self.timer.now());
+            let command = self.next_hop(command.clone(), deadline);
+            match self.peers.run_query(peer, command, limit).await {
+                Ok(outcome) => return outcome.result,
+                Err(PeerError::NotSent) => {}
+                Err(PeerError::Lost) => {
+                    verdict = Verdict::MayHaveRun;
+                    if !idempotent {
+                        break;
+                    }
+                }
+            }
+        }
+        let message = "no home node of the service could be reached; ask for addresses again";
+        let problem = QueryProblem::not_run(ProblemCode::HomeUnreachable, message);
+        Err(QueryProblem { verdict, ..problem }.retry_after_ms(DEFAULT_RETRY_MS))
+    }
+
+    fn next_hop(&self, command: QueryCommand, deadline: TimePoint) -> QueryCommand {
+        let left = deadline.since(self.timer.now()).saturating_sub(DEADLINE_MARGIN);
+        let millis = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+        QueryCommand { deadline_ms: Some(millis), hops: HOP_LIMIT, ..command }
+    }
+}
--- /dev/null
+++ b/crates/node/src/node/config.rs
@@ -0,0 +1,106 @@
+//! Applies configurations and derives what runs from them.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use mux_config::{ConfigState, ConfigUpdate, OfferOutcome, ServiceDefinition, ServiceEntry};
+use mux_model::{RevisionNumber, UpstreamId};
+use mux_placement::{HomeLimits, watcher_nodes};
+use slog::{info, warn};
+
+use super::{Node, StopPhase};
+use crate::dispatch::{ServicePlacement, ServiceRuntime};
+
+impl Node {
+    /// Returns the revision in force here.
+    pub(crate) fn revision(&self) -> RevisionNumber {
+        self.lock_replica().revision()
+    }
+
+    /// Returns the configuration in force here.
+    pub(crate) fn config(&self) -> Arc<ConfigState> {
+        self.lock_replica().snapshot()
+    }
+
+    /// Returns what changed in the configuration since `since`.
+    pub(crate) fn config_since(&self, since: RevisionNumber) -> ConfigUpdate {
+        self.lock_replica().update_since(since)
+    }
+
+    /// Applies `update` if it leads to a higher revision.
+    pub(crate) fn offer_config(&self, update: &ConfigUpdate) -> OfferOutcome {
+        let outcome = self.lock_replica().offer(update);
+        match outcome {
+            OfferOutcome::Applied { from, to } => {
+                self.rebuild_services();
+                self.lock_guard().on_applied(to);
+                self.gossip.set_revision(to);
+                info!(self.logger, "config: in force"; "from" => from.0, "to" => to.0);
+            }
+            OfferOutcome::NeedFull => {
+                warn!(self.logger, "config: update does not fit"; "to" => update.revision.0);
+            }
+            OfferOutcome::Ignored => {}
+        }
+        outcome
+    }
+
+    /// Takes in that the members changed.
+    pub(crate) fn on_members_changed(&self) {
+        let watchers = watcher_nodes(&self.candidates());
+        self.watches_store.store(watchers.contains(self.name()), Ordering::Release);
+        let members = self.gossip.members();
+        let peers: Vec<_> = members.members.iter().map(|it| it.identity.peer).collect();
+        self.peers.retain(&peers);
+        self.rebuild_services();
+    }
+
+    /// Derives the services and connection shares from the configuration and the members.
+    pub(crate) fn rebuild_services(&self) {
+        // The lock is held so that a slower rebuild never replaces a newer one.
+        let replica = self.lock_replica();
+        let config = replica.snapshot();
+        let services: Vec<_> =
+            config.services().map(|(_, entry)| self.build_service(entry)).collect();
+        self.share_connections(&services);
+        self.registry.replace(services);
+        for note in self.gossip.upstream_notes() {
+            self.observe_draining(note.upstream, note.draining);
+        }
+    }
+
+    fn build_service(&self, entry: &ServiceEntry) -> Arc<ServiceRuntime> {
+        let definition = entry.definition.as_ref().clone();
+        let placement = self.place_service(&definition);
+        let runtime = match self.registry.find(&definition.name) {
+            Some(known) => known.renew(definition, entry.revision, &placement),
+            None => ServiceRuntime::new(definition, entry.revision, &placement, rand::random()),
+        };
+        Arc::new(runtime)
+    }
+
+    fn share_connections(&self, services: &[Arc<ServiceRuntime>]) {
+        let mut upstreams: Vec<UpstreamId> = Vec::new();
+        for service in services.iter().filter(|it| it.is_home()) {
+            let share = service.connection_share();
+            for entry in &service.definition().upstreams {
+                self.pool.set_limit(entry.address, share);
+                upstreams.push(entry.address);
+            }
+        }
+        self.pool.retain(&upstreams);
+    }
+
+    fn place_service(&self, definition: &ServiceDefinition) -> ServicePlacement {
+        let homes = self.home_names(definition);
+        let limits = &definition.limits;
+        let limits = HomeLimits::new(limits.connections_per_upstream, limits.connection_reserve);
+        // A node that is leaving keeps its connections until its last query is done.
+        let leaving = self.stop.phase() != StopPhase::Serving;
+        ServicePlacement {
+            home: leaving || homes.contains(self.name()),
+            home_count: u32::try_from(homes.len().max(1)).unwrap_or(u32::MAX),
+            connection_share: limits.connection_share(homes.len()),
+            availability_zone: self.settings.availability_zone.clone(),
+        }
+    }
+}
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -2,6 +2,8 @@
 
 mod dispatch;
 mod ending;
+mod hedging;
+mod waiting;
 
 use std::time::Duration;
 
@@ -12,6 +14,7 @@
     CallReply, FanOutAction, FanOutPlan, FanOutStop,
     call_table::{CallTable, ShardPhase},
     coverage_goal::CoverageGoal,
+    fan_out::waiting::WaitingShard,
 };
 
 /// The calls of one query, from the first call to the one final result.
@@ -37,13 +40,6 @@
     finished: bool,
 }
 
-/// A shard whose replicas were all at their limits.
-#[derive(Debug, Clone, Copy)]
-struct WaitingShard {
-    shard: ShardIndex,
-    ask_at: TimePoint,
-}
-
 /// Shards that cannot contribute any more, by cause.
 #[derive(Debug, Clone, Copy, Default)]
 struct LostShards {
@@ -192,6 +188,21 @@
         self.advance(now, router, actions);
     }
 
+    /// Ends the fan-out with [`FanOutStop::SnapshotGone`] if upstreams that no longer hold the
+    /// snapshot put the coverage target out of reach and the request may be repeated.
+    ///
+    /// For a query that can start over with another snapshot, known to be complete.
+    pub fn leave_snapshot<R: ReplicaRouter>(
+        &mut self,
+        now: TimePoint,
+        router: &R,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        if !self.finished && self.is_target_lost() && self.is_snapshot_to_blame() {
+            self.finish(now, router, Err(FanOutStop::SnapshotGone), actions);
+        }
+    }
+
     /// Ends the fan-out because nobody waits for its answer.
     ///
     /// The result still says whether the request may have run. A request that is not idempotent is
