Add a harness for tests of separate processes

Cause: the promises to callers were proved on state machines only. Change: the crate proofs starts nodes, the platform, upstreams and relays as processes on loopback ports below the ephemeral range, signals and ends them by id (also on panic), and has clients for callers, operators and the stand-ins. Ruled out: one port range a test program (programs may run side by side); waiting for nodes to be ready before a service exists (a node without configuration is not ready).

--- /dev/null
+++ b/crates/proofs/src/free_ports.rs
@@ -0,0 +1,36 @@
+//! Choice of loopback ports.
+
+use std::{
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    sync::{
+        LazyLock,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+/// All below the range of ephemeral ports, so that no outgoing connection takes one.
+const FIRST_PORT: u32 = 12_000;
+const PORT_COUNT: u32 = 20_000;
+
+/// Random, so that test programs that run side by side rarely meet.
+static NEXT: LazyLock<AtomicU32> =
+    LazyLock::new(|| AtomicU32::new(rand::random_range(0..PORT_COUNT)));
+
+/// Returns a loopback address whose port is free for TCP and UDP, and was not returned before.
+///
+/// # Panics
+///
+/// Panics if no port is free.
+pub fn free_address() -> SocketAddr {
+    let ports = (0..PORT_COUNT).map(|_| NEXT.fetch_add(1, Ordering::Relaxed) % PORT_COUNT);
+    let mut addresses = ports.filter_map(|it| u16::try_from(FIRST_PORT + it).ok()).map(address);
+    addresses.find(|it| is_free(*it)).expect("a free port")
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn is_free(address: SocketAddr) -> bool {
+    TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok()
+}
--- /dev/null
+++ b/crates/proofs/src/node_process.rs
@@ -0,0 +1,112 @@
+//! A node as a process.
+
+use std::{net::SocketAddr, path::PathBuf};
+
+use serde_json::{Value, json};
+
+use super::{ChildProcess, HttpClient, OperatorClient, Program, WorkDirectory, free_address};
+
+/// One node, which can be started again under its name and at its addresses.
+#[derive(Debug)]
+pub struct NodeProcess {
+    /// Name of the node.
+    pub name: String,
+    /// Addresses on which it listens.
+    pub addresses: NodeAddresses,
+    /// The process.
+    pub process: ChildProcess,
+    /// Client of its operators' interface.
+    pub operators: OperatorClient,
+    settings: PathBuf,
+    http: HttpClient,
+}
+
+/// Addresses on which a node listens.
+#[derive(Debug, Clone, Copy)]
+pub struct NodeAddresses {
+    /// HTTP for callers.
+    pub caller: SocketAddr,
+    /// UDP gossip and TCP calls between nodes.
+    pub peer: SocketAddr,
+    /// Operators' RPC.
+    pub operator: SocketAddr,
+    /// HTTP for `/metrics`.
+    pub metrics: SocketAddr,
+}
+
+impl NodeAddresses {
+    /// Chooses free addresses.
+    pub fn choose() -> Self {
+        Self {
+            caller: free_address(),
+            peer: free_address(),
+            operator: free_address(),
+            metrics: free_address(),
+        }
+    }
+
+    fn to_json(self) -> Value {
+        json!({
+            "caller": self.caller, "peer": self.peer, "operator": self.operator,
+            "metrics": self.metrics,
+        })
+    }
+}
+
+impl NodeProcess {
+    /// Starts a node with the members of `settings` besides its name and addresses; it serves a
+    /// moment later.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started or `settings` is no object.
+    pub fn start(
+        directory: &WorkDirectory,
+        name: &str,
+        addresses: NodeAddresses,
+        settings: &Value,
+    ) -> Self {
+        let mut node = json!({ "node": name, "listen": addresses.to_json() });
+        for (name, value) in settings.as_object().expect("an object") {
+            node[name] = value.clone();
+        }
+        let settings = directory.write(name, &node);
+        Self {
+            name: name.to_owned(),
+            addresses,
+            process: Self::spawn(directory, name, &settings),
+            operators: OperatorClient::new(addresses.operator),
+            settings,
+            http: HttpClient::new(),
+        }
+    }
+
+    /// Ends the process at once if it still runs, and starts it again with the same settings.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started.
+    pub fn restart(&mut self, directory: &WorkDirectory) {
+        self.process.kill();
+        self.process = Self::spawn(directory, &self.name, &self.settings);
+    }
+
+    /// Returns the text of its metrics; `None` if the node does not answer.
+    pub async fn metrics(&self) -> Option<String> {
+        let reply = self.http.send(hyper::Method::GET, self.addresses.metrics, "/metrics", "");
+        String::from_utf8(reply.await?.body.into()).ok()
+    }
+
+    /// Returns the sum of a metric over all its labels; `None` if the node does not answer.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let text = self.metrics().await?;
+        let lines = text.lines().filter_map(|it| it.rsplit_once(' '));
+        let values = lines.filter(|(key, _)| key.split('{').next() == Some(name));
+        Some(values.filter_map(|(_, value)| value.parse::<f64>().ok()).sum())
+    }
+
+    fn spawn(directory: &WorkDirectory, name: &str, settings: &std::path::Path) -> ChildProcess {
+        let arguments = ["node", "--settings", &settings.to_string_lossy()];
+        ChildProcess::start(directory, name, Program::Mustardmux, &arguments)
+    }
+}
