--- a/crates/node/src/caller/http_reply.rs
+++ b/crates/node/src/caller/http_reply.rs
@@ -80,6 +80,10 @@
         let seconds = millis.div_ceil(MILLIS_PER_SECOND);
         response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from(seconds));
     }
+    if problem.code == ProblemCode::Draining {
+        // The caller's next request is to go to another node.
+        response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     response
 }
 
--- a/crates/proofs/src/installation.rs
+++ b/crates/proofs/src/installation.rs
@@ -7,7 +7,7 @@
 
 use super::{
     CallerClient, ChildProcess, KvProcess, LeafProcess, NodeAddresses, NodeProcess, QueryParts,
-    RelayProcess, WorkDirectory, free_address, wait_until,
+    RelayProcess, WorkDirectory, free_address, wait_until, with_members,
 };
 
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
@@ -74,15 +74,13 @@
     pub async fn start_node(&mut self, settings: &Value) {
         let name = format!("node-{}", self.nodes.len() + 1);
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|it| it.addresses.peer).collect();
-        let mut all = json!({
+        let all = json!({
             "availability_zone": "muc-a",
             "platform": { "key_value": self.kv.address },
             "seeds": seeds,
             "timing": { "address_lifetime_ms": 500 },
         });
-        for (key, value) in settings.as_object().expect("an object") {
-            all[key] = value.clone();
-        }
+        let all = with_members(all, settings);
         for _ in 0..START_ATTEMPTS {
             let addresses = NodeAddresses::choose();
             let mut node = NodeProcess::start(&self.directory, &name, addresses, &all);
--- a/crates/proofs/src/leaf_process.rs
+++ b/crates/proofs/src/leaf_process.rs
@@ -4,7 +4,7 @@
 
 use serde_json::{Value, json};
 
-use super::{ChildProcess, HttpClient, Program, WorkDirectory};
+use super::{ChildProcess, HttpClient, Program, WorkDirectory, with_members};
 
 /// One upstream, which records its calls by name.
 #[derive(Debug)]
@@ -31,13 +31,11 @@
         control: SocketAddr,
         settings: &Value,
     ) -> Self {
-        let mut leaf = json!({
+        let leaf = json!({
             "listen": address, "control_listen": control, "availability_zone": "muc-a",
             "record_calls": true, "seed": 1,
         });
-        for (name, value) in settings.as_object().expect("an object") {
-            leaf[name] = value.clone();
-        }
+        let leaf = with_members(leaf, settings);
         let name = format!("leaf-{}", address.port());
         let path = directory.write(&name, &json!({ "leaves": [leaf] }));
         let arguments = ["leaf", "--settings", &path.to_string_lossy()];
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod caller_client;
 mod child_process;
+mod fixtures;
 mod free_ports;
 mod http_client;
 mod installation;
@@ -17,6 +18,7 @@
 
 pub use caller_client::{AddressReply, CallerClient, QueryOutcome, QueryParts};
 pub use child_process::{ChildProcess, Program};
+pub use fixtures::{fixed_latency, held_snapshot, leaf_settings, service_definition, with_members};
 pub use free_ports::free_address;
 pub use http_client::{HttpClient, HttpReply};
 pub use installation::Installation;
--- a/crates/proofs/src/node_process.rs
+++ b/crates/proofs/src/node_process.rs
@@ -4,7 +4,9 @@
 
 use serde_json::{Value, json};
 
-use super::{ChildProcess, HttpClient, OperatorClient, Program, WorkDirectory, free_address};
+use super::{
+    ChildProcess, HttpClient, OperatorClient, Program, WorkDirectory, free_address, with_members,
+};
 
 /// One node, which can be started again under its name and at its addresses.
 #[derive(Debug)]
@@ -66,10 +68,8 @@
         addresses: NodeAddresses,
         settings: &Value,
     ) -> Self {
-        let mut node = json!({ "node": name, "listen": addresses.to_json() });
-        for (name, value) in settings.as_object().expect("an object") {
-            node[name] = value.clone();
-        }
+        let node = json!({ "node": name, "listen": addresses.to_json() });
+        let node = with_members(node, settings);
         let settings = directory.write(name, &node);
         Self {
             name: name.to_owned(),
--- /dev/null
+++ b/crates/proofs/tests/at_most_once.rs
@@ -0,0 +1,277 @@
+//! Requests that are not idempotent run at most once, and their verdicts are true.
+
+use googletest::prelude::*;
+use proofs::{
+    AddressReply, Installation, LeafProcess, NodeProcess, QueryOutcome, QueryParts, fixed_latency,
+    leaf_settings, service_definition, wait_until, with_members,
+};
+use serde_json::json;
+
+const SERVICE: &str = "backoffice";
+const SHARDS: u64 = 2;
+/// Longer than any test waits.
+const ENDLESS_MS: u64 = 3_600_000;
+const SHORT_MS: u64 = 5;
+
+/// The node that minted the session is killed between send and reply; the caller repeats at
+/// another node, and at the killed node once it runs again under its name.
+#[gtest]
+#[tokio::test]
+async fn repeat_after_the_session_owner_was_killed() {
+    let mut fixture = OrderDesk::start(2, ENDLESS_MS).await;
+    let (owner, other) = (fixture.owner, 1 - fixture.owner);
+    let first = fixture.send("order", 1, owner);
+    fixture.wait_for_runs("order").await;
+
+    fixture.installation.nodes[owner].process.kill();
+    let first = first.await.expect("the task ends");
+    let elsewhere = fixture.send("order", 1, other).await.expect("the task ends");
+    fixture.restart_node(owner).await;
+    let restarted = fixture.send("order", 1, owner).await.expect("the task ends");
+    let forwarded = fixture.send("order", 1, other).await.expect("the task ends");
+
+    expect_that!(first.is_none(), eq(true));
+    for outcome in [elsewhere, restarted, forwarded] {
+        expect_that!(outcome.expect("an answer").verdict, eq("may_have_run"));
+    }
+    expect_that!(fixture.runs("order").await, elements_are![eq(&1), eq(&1)]);
+}
+
+/// The only home node is killed between send and reply while the node that minted the session
+/// lives on; that node says what it knows, also to repeats.
+#[gtest]
+#[tokio::test]
+async fn repeat_after_the_home_node_was_killed() {
+    let limits = json!({ "connections_per_upstream": 2, "connection_reserve": 0 });
+    let mut fixture = OrderDesk::start_with(3, ENDLESS_MS, limits).await;
+    let home = fixture.home().await;
+    let owner = (home + 1) % 3;
+    fixture.use_session_of(owner).await;
+    let first = fixture.send("order", 1, owner);
+    fixture.wait_for_runs("order").await;
+
+    fixture.installation.nodes[home].process.kill();
+    let first = first.await.expect("the task ends").expect("an answer");
+    let repeat = fixture.send("order", 1, owner).await.expect("the task ends");
+    fixture.restart_node(home).await;
+    let restarted = fixture.send("order", 1, home).await.expect("the task ends");
+
+    expect_that!(first.verdict, eq("may_have_run"));
+    expect_that!(repeat.expect("an answer").verdict, eq("may_have_run"));
+    expect_that!(restarted.expect("an answer").verdict, eq("may_have_run"));
+    expect_that!(fixture.runs("order").await, elements_are![eq(&1), eq(&1)]);
+}
+
+/// Repeats while the request runs are told so; afterwards they get the kept answer.
+#[gtest]
+#[tokio::test]
+async fn repeats_at_two_nodes_get_the_kept_answer() {
+    const SERVICE_TIME_MS: u64 = 5_000;
+    let fixture = OrderDesk::start(2, SERVICE_TIME_MS).await;
+    let (owner, other) = (fixture.owner, 1 - fixture.owner);
+    let first = fixture.send("order", 1, owner);
+    fixture.wait_for_runs("order").await;
+
+    let early = [
+        fixture.send("order", 1, owner).await.expect("the task ends").expect("an answer"),
+        fixture.send("order", 1, other).await.expect("the task ends").expect("an answer"),
+    ];
+    let late = [fixture.repeat_until_done(owner).await, fixture.repeat_until_done(other).await];
+
+    let first = first.await.expect("the task ends").expect("an answer");
+    expect_that!(first.verdict, eq("done"));
+    expect_that!(first.is_replayed(), eq(false));
+    for outcome in early {
+        // On a machine that is busy for seconds the request may have ended before the repeat.
+        if outcome.code() == "in_progress" {
+            expect_that!(outcome.verdict, eq("may_have_run"));
+            expect_that!(outcome.retry_after_ms(), some(anything()));
+        } else {
+            expect_that!(outcome.is_replayed(), eq(true));
+        }
+    }
+    for outcome in late {
+        expect_that!(outcome.is_replayed(), eq(true));
+        expect_that!(outcome.results(), eq(&first.results()));
+    }
+    expect_that!(fixture.runs("order").await, elements_are![eq(&1), eq(&1)]);
+}
+
+/// The connections to the upstreams die after the send; the request is not sent again although
+/// other replicas and new connections are there.
+#[gtest]
+#[tokio::test]
+async fn connections_that_die_after_the_send_cause_no_second_run() {
+    let fixture = OrderDesk::start_behind_relays(ENDLESS_MS).await;
+    let first = fixture.send("order", 1, fixture.owner);
+    fixture.wait_for_runs("order").await;
+
+    fixture.set_latency(SHORT_MS).await;
+    for mode in ["cut", "pass"] {
+        for relay in &fixture.relays {
+            relay.set_mode(mode).await;
+        }
+    }
+    let first = first.await.expect("the task ends").expect("an answer");
+    let repeat = fixture.send("order", 1, fixture.owner).await.expect("the task ends");
+    let next = fixture.repeat_new_requests_until_done().await;
+
+    expect_that!(first.verdict, eq("may_have_run"));
+    expect_that!(repeat.expect("an answer").verdict, eq("may_have_run"));
+    expect_that!(next.is_full(), eq(true));
+    expect_that!(fixture.runs("order").await, elements_are![eq(&1), eq(&1)]);
+}
+
+/// A service that is not idempotent, with two replicas of both shards, and a session.
+struct OrderDesk {
+    installation: Installation,
+    leaves: Vec<LeafProcess>,
+    relays: Vec<proofs::RelayProcess>,
+    session: String,
+    /// Index of the node that minted the session.
+    owner: usize,
+}
+
+impl OrderDesk {
+    async fn start(nodes: usize, latency_ms: u64) -> Self {
+        Self::start_with(nodes, latency_ms, json!({})).await
+    }
+
+    async fn start_with(nodes: usize, latency_ms: u64, limits: serde_json::Value) -> Self {
+        let installation = Installation::start(nodes).await;
+        let leaves = start_leaves(&installation, latency_ms).await;
+        let upstreams: Vec<_> = leaves.iter().map(|it| it.address).collect();
+        Self::create(installation, leaves, Vec::new(), &upstreams, limits).await
+    }
+
+    async fn start_behind_relays(latency_ms: u64) -> Self {
+        let installation = Installation::start(1).await;
+        let leaves = start_leaves(&installation, latency_ms).await;
+        let mut relays = Vec::new();
+        for leaf in &leaves {
+            relays.push(installation.start_relay(leaf.address).await);
+        }
+        let upstreams: Vec<_> = relays.iter().map(|it| it.address).collect();
+        Self::create(installation, leaves, relays, &upstreams, json!({})).await
+    }
+
+    async fn create(
+        installation: Installation,
+        leaves: Vec<LeafProcess>,
+        relays: Vec<proofs::RelayProcess>,
+        upstreams: &[std::net::SocketAddr],
+        limits: serde_json::Value,
+    ) -> Self {
+        let limits = with_members(json!({ "slots_per_upstream": 8 }), &limits);
+        let change = json!({ "idempotent": false, "limits": limits });
+        let definition = with_members(service_definition(SERVICE, upstreams), &change);
+        installation.create_service(&definition).await;
+        let mut fixture = Self { installation, leaves, relays, session: String::new(), owner: 0 };
+        fixture.use_session_of(0).await;
+        fixture
+    }
+
+    /// Takes a session that `node` mints.
+    async fn use_session_of(&mut self, node: usize) {
+        let at = self.installation.nodes[node].addresses.caller;
+        let caller = &self.installation.caller;
+        let reply: AddressReply = wait_until(&self.installation.timer, "a session", async || {
+            caller.addresses(at, SERVICE).await
+        })
+        .await;
+        self.session = reply.session.token;
+        let owner = reply.session.address;
+        let is_owner = |it: &NodeProcess| it.addresses.caller == owner;
+        self.owner = self.installation.nodes.iter().position(is_owner).expect("a known node");
+        assert_eq!(self.owner, node, "a node mints its own sessions");
+    }
+
+    fn send(
+        &self,
+        key: &str,
+        sequence: u64,
+        node: usize,
+    ) -> tokio::task::JoinHandle<Option<QueryOutcome>> {
+        let parts = QueryParts::keyed(key).in_session(&self.session, sequence);
+        let at = self.installation.nodes[node].addresses.caller;
+        let caller = self.installation.caller.clone();
+        tokio::spawn(async move { caller.query(at, SERVICE, parts).await })
+    }
+
+    async fn repeat_until_done(&self, node: usize) -> QueryOutcome {
+        wait_until(&self.installation.timer, "a repeat gets the answer", async || {
+            let outcome = self.send("order", 1, node).await.expect("the task ends")?;
+            (outcome.verdict == "done").then_some(outcome)
+        })
+        .await
+    }
+
+    async fn repeat_new_requests_until_done(&self) -> QueryOutcome {
+        let mut sequence = 1;
+        wait_until(&self.installation.timer, "a new request is answered", async || {
+            sequence += 1;
+            let key = format!("order {sequence}");
+            let outcome = self.send(&key, sequence, self.owner).await.expect("the task ends")?;
+            (outcome.verdict == "done").then_some(outcome)
+        })
+        .await
+    }
+
+    /// Waits until both shards run the query with `key`.
+    async fn wait_for_runs(&self, key: &str) {
+        wait_until(&self.installation.timer, "both shards run the query", async || {
+            self.runs(key).await.iter().all(|it| 0 < *it).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns the runs of the query with `key` for each shard, over all replicas.
+    async fn runs(&self, key: &str) -> Vec<u64> {
+        let mut runs = vec![0; SHARDS as usize];
+        for leaf in &self.leaves {
+            for (shard, count) in (0..SHARDS).zip(&mut runs) {
+                *count += leaf.runs(key, shard).await;
+            }
+        }
+        runs
+    }
+
+    async fn set_latency(&self, millis: u64) {
+        for leaf in &self.leaves {
+            leaf.set_behaviour(&json!({ "latency": fixed_latency(millis) })).await;
+        }
+    }
+
+    async fn restart_node(&mut self, node: usize) {
+        let Installation { nodes, directory, timer, .. } = &mut self.installation;
+        let node = &mut nodes[node];
+        node.restart(directory);
+        wait_until(timer, "the node is back", async || {
+            let status = node.operators.status().await?;
+            (status.state == "ready" && !status.services.is_empty()).then_some(())
+        })
+        .await;
+    }
+
+    /// Returns the index of the only home node.
+    async fn home(&self) -> usize {
+        let nodes = &self.installation.nodes;
+        wait_until(&self.installation.timer, "one home node", async || {
+            let mut homes = Vec::new();
+            for (idx, node) in nodes.iter().enumerate() {
+                let status = node.operators.status().await?;
+                if status.services.iter().any(|it| it.home) {
+                    homes.push(idx);
+                }
+            }
+            (homes.len() == 1).then(|| homes[0])
+        })
+        .await
+    }
+}
+
+async fn start_leaves(installation: &Installation, latency_ms: u64) -> Vec<LeafProcess> {
+    let change = json!({ "latency": fixed_latency(latency_ms), "slots": 8 });
+    let settings = with_members(leaf_settings(12, 2, &[0, 1]), &change);
+    vec![installation.start_leaf(&settings).await, installation.start_leaf(&settings).await]
+}
