Bound the log lines of the gossip service

Cause: at 400 nodes a cold start logged one line for each member at once. Change: at most 50 lines on members and one warning in 10 s. Ruled out: logging members at debug level only, since staff read these lines after a removal. Not tested by itself.

--- a/crates/membership/src/gossip_service.rs
+++ b/crates/membership/src/gossip_service.rs
@@ -14,11 +14,13 @@
 
 use crate::{
     CounterReading, GossipAction, GossipCounters, GossipError, GossipEvent, GossipMachine,
-    GossipSettings, MemberRecord, MemberView, NodeIdentity, UpstreamNote,
+    GossipSettings, MemberRecord, MemberView, NodeIdentity, UpstreamNote, log_limiter::LogLimiter,
 };
 
 const TICK_PERIOD: Duration = Duration::from_millis(100);
-const WARNING_PERIOD: Duration = Duration::from_secs(10);
+const LOG_PERIOD: Duration = Duration::from_secs(10);
+const WARNINGS_PER_PERIOD: u32 = 1;
+const NEWS_PER_PERIOD: u32 = 50;
 const EVENT_CAPACITY: usize = 4_096;
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
@@ -40,7 +42,8 @@
     events: mpsc::Sender<GossipEvent>,
     timer: TimerService,
     logger: Logger,
-    next_warning: Mutex<TimePoint>,
+    warnings: Mutex<LogLimiter>,
+    news: Mutex<LogLimiter>,
 }
 
 impl GossipService {
@@ -82,7 +85,8 @@
             events,
             timer,
             logger,
-            next_warning: Mutex::default(),
+            warnings: Mutex::new(LogLimiter::new(LOG_PERIOD, WARNINGS_PER_PERIOD)),
+            news: Mutex::new(LogLimiter::new(LOG_PERIOD, NEWS_PER_PERIOD)),
         });
         state.step(|_, _, _| ());
         tokio::spawn(run_service(Arc::downgrade(&state), receiver, ticks));
@@ -177,6 +181,11 @@
         }
     }
 
+    fn receive(&self, from: SocketAddr, bytes: &[u8]) {
+        self.counters.count_received(bytes.len());
+        self.step(|machine, now, actions| machine.on_datagram(now, from, bytes, actions));
+    }
+
     fn lock_machine(&self) -> MutexGuard<'_, GossipMachine> {
         self.machine.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -213,14 +222,16 @@
     }
 
     fn log_event(&self, event: &GossipEvent) {
-        let logger = &self.logger;
         match event {
-            GossipEvent::MemberUp { member } => info!(logger, "gossip: {} is up", member.node()),
+            GossipEvent::MemberUp { member } => {
+                self.log_news(|logger| info!(logger, "gossip: {} is up", member.node()));
+            }
             GossipEvent::MemberDown { member } => {
-                info!(logger, "gossip: {} is down", member.node());
+                self.log_news(|logger| info!(logger, "gossip: {} is down", member.node()));
             }
             GossipEvent::MemberChanged { member } => {
-                info!(logger, "gossip: {} is now {:?}", member.node(), member.state);
+                let (node, state) = (member.node(), member.state);
+                self.log_news(|logger| info!(logger, "gossip: {} is now {:?}", node, state));
             }
             GossipEvent::NameConflict { other } => {
                 let peer = other.identity.peer;
@@ -232,15 +243,22 @@
         }
     }
 
+    /// Logs a change among the members unless too many were logged a short while ago.
+    fn log_news(&self, log: impl FnOnce(&Logger)) {
+        self.log_bounded(&self.news, log);
+    }
+
     /// Logs a warning unless one was logged a short while ago.
     fn warn_bounded(&self, log: impl FnOnce(&Logger)) {
-        let now = self.timer.now();
-        let mut next = self.next_warning.lock().unwrap_or_else(PoisonError::into_inner);
-        if now < *next {
-            return;
+        self.log_bounded(&self.warnings, log);
+    }
+
+    fn log_bounded(&self, limiter: &Mutex<LogLimiter>, log: impl FnOnce(&Logger)) {
+        let admitted =
+            limiter.lock().unwrap_or_else(PoisonError::into_inner).admits(self.timer.now());
+        if admitted {
+            log(&self.logger);
         }
-        *next = now + WARNING_PERIOD;
-        log(&self.logger);
     }
 }
 
@@ -271,10 +289,3 @@
         }
     }
 }
-
-impl ServiceState {
-    fn receive(&self, from: SocketAddr, bytes: &[u8]) {
-        self.counters.count_received(bytes.len());
-        self.step(|machine, now, actions| machine.on_datagram(now, from, bytes, actions));
-    }
-}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -7,6 +7,7 @@
 mod gossip_machine;
 mod gossip_service;
 mod gossip_settings;
+mod log_limiter;
 mod member_record;
 mod member_table;
 mod member_view;
--- /dev/null
+++ b/crates/membership/src/log_limiter.rs
@@ -0,0 +1,32 @@
+//! Bound on the number of log lines.
+
+use std::time::Duration;
+
+use mux_model::TimePoint;
+
+/// Admits a number of log lines per period.
+#[derive(Debug)]
+pub(crate) struct LogLimiter {
+    period: Duration,
+    lines_max: u32,
+    started_at: TimePoint,
+    lines: u32,
+}
+
+impl LogLimiter {
+    /// Creates a limiter that admits `lines_max` lines per `period`.
+    pub(crate) fn new(period: Duration, lines_max: u32) -> Self {
+        Self { period, lines_max, started_at: TimePoint::ZERO, lines: 0 }
+    }
+
+    /// Returns whether a line may be logged at `now`, and counts it if so.
+    pub(crate) fn admits(&mut self, now: TimePoint) -> bool {
+        if self.period <= now.since(self.started_at) {
+            self.started_at = now;
+            self.lines = 0;
+        }
+        let admitted = self.lines < self.lines_max;
+        self.lines += u32::from(admitted);
+        admitted
+    }
+}
