--- a/crates/membership/tests/gossip_messages.rs
+++ b/crates/membership/tests/gossip_messages.rs
@@ -1,6 +1,6 @@
 //! Datagrams that are not valid messages of the cluster.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, ops::Range};
 
 use googletest::prelude::*;
 use mux_membership::{
@@ -85,6 +85,59 @@
     }
 }
 
+/// Lets two machines, known by their ports, exchange datagrams with each other only.
+fn converse(lhs: (&mut GossipMachine, u16), rhs: (&mut GossipMachine, u16), millis: Range<u64>) {
+    let mut to_lhs = Vec::new();
+    for now in millis.step_by(100).map(TimePoint::from_millis) {
+        let to_rhs = exchange(lhs.0, now, rhs.1, &to_lhs);
+        to_lhs = exchange(rhs.0, now, lhs.1, &to_rhs);
+    }
+}
+
+/// Returns the datagrams that `machine` sends to `peer` in answer to `input` and on a tick.
+fn exchange(
+    machine: &mut GossipMachine,
+    now: TimePoint,
+    peer: u16,
+    input: &[Vec<u8>],
+) -> Vec<Vec<u8>> {
+    let mut actions = Vec::new();
+    for bytes in input {
+        machine.on_datagram(now, address(peer), bytes, &mut actions);
+    }
+    machine.on_tick(now, &mut actions);
+    let sent = actions.into_iter().filter_map(|it| match it {
+        GossipAction::Send { to, bytes } if to == address(peer) => Some(bytes),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[gtest]
+fn death_claimed_by_one_member_is_only_a_suspicion_at_another() {
+    let [mut observer, mut claimant, mut witness, mut friend] =
+        [1, 2, 4, 5].map(|port| machine("cluster", port));
+    let victim = machine("cluster", 3).members().members.clone();
+    claimant.import(NOW, &witness.members().members, &mut Vec::new());
+    observer.import(NOW, &friend.members().members, &mut Vec::new());
+    converse((&mut claimant, 2), (&mut witness, 4), 0..20_000);
+    claimant.import(TimePoint::from_millis(20_000), &victim, &mut Vec::new());
+    let mut now = 20_000;
+    while claimant.members().get(&"node-3".into()).is_some() {
+        converse((&mut claimant, 2), (&mut witness, 4), now..now + 1_000);
+        now += 1_000;
+    }
+    converse((&mut observer, 1), (&mut friend, 5), 0..now);
+    observer.import(TimePoint::from_millis(now), &victim, &mut Vec::new());
+    observer.import(TimePoint::from_millis(now), &claimant.members().members, &mut Vec::new());
+
+    converse((&mut observer, 1), (&mut claimant, 2), now..now + 3_000);
+
+    let held = observer.members().get(&"node-3".into()).map(|it| it.state);
+    expect_that!(claimant.members().get(&"node-3".into()), none());
+    expect_that!(held, some(eq(MemberState::Suspect)));
+}
+
 #[gtest]
 fn altered_messages_cause_no_panic() {
     let config = Config { cases: 2_000, failure_persistence: None, ..Config::default() };
