Suspend hedges only when calls wait longer than the target

Cause: a trial on processes on a busy machine, at 0.3 of capacity with 1% stragglers, showed hedges suspended after each stall of the machine, since half the target wait already counted as overload.

Ruled out: no sign from waits at all (the tests then fail at twice the capacity); the refused queries show a lasting overload anyway.

Change: extra calls stop when the smoothed wait is above the target.

Not yet measured on processes.

--- a/crates/routing/src/query_admission.rs
+++ b/crates/routing/src/query_admission.rs
@@ -158,7 +158,7 @@
             busy_until: now,
             ..Default::default()
         };
-        wait.target / 2 <= self.wait || OVERLOADED_REFUSALS < self.refusals_per_finish
+        wait.target < self.wait || OVERLOADED_REFUSALS < self.refusals_per_finish
     }
 
     fn shrink(&mut self, target: Duration) {
