Keep a lagging status from ending an upstream's drain

Cause: a status that was made before the drain says 'not draining', and the node passed that on to the router, which resumed new work two seconds later. Ruled out: ignoring statuses (an idle upstream that is back would never get work). Change: for 10 s after the first sign of a drain a status cannot end it; a reply can. Before/after: by reading; the three tests of nodes_draining pass.

--- a/crates/node/src/dispatch/service_runtime.rs
+++ b/crates/node/src/dispatch/service_runtime.rs
@@ -23,6 +23,7 @@
 use super::fan_out_driver::CallReport;
 
 const PERCENT: f64 = 100.0;
+const STATUS_LAG: Duration = Duration::from_secs(10); // A status may be outdated by this much.
 
 /// Counts of one service since the node started.
 #[derive(Debug, Default)]
@@ -63,6 +64,8 @@
     replied_at: Option<TimePoint>,
     /// Whether its latest reply said that it drains.
     draining: bool,
+    /// When a reply last said so.
+    drain_seen_at: Option<TimePoint>,
     /// Whether another source, such as the VM list, said that it drains.
     noted_draining: bool,
 }
@@ -207,7 +210,9 @@
             shards: &it.shards,
         });
         self.lock_catalog().on_status(now, upstream, claims);
-        self.observe_reply(now, upstream, Some(status.in_flight), status.draining)
+        // A status lags: one that was made before the drain must not end it.
+        let draining = status.draining || self.is_drain_recent(now, upstream);
+        self.observe_reply(now, upstream, Some(status.in_flight), draining)
     }
 
     /// Learns from another source that an upstream started or stopped draining.
@@ -245,6 +250,12 @@
         }
     }
 
+    fn is_drain_recent(&self, now: TimePoint, upstream: UpstreamId) -> bool {
+        let table = self.lock_activity();
+        let seen_at = table.get(&upstream).filter(|it| it.draining).and_then(|it| it.drain_seen_at);
+        seen_at.is_some_and(|it| now.since(it) < STATUS_LAG)
+    }
+
     /// Takes in what a reply said; a reply never overrules what another source noted.
     fn observe_reply(
         &self,
@@ -258,6 +269,9 @@
             let activity = table.entry(upstream).or_default();
             activity.replied_at = Some(now);
             let was_draining = mem::replace(&mut activity.draining, draining);
+            if draining && (!was_draining || in_flight.is_none()) {
+                activity.drain_seen_at = Some(now);
+            }
             (was_draining, activity.noted_draining)
         };
         let hint = UpstreamHint { in_flight, draining: draining || noted_draining };
