Ask the owner of a session before any other check refuses its request

Cause: found on reading. A repeat of a request that is not idempotent was refused as not run by checks of the node's own state (not ready, stopping, unknown service) before the ledger was asked, although the request had run. A caller that trusted it would have run it twice.

Ruled out: turning those refusals into may-have-run (a first attempt would be told an untruth of the other kind).

Change: a request named by session and sequence goes to its owner's ledger first, from any node and in any state of it; the other checks come after, under the ledger's ticket, which gives 'not run' back.

Before: repeat_after_the_service_was_removed_gets_the_kept_answer fails (not_run, unknown_service).

--- a/crates/node/src/dispatch/query_dispatcher.rs
+++ b/crates/node/src/dispatch/query_dispatcher.rs
@@ -23,6 +23,7 @@
 };
 
 const HOP_LIMIT: u8 = 1;
+const UNKNOWN_SERVICE_LIMIT: Duration = Duration::from_secs(1);
 const DEADLINE_MARGIN: Duration = Duration::from_millis(2);
 
 /// Runs queries, here or at another node.
@@ -75,29 +76,43 @@
         node: &Node,
         command: QueryCommand,
         caller_gone: mpsc::Receiver<()>,
+    ) -> QueryResult {
+        let service = node.registry().find(&command.service);
+        let is_idempotent = service.is_some_and(|it| it.definition().idempotent);
+        match &command.claim {
+            // Only the owner of the session knows whether an earlier attempt has run, so that no
+            // other check may refuse the request as not run before it is asked.
+            SessionClaim::Named(session) if !is_idempotent => {
+                let session = session.clone();
+                self.run_in_session(node, command, &session, caller_gone).await
+            }
+            _ => self.run_admitted(node, command, caller_gone).await,
+        }
+    }
+
+    /// Runs a query for which nothing but the state of this node decides.
+    async fn run_admitted(
+        &self,
+        node: &Node,
+        command: QueryCommand,
+        caller_gone: mpsc::Receiver<()>,
     ) -> QueryResult {
         node.check_admission()?;
         let Some(runtime) = node.registry().find(&command.service) else {
             let message = format!("there is no service {}", command.service);
             return Err(QueryProblem::not_run(ProblemCode::UnknownService, message));
         };
-        let deadline = self.deadline(&runtime, &command);
-        if runtime.definition().idempotent {
-            return self.run_or_forward(node, &runtime, command, deadline, caller_gone).await;
+        if !runtime.definition().idempotent && !matches!(command.claim, SessionClaim::Recorded) {
+            let message = "requests of this service are not idempotent: send `session` from an \
+                           address answer and a new `sequence` with each request";
+            return Err(QueryProblem::not_run(ProblemCode::SessionRequired, message));
         }
-        match command.claim.clone() {
-            SessionClaim::Unnamed => {
-                let message = "requests of this service are not idempotent: send `session` from \
-                               an address answer and a new `sequence` with each request";
-                Err(QueryProblem::not_run(ProblemCode::SessionRequired, message))
-            }
-            SessionClaim::Named(session) => {
-                self.run_in_session(node, &runtime, command, &session, deadline, caller_gone).await
-            }
-            SessionClaim::Recorded => {
-                self.run_or_forward(node, &runtime, command, deadline, caller_gone).await
-            }
+        let deadline = self.deadline(&runtime, &command);
+        if runtime.is_home() || HOP_LIMIT <= command.hops {
+            let runner = FanOutRunner::new(node, &runtime, deadline);
+            return runner.run(command, caller_gone).await;
         }
+        self.forward_to_home(node, &runtime, command, deadline).await
     }
 
     fn deadline(&self, runtime: &ServiceRuntime, command: &QueryCommand) -> TimePoint {
@@ -109,10 +124,8 @@
     async fn run_in_session(
         &self,
         node: &Node,
-        runtime: &Arc<ServiceRuntime>,
         command: QueryCommand,
         session: &SessionUse,
-        deadline: TimePoint,
         caller_gone: mpsc::Receiver<()>,
     ) -> QueryResult {
         let Ok(token) = SessionToken::parse(&session.token) else {
@@ -120,12 +133,10 @@
             return Err(QueryProblem::not_run(ProblemCode::SessionInvalid, message));
         };
         if token.owner() != node.name() {
-            return self.forward_to_owner(node, token.owner(), command, deadline).await;
+            return self.forward_to_owner(node, token.owner(), command).await;
         }
         match self.ledger.begin(self.timer.now(), &token, session.sequence) {
-            BeginOutcome::Run(ticket) => {
-                self.run_ticket(node, runtime, command, ticket, deadline, caller_gone).await
-            }
+            BeginOutcome::Run(ticket) => self.run_ticket(node, command, ticket, caller_gone).await,
             BeginOutcome::Finished { verdict, answer } => replay(verdict, answer),
             other => Err(session_problem(&other)),
         }
@@ -135,14 +146,12 @@
     async fn run_ticket(
         &self,
         node: &Node,
-        runtime: &Arc<ServiceRuntime>,
         command: QueryCommand,
         ticket: RunTicket,
-        deadline: TimePoint,
         caller_gone: mpsc::Receiver<()>,
     ) -> QueryResult {
         let command = QueryCommand { claim: SessionClaim::Recorded, hops: 0, ..command };
-        let result = self.run_or_forward(node, runtime, command, deadline, caller_gone).await;
+        let result = self.run_admitted(node, command, caller_gone).await;
         let verdict = match &result {
             Ok(_) => Verdict::Done,
             Err(problem) => problem.verdict,
@@ -157,7 +166,6 @@
         node: &Node,
         owner: &NodeId,
         command: QueryCommand,
-        deadline: TimePoint,
     ) -> QueryResult {
         let gone = || {
             let message = "the node that minted the session cannot be reached; an earlier \
@@ -170,6 +178,10 @@
         let Some(peer) = node.peer_address(owner) else {
             return Err(gone());
         };
+        let deadline = match node.registry().find(&command.service) {
+            Some(runtime) => self.deadline(&runtime, &command),
+            None => self.timer.now() + UNKNOWN_SERVICE_LIMIT,
+        };
         let command = self.next_hop(command, deadline);
         let limit = deadline.since(self.timer.now());
         match self.peers.run_query(peer, command, limit).await {
@@ -178,21 +190,6 @@
         }
     }
 
-    async fn run_or_forward(
-        &self,
-        node: &Node,
-        runtime: &Arc<ServiceRuntime>,
-        command: QueryCommand,
-        deadline: TimePoint,
-        caller_gone: mpsc::Receiver<()>,
-    ) -> QueryResult {
-        if runtime.is_home() || HOP_LIMIT <= command.hops {
-            let runner = FanOutRunner::new(node, runtime, deadline);
-            return runner.run(command, caller_gone).await;
-        }
-        self.forward_to_home(node, runtime, command, deadline).await
-    }
-
     /// Hands the query to a home node; only a proof of not-run allows a second one.
     async fn forward_to_home(
         &self,
--- a/crates/proofs/src/installation.rs
+++ b/crates/proofs/src/installation.rs
@@ -28,6 +28,8 @@
     pub caller: CallerClient,
     /// Settings files and logs.
     pub directory: WorkDirectory,
+    /// Random, so that nodes of test programs that run side by side ignore one another.
+    name: String,
 }
 
 /// Whether a process that was just started serves.
@@ -57,7 +59,8 @@
         let directory = WorkDirectory::create();
         let kv = start_kv(&timer, &directory).await;
         let caller = CallerClient::new();
-        let mut installation = Self { timer, nodes: Vec::new(), kv, caller, directory };
+        let name = format!("proof-{:08x}", rand::random::<u32>());
+        let mut installation = Self { timer, nodes: Vec::new(), kv, caller, directory, name };
         for _ in 0..count {
             installation.start_node(settings).await;
         }
@@ -76,6 +79,7 @@
         let seeds: Vec<SocketAddr> = self.nodes.iter().map(|it| it.addresses.peer).collect();
         let all = json!({
             "availability_zone": "muc-a",
+            "installation": self.name,
             "platform": { "key_value": self.kv.address },
             "seeds": seeds,
             "timing": { "address_lifetime_ms": 500 },
@@ -200,10 +204,9 @@
 
     async fn wait_for_node(&self, node: &mut NodeProcess) -> Readiness {
         wait_until(&self.timer, "a node starts", async || {
-            if node.operators.status().await.is_some() {
-                return Some(Readiness::Serves);
-            }
-            ended(&mut node.process)
+            let answers = node.operators.status().await.is_some();
+            // The answer may be that of another program's node on the same port.
+            ended(&mut node.process).or_else(|| answers.then_some(Readiness::Serves))
         })
         .await
     }
--- a/crates/proofs/tests/at_most_once.rs
+++ b/crates/proofs/tests/at_most_once.rs
@@ -1,9 +1,10 @@
 //! Requests that are not idempotent run at most once, and their verdicts are true.
 
 use googletest::prelude::*;
+use mux_admin::Verdict;
 use proofs::{
-    AddressReply, Installation, LeafProcess, NodeProcess, QueryOutcome, QueryParts, RelayProcess,
-    fixed_latency, leaf_settings, service_definition, wait_until, with_members,
+    AddressReply, ChangeClient, Installation, LeafProcess, NodeProcess, QueryOutcome, QueryParts,
+    RelayProcess, fixed_latency, leaf_settings, service_definition, wait_until, with_members,
 };
 use serde_json::json;
 
@@ -120,6 +121,29 @@
     expect_that!(fixture.runs("order").await, elements_are![eq(&1)]);
 }
 
+/// A repeat is answered by what is known of the request, also when the service is gone meanwhile.
+#[gtest]
+#[tokio::test]
+async fn repeat_after_the_service_was_removed_gets_the_kept_answer() {
+    let fixture = OrderDesk::start(2, SHORT_MS).await;
+    let (owner, other) = (fixture.owner, 1 - fixture.owner);
+    let first = fixture.repeat_until_done(owner).await;
+
+    fixture.remove_service().await;
+    let repeat = fixture.send("order", 1, owner).await.expect("the task ends").expect("an answer");
+    let elsewhere = fixture.send("order", 1, other).await.expect("the task ends");
+    let fresh = fixture.send("order", 2, owner).await.expect("the task ends").expect("an answer");
+
+    for outcome in [repeat, elsewhere.expect("an answer")] {
+        expect_that!(outcome.verdict, eq("done"));
+        expect_that!(outcome.is_replayed(), eq(true));
+        expect_that!(outcome.results(), eq(&first.results()));
+    }
+    expect_that!(fresh.verdict, eq("not_run"));
+    expect_that!(fresh.code(), eq("unknown_service"));
+    expect_that!(fixture.runs("order").await, elements_are![eq(&1), eq(&1)]);
+}
+
 /// A service that is not idempotent, with two replicas of each shard, and a session.
 struct OrderDesk {
     installation: Installation,
@@ -188,6 +212,22 @@
         assert_eq!(self.owner, node, "a node mints its own sessions");
     }
 
+    /// Removes the service and waits until it is gone at every node.
+    async fn remove_service(&self) {
+        let at = self.installation.nodes[0].addresses.operator;
+        let operator = ChangeClient::new(at, "proof");
+        let revision = operator.get(SERVICE).await.expect("the service").revision;
+        let reply = operator.remove("removal", SERVICE, revision).await.expect("a reply");
+        assert_eq!(reply.verdict, i32::from(Verdict::Done), "{}", reply.message);
+        for node in &self.installation.nodes {
+            let client = ChangeClient::new(node.addresses.operator, "proof");
+            wait_until(&self.installation.timer, "the service is gone", async || {
+                client.get(SERVICE).await.is_err().then_some(())
+            })
+            .await;
+        }
+    }
+
     fn send(
         &self,
         key: &str,
