Take back the bound on the threads of a node's runtime

Cause: the bound was set without a run of its own.

Conclusion: reverted; the runtime takes a thread for each processor, as before.

--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -30,9 +30,6 @@
     /// Peer addresses of other nodes, tried besides the platform's VM list.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
-    /// Threads that run queries, connections and control; 1 to 64.
-    #[serde(default = "defaults::runtime_threads")]
-    pub runtime_threads: usize,
     /// Times.
     #[serde(default)]
     pub timing: NodeTiming,
@@ -223,7 +220,6 @@
                 call_limit_ms: defaults::call_limit_ms(),
             },
             seeds: vec![address(7012)],
-            runtime_threads: defaults::runtime_threads(),
             timing: NodeTiming::default(),
             caller_limits: CallerLimits::default(),
             logs: LogSettings::default(),
@@ -242,7 +238,6 @@
             50..=30_000,
             "50 to 30000 milliseconds",
         )?;
-        check_range("runtime_threads", self.runtime_threads as u64, 1..=64, "1 to 64")?;
         self.timing.check()?;
         self.caller_limits.check()
     }
@@ -375,10 +370,6 @@
         "mustardmux".to_owned()
     }
 
-    pub(super) fn runtime_threads() -> usize {
-        4
-    }
-
     pub(super) fn call_limit_ms() -> u64 {
         2_000
     }
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -30,11 +30,7 @@
 ///
 /// Returns [`StartError`] if a listener or the runtime cannot be started.
 pub fn run(settings: NodeSettings) -> Result<(), StartError> {
-    let runtime = Builder::new_multi_thread()
-        .worker_threads(settings.runtime_threads)
-        .enable_all()
-        .build()
-        .map_err(StartError::Runtime)?;
+    let runtime = Builder::new_multi_thread().enable_all().build().map_err(StartError::Runtime)?;
     let result = runtime.block_on(serve(settings));
     // Waiting for the caller threads here would let them answer without a runtime to run queries.
     runtime.shutdown_background();
