--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -89,7 +89,7 @@
     /// 200 to 5000.
     pub pause_limit_ms: u64,
     /// Longest time that a planned stop waits for queries in flight after the address lifetime,
-    /// in milliseconds; 0 to 600000.
+    /// in milliseconds; 0 to 600000. Below a service's deadline, a stop can cut its queries.
     pub drain_limit_ms: u64,
 }
 
@@ -103,7 +103,7 @@
             watch_limit_ms: 2_000,
             upstream_status_ms: 1_000,
             pause_limit_ms: 1_000,
-            drain_limit_ms: 30_000,
+            drain_limit_ms: 600_000,
         }
     }
 }
