--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -18,6 +18,8 @@
 mod service_change;
 mod service_definition;
 pub mod storage_keys;
+mod store_contact;
+pub mod traffic;
 
 pub use audit_trail::{RefusedAttempt, read_audit, read_refused};
 pub use change_record::{ChangeKind, ChangeRecord};
@@ -34,6 +36,7 @@
 pub use in_force_tracker::{InForceProgress, InForceTracker};
 pub use lease_holder::LeaseHolder;
 pub use service_change::{ChangeAction, ServiceChange};
+pub use store_contact::StoreContact;
 pub use service_definition::{
     ConcurrencyMode, HedgeMode, HedgeSettings, ServiceDefinition, ServiceLimits, ShardMapSource,
     UpstreamEntry,
--- /dev/null
+++ b/crates/config/src/traffic/route_table.rs
@@ -0,0 +1,58 @@
+//! Finds the route of a request.
+
+use std::sync::Arc;
+
+use mux_model::{FastMap, RevisionNumber};
+
+use super::{CallerBounds, RouteRule, TrafficConfig};
+
+/// The routes of one version, by host and prefix.
+#[derive(Debug)]
+pub struct RouteTable {
+    version: RevisionNumber,
+    caller_bounds: CallerBounds,
+    hosts: FastMap<String, FastMap<String, Arc<RouteRule>>>,
+}
+
+impl RouteTable {
+    /// Arranges the routes of `config`; of two routes with one host and prefix the first counts.
+    pub fn new(config: &TrafficConfig) -> Self {
+        let mut hosts: FastMap<String, FastMap<String, Arc<RouteRule>>> = FastMap::default();
+        for rule in &config.routes {
+            let prefixes = hosts.entry(rule.host.clone()).or_default();
+            prefixes.entry(rule.prefix.clone()).or_insert_with(|| Arc::new(rule.clone()));
+        }
+        Self { version: config.version, caller_bounds: config.caller_bounds, hosts }
+    }
+
+    /// Returns the version that the table was made from.
+    pub fn version(&self) -> RevisionNumber {
+        self.version
+    }
+
+    /// Returns the bounds for callers.
+    pub fn caller_bounds(&self) -> CallerBounds {
+        self.caller_bounds
+    }
+
+    /// Returns the route with the longest prefix of `path` among those of `host`.
+    ///
+    /// `host` may carry a port; `path` is without a query. Since every prefix ends with a slash,
+    /// one look-up for each slash of the path finds it, however many routes there are.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteRule>> {
+        let host = host_name(host);
+        let prefixes = match self.hosts.get(host) {
+            Some(it) => it,
+            None => self.hosts.get(&host.to_ascii_lowercase())?,
+        };
+        let slashes = path.bytes().enumerate().rev().filter(|(_, it)| *it == b'/');
+        slashes.filter_map(|(idx, _)| path.get(..=idx)).find_map(|it| prefixes.get(it))
+    }
+}
+
+fn host_name(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|it| it.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/caller/side_servers.rs
@@ -0,0 +1,64 @@
+//! Answers the questions around requests: addresses, readiness and metrics.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode, header};
+use http_body_util::Full;
+use hyper::body::Incoming;
+
+use crate::{WireProtocol, edge::Edge};
+
+/// Lifetime of an address answer; the shorter it is, the sooner callers leave a node that is gone.
+const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
+
+/// Answers the question which addresses to use.
+pub(crate) async fn serve_directory<W: WireProtocol>(
+    edge: Arc<Edge>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let Some(question) = W::read_address_question(request.uri()) else {
+        return plain(StatusCode::NOT_FOUND, "no such page\n");
+    };
+    let addresses = edge.nodes().addresses_for(&question.zone, &question.region);
+    if addresses.is_empty() {
+        return plain(StatusCode::SERVICE_UNAVAILABLE, "no node serves\n");
+    }
+    let lifetime = ADDRESS_LIFETIME.min(edge.settings.longest_lifetime);
+    let body = W::write_address_answer(&addresses, lifetime);
+    let mut response = Response::new(Full::new(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, json);
+    response
+}
+
+/// Answers the question whether the node is ready.
+pub(crate) async fn serve_readiness<W: WireProtocol>(
+    edge: Arc<Edge>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    if !W::is_readiness_question(request.uri()) {
+        return plain(StatusCode::NOT_FOUND, "no such page\n");
+    }
+    if edge.is_ready() {
+        return plain(StatusCode::OK, "ready\n");
+    }
+    plain(StatusCode::SERVICE_UNAVAILABLE, "not ready\n")
+}
+
+/// Serves the node's metrics.
+pub(crate) async fn serve_metrics(
+    edge: Arc<Edge>,
+    _request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(edge.metrics.render())));
+    let text = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
+    response.headers_mut().insert(header::CONTENT_TYPE, text);
+    response
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/edge/src/edge.rs
@@ -0,0 +1,199 @@
+//! The state of a node, in parts that each have a lock of their own.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+
+use mux_config::{
+    StoreContact,
+    traffic::{ConfigBelief, RouteRule, RouteTable, SplitChooser, WeightedService},
+};
+use mux_logs::LogThrottle;
+use mux_model::{FastMap, InstanceId, ServiceName, TimePoint};
+use mux_placement::NodeRegistry;
+use mux_routing::lane::{RoutePace, ServiceLane, UpstreamRegistry};
+use mux_timer::TimerService;
+use slog::{Logger, info};
+use tokio::sync::{Notify, watch};
+
+use crate::{
+    EdgeSettings, StoreArea, edge_metrics::EdgeMetrics, upstream::LinkTable,
+};
+
+/// Lines about single requests that are logged in one period, at most.
+const REQUEST_LOG_LINES: u32 = 200;
+/// The period of [`REQUEST_LOG_LINES`].
+const REQUEST_LOG_PERIOD: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// How far a node is on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum StopPhase {
+    /// It serves.
+    Serving,
+    /// It serves, but asks callers to leave.
+    Leaving,
+    /// It closes connections that have no request.
+    Closing,
+}
+
+/// One node.
+#[derive(Debug)]
+pub(crate) struct Edge {
+    pub(crate) settings: EdgeSettings,
+    pub(crate) timer: TimerService,
+    pub(crate) logger: Logger,
+    pub(crate) metrics: EdgeMetrics,
+    pub(crate) links: LinkTable,
+    pub(crate) stop: watch::Sender<StopPhase>,
+    pub(crate) request_log: LogThrottle,
+    /// Wakes the task that keeps this node's entry in the store.
+    pub(crate) announce: Notify,
+    config: RwLock<ConfigBelief>,
+    upstreams: Mutex<UpstreamRegistry>,
+    nodes: Mutex<NodeRegistry>,
+    contacts: Mutex<FastMap<StoreArea, StoreContact>>,
+    lanes: RwLock<FastMap<ServiceName, Arc<ServiceLane>>>,
+    limits: RwLock<FastMap<ServiceName, u32>>,
+    paces: RwLock<FastMap<String, Arc<Mutex<RoutePace>>>>,
+    splits: Mutex<FastMap<String, SplitChooser>>,
+}
+
+impl Edge {
+    pub(crate) fn new(settings: EdgeSettings, timer: TimerService, logger: Logger) -> Self {
+        let nodes = NodeRegistry::new(settings.node.clone());
+        Self {
+            settings,
+            timer,
+            logger,
+            metrics: EdgeMetrics::new(),
+            links: LinkTable::new(),
+            stop: watch::Sender::new(StopPhase::Serving),
+            request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
+            announce: Notify::new(),
+            config: RwLock::default(),
+            upstreams: Mutex::default(),
+            nodes: Mutex::new(nodes),
+            contacts: Mutex::default(),
+            lanes: RwLock::default(),
+            limits: RwLock::default(),
+            paces: RwLock::default(),
+            splits: Mutex::default(),
+        }
+    }
+
+    /// Returns whether requests can be served: the configuration and upstreams were read.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.phase() == StopPhase::Serving
+            && self.table().is_some()
+            && !lock(&self.upstreams).is_empty()
+    }
+
+    pub(crate) fn phase(&self) -> StopPhase {
+        *self.stop.borrow()
+    }
+
+    /// Returns the routes in force.
+    pub(crate) fn table(&self) -> Option<Arc<RouteTable>> {
+        self.config.read().unwrap_or_else(PoisonError::into_inner).table().cloned()
+    }
+
+    /// Gives access to the configuration for a change.
+    pub(crate) fn change_config<T>(&self, act: impl FnOnce(&mut ConfigBelief) -> T) -> T {
+        act(&mut self.config.write().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Replaces the connection limits of services.
+    pub(crate) fn set_connection_limits(&self, limits: FastMap<ServiceName, u32>) {
+        *self.limits.write().unwrap_or_else(PoisonError::into_inner) = limits;
+    }
+
+    pub(crate) fn upstreams(&self) -> MutexGuard<'_, UpstreamRegistry> {
+        lock(&self.upstreams)
+    }
+
+    pub(crate) fn nodes(&self) -> MutexGuard<'_, NodeRegistry> {
+        lock(&self.nodes)
+    }
+
+    /// Gives access to what is known of the contact to one area of the store.
+    pub(crate) fn contact<T>(&self, area: StoreArea, act: impl FnOnce(&mut StoreContact) -> T) -> T {
+        act(lock(&self.contacts).entry(area).or_default())
+    }
+
+    /// Returns the lane of a service.
+    pub(crate) fn lane(&self, service: &ServiceName) -> Arc<ServiceLane> {
+        if let Some(lane) = self.lanes.read().unwrap_or_else(PoisonError::into_inner).get(service) {
+            return Arc::clone(lane);
+        }
+        let mut lanes = self.lanes.write().unwrap_or_else(PoisonError::into_inner);
+        let lane = lanes.entry(service.clone()).or_insert_with(|| {
+            let zone = self.settings.node.availability_zone.clone();
+            Arc::new(ServiceLane::new(self.settings.retry, zone))
+        });
+        Arc::clone(lane)
+    }
+
+    /// Passes what is known of upstreams, limits and nodes on to the lanes.
+    pub(crate) fn refresh_lanes(&self, now: TimePoint) {
+        let nodes = self.nodes().node_count();
+        let registry = self.upstreams();
+        let services = registry.by_service();
+        for service in services.keys() {
+            self.lane(service);
+        }
+        let limits = self.limits.read().unwrap_or_else(PoisonError::into_inner);
+        let lanes = self.lanes.read().unwrap_or_else(PoisonError::into_inner);
+        for (service, lane) in lanes.iter() {
+            let records = services.get(service).map_or(&[][..], Vec::as_slice);
+            lane.set_upstreams(now, records);
+            lane.set_limits(limits.get(service).copied(), nodes);
+        }
+        let serving = services.values().flatten().map(|it| &it.instance);
+        self.links.keep_only(serving);
+    }
+
+    /// Takes in that another instance answered in the place of `instance`.
+    pub(crate) fn on_misdirected(&self, instance: &InstanceId) {
+        if self.upstreams().on_misdirected(instance) {
+            info!(self.logger, "upstream: another instance has its address";
+                "instance" => instance.as_str());
+            self.refresh_lanes(self.timer.now());
+        }
+    }
+
+    /// Returns what was measured of a route.
+    pub(crate) fn pace(&self, rule: &RouteRule) -> Arc<Mutex<RoutePace>> {
+        let paces = self.paces.read().unwrap_or_else(PoisonError::into_inner);
+        if let Some(pace) = paces.get(&rule.name) {
+            lock(pace).retarget(rule.latency_target);
+            return Arc::clone(pace);
+        }
+        drop(paces);
+        let mut paces = self.paces.write().unwrap_or_else(PoisonError::into_inner);
+        let pace = paces
+            .entry(rule.name.clone())
+            .or_insert_with(|| Arc::new(Mutex::new(RoutePace::new(rule.latency_target))));
+        Arc::clone(pace)
+    }
+
+    /// Returns the service that the next request of a split route goes to.
+    pub(crate) fn choose_part(
+        &self,
+        rule: &RouteRule,
+        parts: &[WeightedService],
+    ) -> Option<ServiceName> {
+        let mut splits = lock(&self.splits);
+        let known = splits.get_mut(&rule.name).filter(|it| it.is_for(parts));
+        let chooser = match known {
+            Some(it) => it,
+            None => {
+                let chooser = SplitChooser::new(parts, rand::random());
+                splits.insert(rule.name.clone(), chooser);
+                splits.get_mut(&rule.name)?
+            }
+        };
+        chooser.choose().cloned()
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/edge/src/edge_metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and latency histograms of a node.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::{Registry, Unit},
+};
+
+/// Least bound of the latency histogram, in seconds.
+const LATENCY_START_SECONDS: f64 = 0.002;
+/// Ratio of one bound of the latency histogram to the one before.
+const LATENCY_FACTOR: f64 = 1.6;
+/// Number of bounds of the latency histogram; the last is near 15 s.
+const LATENCY_BUCKETS: u16 = 20;
+
+/// Labels of answered requests.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AnswerLabels {
+    pub(crate) route: String,
+    pub(crate) outcome: &'static str,
+}
+
+/// Label of one route.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RouteLabel {
+    pub(crate) route: String,
+}
+
+/// Label of one area of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AreaLabel {
+    pub(crate) area: &'static str,
+}
+
+/// Label of the result of a call.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ResultLabel {
+    pub(crate) result: &'static str,
+}
+
+type LatencyFamily = Family<RouteLabel, Histogram, fn() -> Histogram>;
+
+/// The metrics of a node.
+#[derive(Debug)]
+pub(crate) struct EdgeMetrics {
+    registry: Mutex<Registry>,
+    pub(crate) answers: Family<AnswerLabels, Counter>,
+    pub(crate) latency: LatencyFamily,
+    pub(crate) calls: Family<ResultLabel, Counter>,
+    pub(crate) dials: Family<ResultLabel, Counter>,
+    pub(crate) store_failures: Family<AreaLabel, Counter>,
+    pub(crate) config_version: Gauge,
+    pub(crate) upstreams: Gauge,
+    pub(crate) nodes: Gauge,
+}
+
+impl EdgeMetrics {
+    /// Creates and registers the metrics.
+    pub(crate) fn new() -> Self {
+        let latency: fn() -> Histogram = new_latency;
+        let metrics = Self {
+            registry: Mutex::default(),
+            answers: Family::default(),
+            latency: Family::new_with_constructor(latency),
+            calls: Family::default(),
+            dials: Family::default(),
+            store_failures: Family::default(),
+            config_version: Gauge::default(),
+            upstreams: Gauge::default(),
+            nodes: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registry = registry.sub_registry_with_prefix("mustardmux");
+        registry.register("answers", "Final answers by outcome", self.answers.clone());
+        registry.register_with_unit(
+            "answer_latency",
+            "Time from the request to its final answer",
+            Unit::Seconds,
+            self.latency.clone(),
+        );
+        registry.register("calls", "Calls to upstreams by result", self.calls.clone());
+        registry.register("dials", "New connections to upstreams", self.dials.clone());
+        let failures = self.store_failures.clone();
+        registry.register("store_failures", "Calls to the store that failed", failures);
+        let version = self.config_version.clone();
+        registry.register("config_version", "Version of the configuration in force", version);
+        registry.register("upstreams", "Upstreams known", self.upstreams.clone());
+        registry.register("nodes", "Nodes known, this one included", self.nodes.clone());
+    }
+
+    /// Counts a final answer.
+    pub(crate) fn record_answer(&self, route: &str, outcome: &'static str, latency: Duration) {
+        let labels = AnswerLabels { route: route.to_owned(), outcome };
+        self.answers.get_or_create(&labels).inc();
+        let label = RouteLabel { route: route.to_owned() };
+        self.latency.get_or_create(&label).observe(latency.as_secs_f64());
+    }
+
+    /// Returns all metrics as text.
+    pub(crate) fn render(&self) -> String {
+        let mut text = String::new();
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        // Writing to a string does not fail.
+        let _ = text::encode(&mut text, &registry);
+        text
+    }
+}
+
+fn new_latency() -> Histogram {
+    Histogram::new(exponential_buckets(LATENCY_START_SECONDS, LATENCY_FACTOR, LATENCY_BUCKETS))
+}
--- /dev/null
+++ b/crates/edge/src/query/call_driver.rs
@@ -0,0 +1,185 @@
+//! Carries out what a fan-out decides: calls, cancellations and waits.
+
+use std::{pin::pin, sync::Arc};
+
+use bytes::Bytes;
+use futures::{StreamExt, stream::FuturesUnordered};
+use http::{HeaderValue, StatusCode};
+use mux_model::{CallFailure, CallId, FastMap, ShardIndex, TimePoint, UpstreamId};
+use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
+use mux_routing::lane::RouteRouter;
+use tokio::sync::oneshot;
+
+use crate::{
+    WireProtocol,
+    edge::Edge,
+    upstream::{CallEnd, CallOrder, CallTemplate, UpstreamAnswer, spawn_call},
+};
+
+/// Which answers of an upstream count as the reply of its shard.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ReplyRule {
+    /// Only a success.
+    Success,
+    /// Whatever is not the upstream's own failure.
+    AnyButFailure,
+}
+
+/// What came of a fan-out.
+#[derive(Debug)]
+pub(super) struct DrivenResult {
+    pub(super) result: FanOutResult,
+    /// Answers of the shards that replied.
+    pub(super) answers: FastMap<ShardIndex, UpstreamAnswer>,
+    /// The latest failure that an upstream itself answered with.
+    pub(super) failure: Option<UpstreamAnswer>,
+}
+
+/// Drives the calls of one query.
+pub(super) struct CallDriver<'a> {
+    edge: &'a Arc<Edge>,
+    router: RouteRouter,
+    plan: FanOutPlan,
+    template: Arc<CallTemplate>,
+    rule: ReplyRule,
+    answers: FastMap<ShardIndex, UpstreamAnswer>,
+    failure: Option<UpstreamAnswer>,
+}
+
+#[derive(Debug)]
+struct CallRecord {
+    call: CallId,
+    shard: ShardIndex,
+    started: TimePoint,
+}
+
+impl<'a> CallDriver<'a> {
+    pub(super) fn new(
+        edge: &'a Arc<Edge>,
+        router: RouteRouter,
+        plan: FanOutPlan,
+        template: Arc<CallTemplate>,
+        rule: ReplyRule,
+    ) -> Self {
+        Self { edge, router, plan, template, rule, answers: FastMap::default(), failure: None }
+    }
+
+    /// Runs the query to its result; dropping the future gives all calls up.
+    pub(super) async fn run<W: WireProtocol>(mut self) -> DrivenResult {
+        let timer = &self.edge.timer;
+        let mut fan_out = FanOut::new(self.plan.clone());
+        let mut calls = FuturesUnordered::new();
+        let mut cancelled: Vec<CallId> = Vec::new();
+        let mut actions = Vec::with_capacity(self.plan.map.shard_count() as usize + 1);
+        let mut wake = pin!(timer.sleep_until(self.plan.deadline));
+        let mut now = timer.now();
+        fan_out.start(now, &self.router, &mut actions);
+        loop {
+            for action in actions.drain(..) {
+                match action {
+                    FanOutAction::Send { call, shard, upstream, .. } => {
+                        let receiver = self.send::<W>(now, shard, upstream);
+                        calls.push(wait_for(CallRecord { call, shard, started: now }, receiver));
+                    }
+                    FanOutAction::Cancel(call) => cancelled.push(call),
+                    FanOutAction::WakeAt(moment) => wake.set(timer.sleep_until(moment)),
+                    FanOutAction::Finish(result) => {
+                        let Self { answers, failure, .. } = self;
+                        return DrivenResult { result, answers, failure };
+                    }
+                }
+            }
+            tokio::select! {
+                biased;
+                Some((record, end)) = calls.next(), if !calls.is_empty() => {
+                    now = timer.now();
+                    if !cancelled.contains(&record.call) {
+                        self.take_end(&mut fan_out, now, &record, end, &mut actions);
+                    }
+                }
+                () = &mut wake => {
+                    now = timer.now();
+                    wake.set(timer.sleep_until(self.plan.deadline));
+                    fan_out.on_wake(now, &self.router, &mut actions);
+                }
+            }
+        }
+    }
+
+    fn send<W: WireProtocol>(
+        &self,
+        now: TimePoint,
+        shard: ShardIndex,
+        upstream: UpstreamId,
+    ) -> oneshot::Receiver<CallEnd> {
+        let order = CallOrder {
+            template: Arc::clone(&self.template),
+            lane: Arc::clone(self.router.lane(shard)),
+            upstream,
+            started: now,
+            deadline: self.plan.deadline,
+            pace: self.router.pace(),
+        };
+        spawn_call::<W>(Arc::clone(self.edge), order)
+    }
+
+    fn take_end(
+        &mut self,
+        fan_out: &mut FanOut,
+        now: TimePoint,
+        record: &CallRecord,
+        end: CallEnd,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        let latency = now.since(record.started);
+        let failure = match end {
+            Ok(answer) if self.is_reply(&answer) => {
+                self.answers.insert(record.shard, answer);
+                let reply = CallReply {
+                    request: self.plan.request,
+                    snapshot: self.plan.map.snapshot(),
+                    shard: record.shard,
+                    body: Bytes::new(),
+                };
+                fan_out.on_reply(now, &self.router, record.call, reply, latency, actions);
+                return;
+            }
+            Ok(answer) if answer.signature.is_some() && !answer.status.is_success() => {
+                self.failure = Some(answer);
+                CallFailure::UpstreamError
+            }
+            Ok(_) => CallFailure::BadReply,
+            Err(failure) => failure,
+        };
+        fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
+    }
+
+    fn is_reply(&self, answer: &UpstreamAnswer) -> bool {
+        if answer.signature.is_none() {
+            return false;
+        }
+        match self.rule {
+            ReplyRule::Success => answer.status.is_success(),
+            ReplyRule::AnyButFailure => {
+                answer.status.as_u16() < StatusCode::INTERNAL_SERVER_ERROR.as_u16()
+            }
+        }
+    }
+}
+
+/// Returns the signatures of the shards that replied, in shard order.
+pub(super) fn signatures(answers: &FastMap<ShardIndex, UpstreamAnswer>) -> Vec<HeaderValue> {
+    let mut signed: Vec<_> =
+        answers.iter().filter_map(|(shard, it)| Some((*shard, it.signature.clone()?))).collect();
+    signed.sort_by_key(|(shard, _)| *shard);
+    signed.into_iter().map(|(_, signature)| signature).collect()
+}
+
+async fn wait_for(
+    record: CallRecord,
+    receiver: oneshot::Receiver<CallEnd>,
+) -> (CallRecord, CallEnd) {
+    // A call that ends without a word has lost its task.
+    let end = receiver.await.unwrap_or(Err(CallFailure::ConnectionLost));
+    (record, end)
+}
--- /dev/null
+++ b/crates/edge/src/query/final_answer.rs
@@ -0,0 +1,74 @@
+//! The final answer to a caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, StatusCode, header};
+use mux_model::Verdict;
+use mux_query::{FanOutResult, FanOutStop};
+
+/// Shortest time to come back; a request that comes back sooner meets the same load.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(20);
+/// Part of the caller's time left that it may be told to wait; callers heed up to a third.
+const MAX_RETRY_SHARE: u32 = 4;
+
+/// Status, headers and whole body of an answer.
+#[derive(Debug, Clone)]
+pub(crate) struct FinalAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    /// How the request ended, for logs and metrics.
+    pub(crate) outcome: &'static str,
+}
+
+/// Returns an answer of this node's own that says what is wrong.
+pub(crate) fn failure_answer(
+    status: StatusCode,
+    outcome: &'static str,
+    reason: &str,
+) -> FinalAnswer {
+    let mut headers = HeaderMap::new();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let body = serde_json::json!({ "error": reason, "outcome": outcome });
+    FinalAnswer { status, headers, body: Bytes::from(body.to_string()), outcome }
+}
+
+/// Returns the answer to a request that has not run and will not run.
+pub(crate) fn refusal_answer(
+    reason: &str,
+    retry_after: Option<Duration>,
+    time_left: Duration,
+) -> FinalAnswer {
+    let mut answer = failure_answer(StatusCode::SERVICE_UNAVAILABLE, "not_run", reason);
+    let wait = retry_after.unwrap_or_default().max(MIN_RETRY_AFTER);
+    let wait = wait.min(time_left / MAX_RETRY_SHARE);
+    let seconds = format!("{:.3}", wait.as_secs_f64());
+    if let Ok(value) = HeaderValue::from_str(&seconds) {
+        answer.headers.insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// Returns the answer to a query that could not be answered from its upstreams.
+///
+/// Only a query that provably ran nowhere is refused; what may have run gets a status that
+/// promises nothing.
+pub(super) fn stopped_answer(result: &FanOutResult, time_left: Duration) -> FinalAnswer {
+    let reason = match result.stop {
+        Some(FanOutStop::CoverageUnreachable) => "too few shards can be reached",
+        Some(FanOutStop::DeadlinePassed) => "no answer within the time limit",
+        Some(FanOutStop::SnapshotGone) => "the index was replaced meanwhile",
+        Some(FanOutStop::Saturated) => "the upstreams are at their limits",
+        Some(FanOutStop::Abandoned) | None => "the request was given up",
+    };
+    if result.verdict == Verdict::NotRun {
+        return refusal_answer(reason, result.retry_after, time_left);
+    }
+    match result.stop {
+        Some(FanOutStop::DeadlinePassed) => {
+            failure_answer(StatusCode::GATEWAY_TIMEOUT, "timed_out", reason)
+        }
+        _ => failure_answer(StatusCode::BAD_GATEWAY, "failed", reason),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/store.rs
@@ -0,0 +1,150 @@
+//! What a node reads from the platform's store and writes there.
+
+use std::{fmt, time::Duration};
+
+use mux_config::traffic::TrafficConfig;
+use mux_model::{InstanceId, NodeId};
+use mux_placement::NodeRecord;
+use mux_routing::lane::UpstreamRecord;
+
+/// A part of the store that is read and watched as a whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum StoreArea {
+    /// The operators' configuration.
+    Config,
+    /// The entries of upstreams.
+    Upstreams,
+    /// The entries of nodes.
+    Nodes,
+}
+
+impl StoreArea {
+    /// All areas.
+    pub const ALL: [Self; 3] = [Self::Config, Self::Upstreams, Self::Nodes];
+
+    /// Returns the name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Upstreams => "upstreams",
+            Self::Nodes => "nodes",
+        }
+    }
+}
+
+/// Name of an entry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreName {
+    /// The operators' configuration.
+    Config,
+    /// An upstream's entry.
+    Upstream(InstanceId),
+    /// A node's entry.
+    Node(NodeId),
+}
+
+/// A decoded entry.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreItem {
+    /// The operators' configuration.
+    Config(TrafficConfig),
+    /// An upstream's entry.
+    Upstream(UpstreamRecord),
+    /// A node's entry.
+    Node(NodeRecord),
+}
+
+/// One thing that a listing or a watch says.
+#[derive(Debug, Clone, PartialEq)]
+pub enum StoreChange {
+    /// The entry has this content.
+    Written(StoreItem),
+    /// The entry is gone.
+    Removed(StoreName),
+    /// The entry cannot be used as it is.
+    Malformed {
+        /// Name of the entry.
+        name: StoreName,
+        /// What is wrong with it.
+        reason: String,
+    },
+}
+
+/// A place in the store's history, from which a watch goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct StoreMark(pub u64);
+
+/// A lease of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeaseMark(pub u64);
+
+/// What was read of an area.
+#[derive(Debug, Clone, PartialEq)]
+pub struct AreaNews {
+    /// Entries in the order of the store.
+    pub changes: Vec<StoreChange>,
+    /// Where a watch goes on.
+    pub mark: StoreMark,
+}
+
+/// Failure of a call to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreFault {
+    /// The history after the mark is no longer kept; the area has to be read again.
+    HistoryGone,
+    /// The lease has ended.
+    LeaseEnded,
+    /// The store refused the call; nothing was done.
+    Refused(String),
+    /// No usable answer came; a write may have taken effect or may do so later.
+    NoAnswer(String),
+}
+
+impl fmt::Display for StoreFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::HistoryGone => f.write_str("the store no longer keeps this history"),
+            Self::LeaseEnded => f.write_str("the lease has ended"),
+            Self::Refused(why) => write!(f, "the store refused the call: {why}"),
+            Self::NoAnswer(why) => write!(f, "no answer from the store: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for StoreFault {}
+
+/// The platform's store, as far as nodes use it. Each call is bounded in time.
+pub trait ClusterStore: Clone + Send + Sync + 'static {
+    /// Reads all entries of `area`, and where a watch goes on so that it misses nothing.
+    fn list(
+        &self,
+        area: StoreArea,
+    ) -> impl Future<Output = Result<AreaNews, StoreFault>> + Send;
+
+    /// Waits up to `wait` for changes of `area` after `mark`; none may have come.
+    fn watch(
+        &self,
+        area: StoreArea,
+        mark: StoreMark,
+        wait: Duration,
+    ) -> impl Future<Output = Result<AreaNews, StoreFault>> + Send;
+
+    /// Asks for a lease that ends `lifetime` after its last renewal.
+    fn grant(
+        &self,
+        lifetime: Duration,
+    ) -> impl Future<Output = Result<LeaseMark, StoreFault>> + Send;
+
+    /// Renews a lease.
+    fn renew(&self, lease: LeaseMark) -> impl Future<Output = Result<(), StoreFault>> + Send;
+
+    /// Ends a lease, and with it the entries written under it.
+    fn end(&self, lease: LeaseMark) -> impl Future<Output = Result<(), StoreFault>> + Send;
+
+    /// Writes the entry of a node under a lease.
+    fn announce(
+        &self,
+        record: &NodeRecord,
+        lease: LeaseMark,
+    ) -> impl Future<Output = Result<(), StoreFault>> + Send;
+}
--- /dev/null
+++ b/crates/edge/src/sync/apply_news.rs
@@ -0,0 +1,157 @@
+//! Turns what was read from the store into what the node believes.
+
+use mux_config::traffic::{BeliefChange, TrafficConfig};
+use mux_model::{FastSet, InstanceId, NodeId, TimePoint};
+use mux_placement::NodeRecord;
+use mux_routing::lane::{RecordChange, UpstreamPhase, UpstreamRecord};
+use slog::{info, warn};
+
+use crate::{StoreArea, StoreChange, StoreItem, StoreName, edge::Edge};
+
+/// How what was read relates to the area.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum NewsKind {
+    /// It is all that the area holds.
+    Listing,
+    /// It is what has changed.
+    Changes,
+}
+
+/// Applies what was read of `area`.
+pub(super) fn apply_news(
+    edge: &Edge,
+    now: TimePoint,
+    area: StoreArea,
+    kind: NewsKind,
+    changes: Vec<StoreChange>,
+) {
+    let doubtful = edge.contact(area, |it| it.is_absence_doubtful(now));
+    let mut listed_instances = FastSet::default();
+    let mut listed_nodes = FastSet::default();
+    let mut is_changed = false;
+    for change in changes {
+        match change {
+            StoreChange::Written(StoreItem::Config(config)) => {
+                is_changed |= apply_config(edge, &config);
+            }
+            StoreChange::Written(StoreItem::Upstream(record)) => {
+                listed_instances.insert(record.instance.clone());
+                is_changed |= apply_upstream(edge, record);
+            }
+            StoreChange::Written(StoreItem::Node(record)) => {
+                listed_nodes.insert(record.node.clone());
+                is_changed |= apply_node(edge, record);
+            }
+            StoreChange::Removed(name) => is_changed |= apply_removal(edge, &name, doubtful),
+            StoreChange::Malformed { name, reason } => {
+                warn!(edge.logger, "store: entry skipped"; "entry" => entry_name(&name),
+                    "reason" => reason);
+                match name {
+                    StoreName::Upstream(instance) => _ = listed_instances.insert(instance),
+                    StoreName::Node(node) => _ = listed_nodes.insert(node),
+                    StoreName::Config => {}
+                }
+            }
+        }
+    }
+    if kind == NewsKind::Listing {
+        is_changed |= match area {
+            StoreArea::Config => false,
+            StoreArea::Upstreams => drop_unlisted(edge, &listed_instances, doubtful),
+            StoreArea::Nodes => drop_unlisted_nodes(edge, &listed_nodes, doubtful),
+        };
+    }
+    if is_changed {
+        edge.refresh_lanes(now);
+        edge.metrics.upstreams.set(i64::try_from(edge.upstreams().len()).unwrap_or(i64::MAX));
+        edge.metrics.nodes.set(i64::from(edge.nodes().node_count()));
+    }
+}
+
+fn apply_config(edge: &Edge, config: &TrafficConfig) -> bool {
+    let change = edge.change_config(|it| it.on_config(config));
+    match change {
+        BeliefChange::Advanced { from } => {
+            info!(edge.logger, "config: in force"; "version" => config.version.0,
+                "from" => from.map_or(0, |it| it.0), "routes" => config.routes.len(),
+                "services" => config.connection_limits.len());
+            edge.set_connection_limits(config.connection_limits.clone());
+            let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
+            edge.metrics.config_version.set(version);
+            true
+        }
+        BeliefChange::Outdated => {
+            info!(edge.logger, "config: outdated read ignored"; "version" => config.version.0);
+            false
+        }
+        BeliefChange::Same => false,
+    }
+}
+
+fn apply_upstream(edge: &Edge, record: UpstreamRecord) -> bool {
+    let instance = record.instance.clone();
+    let (service, sequence) = (record.service.clone(), record.sequence);
+    let is_draining = record.phase == UpstreamPhase::Draining;
+    let change = edge.upstreams().on_record(record);
+    if matches!(change, RecordChange::Same) {
+        return false;
+    }
+    info!(edge.logger, "upstream: entry"; "instance" => instance.as_str(),
+        "service" => service.as_str(), "sequence" => sequence, "draining" => is_draining,
+        "outcome" => format!("{change:?}"));
+    change != RecordChange::Outdated
+}
+
+fn apply_node(edge: &Edge, record: NodeRecord) -> bool {
+    let node = record.node.clone();
+    let is_news = edge.nodes().on_record(record);
+    if is_news {
+        info!(edge.logger, "node: known"; "peer" => node.as_str());
+    }
+    is_news
+}
+
+fn apply_removal(edge: &Edge, name: &StoreName, doubtful: bool) -> bool {
+    let is_gone = match name {
+        StoreName::Config => {
+            warn!(edge.logger, "config: removed from the store; the last version stays in force");
+            return false;
+        }
+        StoreName::Upstream(instance) => edge.upstreams().on_removed(instance, doubtful),
+        StoreName::Node(node) if *node == edge.settings.node.node => {
+            edge.announce.notify_one();
+            return false;
+        }
+        StoreName::Node(node) => edge.nodes().on_removed(node, doubtful),
+    };
+    info!(edge.logger, "store: entry removed"; "entry" => entry_name(name),
+        "doubtful" => doubtful, "given_up" => is_gone);
+    is_gone
+}
+
+fn drop_unlisted(edge: &Edge, listed: &FastSet<InstanceId>, doubtful: bool) -> bool {
+    let gone = edge.upstreams().on_listing(listed, doubtful);
+    for instance in &gone {
+        info!(edge.logger, "upstream: no longer listed"; "instance" => instance.as_str());
+    }
+    !gone.is_empty()
+}
+
+fn drop_unlisted_nodes(edge: &Edge, listed: &FastSet<NodeId>, doubtful: bool) -> bool {
+    if !listed.contains(&edge.settings.node.node) {
+        edge.announce.notify_one();
+    }
+    let gone = edge.nodes().on_listing(listed, doubtful);
+    for node in &gone {
+        info!(edge.logger, "node: no longer listed"; "peer" => node.as_str());
+    }
+    !gone.is_empty()
+}
+
+fn entry_name(name: &StoreName) -> String {
+    match name {
+        StoreName::Config => "config".to_owned(),
+        StoreName::Upstream(instance) => format!("upstream {instance}"),
+        StoreName::Node(node) => format!("node {node}"),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/sync/mod.rs
@@ -0,0 +1,8 @@
+//! What a node learns from the store and tells it.
+
+mod announce_task;
+mod apply_news;
+mod area_watch;
+
+pub(crate) use announce_task::keep_announced;
+pub(crate) use area_watch::{settle_missing, watch_area};
--- /dev/null
+++ b/crates/edge/src/upstream/call_task.rs
@@ -0,0 +1,133 @@
+//! One call to an upstream, which may outlive the query that made it.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use http_body_util::Full;
+use mux_config::traffic::RepeatRule;
+use mux_model::{CallFailure, InstanceId, TimePoint, UpstreamId};
+use mux_routing::lane::{CallPace, ServiceLane};
+use tokio::sync::oneshot;
+
+use super::{UpstreamAnswer, upstream_link::Freshness};
+use crate::{CallTerms, WireProtocol, edge::Edge};
+
+/// Time that a call whose result nobody waits for has to end by itself.
+///
+/// Ending it at once would cost the connection, and a new one costs the upstream more than most
+/// replies; longer than this the upstream would work for nobody.
+const LINGER_LIMIT: Duration = Duration::from_millis(300);
+
+/// The parts of a caller's request that every call repeats.
+#[derive(Debug)]
+pub(crate) struct CallTemplate {
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) request_id: HeaderValue,
+    pub(crate) repeat: RepeatRule,
+}
+
+/// A call to be made.
+#[derive(Debug)]
+pub(crate) struct CallOrder {
+    pub(crate) template: Arc<CallTemplate>,
+    pub(crate) lane: Arc<ServiceLane>,
+    pub(crate) upstream: UpstreamId,
+    /// When the lane reserved the connection.
+    pub(crate) started: TimePoint,
+    /// Time after which the reply is of no use.
+    pub(crate) deadline: TimePoint,
+    pub(crate) pace: CallPace,
+}
+
+/// How a call ended.
+pub(crate) type CallEnd = Result<UpstreamAnswer, CallFailure>;
+
+/// Frees the reserved connection however the call ends.
+#[derive(Debug)]
+struct Reservation<'a> {
+    order: &'a CallOrder,
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.order.lane.end_call(self.order.upstream, self.order.started);
+    }
+}
+
+/// Starts a call; dropping the receiver gives it up.
+pub(crate) fn spawn_call<W: WireProtocol>(
+    edge: Arc<Edge>,
+    order: CallOrder,
+) -> oneshot::Receiver<CallEnd> {
+    let (sender, receiver) = oneshot::channel();
+    tokio::spawn(async move { run_call::<W>(&edge, &order, sender).await });
+    receiver
+}
+
+async fn run_call<W: WireProtocol>(
+    edge: &Edge,
+    order: &CallOrder,
+    mut sender: oneshot::Sender<CallEnd>,
+) {
+    let reservation = Reservation { order };
+    let mut exchange = Box::pin(exchange::<W>(edge, order));
+    let ended = tokio::select! {
+        biased;
+        end = &mut exchange => Some(end),
+        () = sender.closed() => None,
+    };
+    if let Some(end) = ended {
+        drop(exchange);
+        drop(reservation);
+        // The query may have ended at the same moment.
+        let _ = sender.send(end);
+        return;
+    }
+    let limit = match order.template.repeat {
+        RepeatRule::Idempotent => LINGER_LIMIT,
+        // Cutting it would leave its outcome unknown to the upstream's owner as well.
+        RepeatRule::AtMostOnce => order.deadline.since(edge.timer.now()),
+    };
+    if let Ok(Ok(_)) = edge.timer.timeout(limit, exchange).await {
+        let latency = edge.timer.now().since(order.started);
+        order.lane.record_late_reply(order.upstream, latency, &order.pace);
+    }
+}
+
+async fn exchange<W: WireProtocol>(edge: &Edge, order: &CallOrder) -> CallEnd {
+    let Some(instance) = order.lane.instance(order.upstream) else {
+        let reason = mux_model::NotRunReason::NotSent;
+        return Err(CallFailure::NotRun { reason, retry_after: None });
+    };
+    let link = edge.links.link(&instance, order.upstream);
+    let request = call_request::<W>(edge.timer.now(), order, &instance);
+    let freshness = match order.template.repeat {
+        RepeatRule::Idempotent => Freshness::Any,
+        RepeatRule::AtMostOnce => Freshness::Recent,
+    };
+    let id = &order.template.request_id;
+    let end = link.exchange::<W>(&edge.timer, &order.lane, request, id, freshness).await;
+    if let Err(CallFailure::NotRun { reason: mux_model::NotRunReason::WrongInstance, .. }) = end {
+        edge.on_misdirected(&instance);
+    }
+    end
+}
+
+fn call_request<W: WireProtocol>(
+    now: TimePoint,
+    order: &CallOrder,
+    instance: &InstanceId,
+) -> Request<Full<Bytes>> {
+    let template = &order.template;
+    let mut request = Request::new(Full::new(template.body.clone()));
+    *request.method_mut() = template.method.clone();
+    *request.uri_mut() = template.target.clone();
+    *request.headers_mut() = template.headers.clone();
+    let time_left = order.deadline.since(now);
+    W::write_call(request.headers_mut(), &CallTerms { instance, time_left });
+    request
+}
--- a/crates/node/src/logs/build_logger.rs
+++ b/crates/logs/src/build_logger.rs
@@ -5,27 +5,28 @@
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::OverflowStrategy;
 
-use crate::conf::{LogFormat, LogLevel, LogSettings, NodeSettings};
+use crate::{LogFormat, LogLevel, LogSettings};
 
 const QUEUE_LINES: usize = 4_096;
 
-/// Builds the root logger; lines that find its queue full are dropped and counted.
-pub(crate) fn build_logger(settings: &NodeSettings) -> Logger {
-    let LogSettings { format, level } = settings.logs;
+/// Builds the root logger of a node; lines go to standard output, and those
+/// that find its queue full are dropped and counted.
+pub fn build_logger(settings: &LogSettings, node: &str) -> Logger {
+    let LogSettings { format, level } = *settings;
     let level = match level {
         LogLevel::Debug => Level::Debug,
         LogLevel::Info => Level::Info,
         LogLevel::Warning => Level::Warning,
         LogLevel::Error => Level::Error,
     };
-    let values = o!("node" => settings.node.to_string());
+    let values = o!("node" => node.to_owned());
     match format {
         LogFormat::Json => {
-            let drain = Mutex::new(slog_json::Json::default(io::stderr())).fuse();
+            let drain = Mutex::new(slog_json::Json::default(io::stdout())).fuse();
             Logger::root(queue(LevelFilter::new(drain, level).fuse()), values)
         }
         LogFormat::Terminal => {
-            let decorator = slog_term::TermDecorator::new().stderr().build();
+            let decorator = slog_term::TermDecorator::new().stdout().build();
             let drain = Mutex::new(slog_term::FullFormat::new(decorator).build()).fuse();
             Logger::root(queue(LevelFilter::new(drain, level).fuse()), values)
         }
--- a/crates/node/src/logs/log_throttle.rs
+++ b/crates/logs/src/log_throttle.rs
@@ -9,7 +9,7 @@
 
 /// Lets through a few lines a period and counts the rest.
 #[derive(Debug)]
-pub(crate) struct LogThrottle {
+pub struct LogThrottle {
     period: Duration,
     limit: u32,
     state: Mutex<ThrottleState>,
@@ -24,12 +24,12 @@
 
 impl LogThrottle {
     /// Creates a throttle that lets through `limit` lines a `period`.
-    pub(crate) fn new(limit: u32, period: Duration) -> Self {
+    pub fn new(limit: u32, period: Duration) -> Self {
         Self { period, limit, state: Mutex::default() }
     }
 
     /// Returns the number of lines suppressed before this one if it may be written.
-    pub(crate) fn allow(&self, now: TimePoint) -> Option<u64> {
+    pub fn allow(&self, now: TimePoint) -> Option<u64> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         if self.period <= now.since(state.started) {
             state.started = now;
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -23,6 +23,8 @@
     DeadlinePassed,
     /// The upstream rejected the request as malformed.
     Rejected,
+    /// Another instance than the expected one has the address.
+    WrongInstance,
 }
 
 /// How one upstream call failed.
@@ -66,6 +68,7 @@
             Self::NotRun { reason: NotRunReason::SnapshotMissing, .. } => "snapshot not held",
             Self::NotRun { reason: NotRunReason::DeadlinePassed, .. } => "deadline passed unrun",
             Self::NotRun { reason: NotRunReason::Rejected, .. } => "rejected by the upstream",
+            Self::NotRun { reason: NotRunReason::WrongInstance, .. } => "another instance answered",
             Self::ConnectionLost => "connection lost",
             Self::Silent => "connection silent",
             Self::UpstreamError => "upstream error",
--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -46,6 +46,10 @@
     /// Name of an availability zone.
     AvailabilityZone
 }
+text_id! {
+    /// Identity of one run of an upstream; an address may serve several runs, one after another.
+    InstanceId
+}
 text_id! {
     /// Name of a query service.
     ServiceName
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,7 +12,7 @@
 pub use coverage::Coverage;
 pub use fast_map::{FastHasher, FastMap, FastSet};
 pub use ids::{
-    AvailabilityZone, ChangeId, NodeId, NodeIncarnation, RequestId, RevisionNumber, ServiceName,
+    AvailabilityZone, ChangeId, InstanceId, NodeId, NodeIncarnation, RequestId, RevisionNumber, ServiceName,
     ShardIndex, SnapshotId, UpstreamId,
 };
 pub use shard_map::SnapshotMap;
--- a/crates/mustardmux/src/cli/mod.rs
+++ b/crates/mustardmux/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 mod audit_command;
 mod drain_command;
+mod edge_command;
 mod errors;
 mod node_command;
 mod operator_client;
--- a/crates/mustardmux/src/cli/program_args.rs
+++ b/crates/mustardmux/src/cli/program_args.rs
@@ -6,6 +6,7 @@
 
 use super::{
     audit_command::{self, AuditArgs},
+    edge_command::{self, EdgeArgs},
     errors::CommandError,
     node_command::{self, NodeArgs},
     query_command::{self, QueryArgs},
@@ -29,6 +30,8 @@
 enum ProgramCommand {
     /// Runs a node, or begins the planned stop of a running one.
     Node(NodeArgs),
+    /// Runs a node on the users' platform, with the settings that the platform hands over.
+    Edge(EdgeArgs),
     /// Checks a settings file, or prints an example.
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -47,6 +50,7 @@
 pub(crate) fn run(args: ProgramArgs) -> ExitCode {
     let result = match args.command {
         ProgramCommand::Node(args) => node_command::run(args),
+        ProgramCommand::Edge(args) => edge_command::run(&args),
         ProgramCommand::Settings(command) => settings_command::run(command),
         ProgramCommand::Service(command) => wait_for(service_command::run(command)),
         ProgramCommand::Status(args) => wait_for(status_command::run(args)),
--- a/crates/node/src/conf/mod.rs
+++ b/crates/node/src/conf/mod.rs
@@ -5,6 +5,6 @@
 
 pub use errors::SettingsError;
 pub use node_settings::{
-    CallerLimits, ListenAddresses, LogFormat, LogLevel, LogSettings, NodeSettings, NodeTiming,
+    CallerLimits, ListenAddresses, NodeSettings, NodeTiming,
     PlatformSettings,
 };
--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -7,6 +7,7 @@
     time::Duration,
 };
 
+use mux_logs::LogSettings;
 use mux_model::{AvailabilityZone, NodeId};
 use serde::{Deserialize, Serialize};
 
@@ -136,46 +137,6 @@
     }
 }
 
-/// How the node logs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct LogSettings {
-    /// Form of the lines.
-    pub format: LogFormat,
-    /// Least level that is written.
-    pub level: LogLevel,
-}
-
-impl Default for LogSettings {
-    fn default() -> Self {
-        Self { format: LogFormat::Json, level: LogLevel::Info }
-    }
-}
-
-/// Form of log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogFormat {
-    /// One JSON object a line.
-    Json,
-    /// For people.
-    Terminal,
-}
-
-/// Levels of log lines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LogLevel {
-    /// Everything.
-    Debug,
-    /// Changes of state.
-    Info,
-    /// Faults that were handled.
-    Warning,
-    /// Faults that were not.
-    Error,
-}
-
 impl NodeSettings {
     /// Reads and checks a settings file.
     ///
--- a/crates/node/src/dispatch/fan_out_runner.rs
+++ b/crates/node/src/dispatch/fan_out_runner.rs
@@ -80,6 +80,7 @@
             deadline: self.deadline,
             coverage_target: definition.coverage_target,
             coverage_minimum: definition.coverage_minimum,
+            max_calls: None,
         }
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,7 +5,6 @@
 mod dispatch;
 mod errors;
 mod http_thread;
-mod logs;
 mod metrics;
 mod node;
 mod operator;
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -20,6 +20,7 @@
 
 use mux_config::{ConfigReplica, FreshnessGuard};
 use mux_membership::GossipService;
+use mux_logs::LogThrottle;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
 use mux_placement::AddressPlanner;
 use mux_platform::HttpStore;
@@ -31,7 +32,6 @@
 use crate::{
     conf::NodeSettings,
     dispatch::{QueryDispatcher, ServiceRegistry},
-    logs::LogThrottle,
     metrics::NodeMetrics,
     peer::PeerClient,
 };
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -7,6 +7,7 @@
 
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
 use mux_membership::GossipService;
+use mux_logs::LogThrottle;
 use mux_model::NodeIncarnation;
 use mux_placement::AddressPlanner;
 use mux_platform::{HttpStore, StoreSettings};
@@ -20,7 +21,6 @@
 use crate::{
     conf::NodeSettings,
     dispatch::{QueryDispatcher, ServiceRegistry},
-    logs::LogThrottle,
     metrics::NodeMetrics,
     peer::PeerClient,
 };
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -18,7 +18,7 @@
 };
 
 use crate::{
-    Node, StartError, caller::CallerServer, conf::NodeSettings, http_thread::HttpThread, logs,
+    Node, StartError, caller::CallerServer, conf::NodeSettings, http_thread::HttpThread,
     metrics::MetricsServer, node::NodeParts, operator::OperatorServer, peer::PeerServer, sync,
 };
 
@@ -38,7 +38,7 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), StartError> {
-    let logger = logs::build_logger(&settings);
+    let logger = mux_logs::build_logger(&settings.logs, settings.node.as_str());
     let (node, events) = start_parts(settings, logger)?;
     let listen = &node.settings().listen;
     let peer_server = PeerServer::new(Arc::clone(&node));
--- a/crates/node/src/sync/config_watch.rs
+++ b/crates/node/src/sync/config_watch.rs
@@ -3,11 +3,12 @@
 use std::{sync::Arc, time::Duration};
 
 use mux_config::{ConfigLoader, ConfigState, LoadError, LoadedConfig, OfferOutcome};
+use mux_logs::LogThrottle;
 use mux_platform::{HttpStore, ValueVersion};
 use rand::RngExt;
 use slog::{info, warn};
 
-use crate::{Node, logs::LogThrottle};
+use crate::Node;
 
 const RETRY_MIN_MS: u64 = 300;
 const RETRY_MAX_MS: u64 = 1_000;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -4,6 +4,7 @@
 mod candidate_node;
 mod home_limits;
 mod home_nodes;
+mod node_registry;
 mod stable_hash;
 mod watcher_nodes;
 
@@ -11,4 +12,5 @@
 pub use candidate_node::CandidateNode;
 pub use home_limits::HomeLimits;
 pub use home_nodes::home_nodes;
+pub use node_registry::{NodeRecord, NodeRegistry};
 pub use watcher_nodes::watcher_nodes;
--- a/crates/query/src/call_table.rs
+++ b/crates/query/src/call_table.rs
@@ -40,6 +40,9 @@
     pub(crate) phase: ShardPhase,
     pub(crate) open_calls: u32,
     pub(crate) snapshot_missing: bool,
+    /// Calls that provably did not run.
+    pub(crate) unrun_calls: u32,
+    calls: u32,
     last_call: Option<usize>,
 }
 
@@ -137,6 +140,12 @@
         &self.tried
     }
 
+    /// Returns the number of calls to `shard` that may have run or may still run.
+    pub(crate) fn run_count(&self, shard: ShardIndex) -> u32 {
+        let state = self.shard(shard);
+        state.calls.saturating_sub(state.unrun_calls)
+    }
+
     /// Records a new call and returns its identity.
     pub(crate) fn open(
         &mut self,
@@ -148,6 +157,7 @@
         let state = &mut self.shards[idx(shard.0)];
         let previous = state.last_call.replace(self.calls.len());
         state.open_calls += 1;
+        state.calls += 1;
         self.open_calls += 1;
         self.calls.push(CallState { shard, upstream, sent_at: now, open: true, previous });
         call
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -228,6 +228,7 @@
         let CallFailure::NotRun { reason, retry_after } = failure else {
             return;
         };
+        self.table.shard_mut(shard).unrun_calls += 1;
         self.retry_after = self.retry_after.max(retry_after);
         if reason == NotRunReason::SnapshotMissing {
             self.table.shard_mut(shard).snapshot_missing = true;
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -1,7 +1,5 @@
 //! How a fan-out sends the first call to a shard and replaces a failed one.
 
-use std::time::Duration;
-
 use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
 use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter};
 
@@ -56,6 +54,9 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
         let candidates = self.plan.map.replicas(shard);
+        if self.plan.max_calls.is_some_and(|it| it.get() <= self.table.run_count(shard)) {
+            return Err(AcquireError::NoReplica);
+        }
         let tried = self.table.tried(shard);
         if candidates.len() <= tried.len() {
             return Err(AcquireError::NoReplica);
@@ -95,7 +96,7 @@
     pub(super) fn withdraw_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
         for call in self.table.call_ids() {
             if let Some(state) = self.table.close(call) {
-                router.release(now, state.upstream, CallOutcome::Cancelled(Duration::ZERO));
+                router.release(now, state.upstream, CallOutcome::Withdrawn);
             }
         }
         self.table = CallTable::new(self.next_hedge, self.goal.total);
--- a/crates/query/src/fan_out_events.rs
+++ b/crates/query/src/fan_out_events.rs
@@ -1,6 +1,6 @@
 //! Inputs and outputs of the fan-out state machine.
 
-use std::{sync::Arc, time::Duration};
+use std::{num::NonZeroU32, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use mux_model::{
@@ -25,6 +25,8 @@
     pub coverage_target: f64,
     /// Share of shards below which no answer is given.
     pub coverage_minimum: f64,
+    /// Most calls to one shard that may have run; `None`: one for each replica.
+    pub max_calls: Option<NonZeroU32>,
 }
 
 /// A complete reply from an upstream, as it named itself.
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -6,6 +6,7 @@
 mod fan_out_events;
 mod ledger_shard;
 mod query_attempts;
+mod record_merge;
 mod session_ledger;
 mod session_token;
 mod session_window;
@@ -17,6 +18,7 @@
     CallReply, FanOutAction, FanOutPlan, FanOutResult, FanOutStop, ShardResult,
 };
 pub use query_attempts::QueryAttempts;
+pub use record_merge::{RECORD_BYTES, greatest_records};
 pub use session_ledger::{BeginOutcome, LedgerLimits, RunTicket, SessionLedger};
 pub use session_token::{SessionId, SessionMint, SessionToken, TokenError};
 pub use snapshot_catalog::{SnapshotCatalog, SnapshotClaim};
--- /dev/null
+++ b/crates/routing/src/lane/call_pace.rs
@@ -0,0 +1,90 @@
+//! How long the calls of one route usually take.
+
+use std::time::Duration;
+
+/// Share of the latency target assumed as the usual latency before calls were measured.
+const START_TYPICAL_SHARE: f64 = 0.1;
+/// Share of the latency target assumed as the slow latency before calls were measured.
+const START_SLOW_SHARE: f64 = 0.25;
+/// Relative step by which an estimate follows a sample.
+const STEP: f64 = 0.06;
+/// Quantile of latency above which a call counts as slow.
+const SLOW_QUANTILE: f64 = 0.95;
+/// Factor on the slow latency after which another replica is asked.
+const HEDGE_FACTOR: f64 = 1.2;
+/// Shortest delay before another replica is asked; below it, hedges race the scheduler.
+const MIN_HEDGE: Duration = Duration::from_millis(4);
+/// Longest delay before another replica is asked, as a share of the latency target; leaves the
+/// second call most of the time.
+const MAX_HEDGE_SHARE: f64 = 0.35;
+/// Part of the latency target that a call may take longer to stay in its availability zone.
+const ZONE_COST_SHARE: f64 = 0.05;
+
+/// The pace of a route at one moment.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CallPace {
+    /// Usual latency of a call to an upstream of average speed.
+    pub typical: Duration,
+    /// Time after which a call without a reply is taken for slow.
+    pub hedge_after: Duration,
+    /// Extra latency that is accepted to stay in the availability zone.
+    pub zone_cost: Duration,
+}
+
+/// Follows two quantiles of the latency of one route, relative to the upstreams' speeds.
+#[derive(Debug, Clone, Copy)]
+pub struct RoutePace {
+    target_us: f64,
+    typical_us: f64,
+    slow_us: f64,
+}
+
+impl RoutePace {
+    /// Creates a pace for a route with `latency_target`, without samples.
+    pub fn new(latency_target: Duration) -> Self {
+        let target_us = micros(latency_target).max(1.0);
+        Self {
+            target_us,
+            typical_us: target_us * START_TYPICAL_SHARE,
+            slow_us: target_us * START_SLOW_SHARE,
+        }
+    }
+
+    /// Takes in the latency of a reply, divided by the speed factor of the upstream.
+    pub fn record(&mut self, latency: Duration) {
+        let sample = micros(latency);
+        self.typical_us = follow(self.typical_us, sample, 0.5);
+        self.slow_us = follow(self.slow_us, sample, SLOW_QUANTILE).max(self.typical_us);
+    }
+
+    /// Takes over a changed latency target.
+    pub fn retarget(&mut self, latency_target: Duration) {
+        self.target_us = micros(latency_target).max(1.0);
+    }
+
+    /// Returns the pace now.
+    pub fn current(&self) -> CallPace {
+        let longest = self.target_us * MAX_HEDGE_SHARE;
+        let hedge_us = (self.slow_us * HEDGE_FACTOR).min(longest).max(micros(MIN_HEDGE));
+        CallPace {
+            typical: from_micros(self.typical_us),
+            hedge_after: from_micros(hedge_us),
+            zone_cost: from_micros(self.target_us * ZONE_COST_SHARE),
+        }
+    }
+}
+
+/// Moves an estimate of a quantile by a step that balances where the share of samples below the
+/// estimate is `quantile`.
+fn follow(estimate: f64, sample: f64, quantile: f64) -> f64 {
+    let step = estimate.max(1.0) * STEP;
+    if estimate < sample { estimate + step * quantile } else { estimate - step * (1.0 - quantile) }
+}
+
+pub(super) fn micros(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e6
+}
+
+fn from_micros(micros: f64) -> Duration {
+    Duration::from_secs_f64(micros / 1e6)
+}
--- /dev/null
+++ b/crates/routing/src/lane/lane_upstream.rs
@@ -0,0 +1,243 @@
+//! All that a lane knows of one upstream.
+
+use std::time::Duration;
+
+use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
+
+use super::{CallPace, UpstreamRecord, call_pace::micros};
+use crate::CallOutcome;
+
+/// Weight of a new sample in the speed factor.
+const FACTOR_WEIGHT: f64 = 0.15;
+/// Bounds of the speed factor.
+const FACTOR_RANGE: (f64, f64) = (0.2, 50.0);
+/// Weight of a new sample in the share of failed calls.
+const FAILURE_WEIGHT: f64 = 0.15;
+/// Work of an upstream that has just started, relative to a warm one.
+const COLD_FACTOR: f64 = 1.6;
+/// Calls without a reply for this many hedge delays make an upstream suspect.
+const SUSPECT_DELAYS: u32 = 3;
+/// Time for which a suspect upstream is avoided at first; doubles with each further call.
+const SUSPECT_TIME: Duration = Duration::from_millis(150);
+/// Longest time for which a suspect upstream is avoided.
+const MAX_SUSPECT_TIME: Duration = Duration::from_millis(1_200);
+/// Time without new calls after a failed dial at first; doubles with each further one.
+const DOWN_TIME: Duration = Duration::from_millis(80);
+/// Longest time without new calls after a failed dial.
+const MAX_DOWN_TIME: Duration = Duration::from_millis(640);
+/// Time for which a reported load is used.
+const HINT_LIFETIME: Duration = Duration::from_millis(250);
+/// Number of slow calls that a certain failure counts like, in the comparison of costs.
+const FAILURE_COST: f64 = 6.0;
+
+/// How far an upstream is to be avoided; a lower one is chosen first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Avoidance {
+    /// Nothing speaks against it.
+    Usable,
+    /// A call there is late now: the upstream seems to pause.
+    Stalled,
+    /// Calls there were given up without a reply.
+    Suspect,
+}
+
+/// Load that an upstream reported.
+#[derive(Debug, Clone, Copy)]
+struct LoadHint {
+    at: TimePoint,
+    busy: u32,
+}
+
+/// One upstream of a lane.
+#[derive(Debug)]
+pub(super) struct LaneUpstream {
+    pub(super) id: UpstreamId,
+    pub(super) instance: InstanceId,
+    /// Whether new calls may go there.
+    pub(super) member: bool,
+    same_zone: bool,
+    slots: u32,
+    cold_until: TimePoint,
+    /// Start times of the calls that hold a connection.
+    in_flight: Vec<TimePoint>,
+    open_connections: u32,
+    factor: f64,
+    failures: f64,
+    unanswered: u32,
+    suspect_until: TimePoint,
+    failed_dials: u32,
+    down_until: TimePoint,
+    hint: Option<LoadHint>,
+}
+
+impl LaneUpstream {
+    pub(super) fn new(now: TimePoint, record: &UpstreamRecord, same_zone: bool) -> Self {
+        Self {
+            id: record.upstream,
+            instance: record.instance.clone(),
+            member: true,
+            same_zone,
+            slots: record.slots.max(1),
+            cold_until: now + record.cold_for,
+            in_flight: Vec::new(),
+            open_connections: 0,
+            factor: 1.0,
+            failures: 0.0,
+            unanswered: 0,
+            suspect_until: TimePoint::ZERO,
+            failed_dials: 0,
+            down_until: TimePoint::ZERO,
+            hint: None,
+        }
+    }
+
+    /// Takes over what the upstream says of itself now.
+    pub(super) fn renew(&mut self, now: TimePoint, record: &UpstreamRecord) {
+        self.member = true;
+        self.slots = record.slots.max(1);
+        self.cold_until = now + record.cold_for;
+    }
+
+    pub(super) fn busy(&self) -> u32 {
+        u32::try_from(self.in_flight.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.in_flight.is_empty()
+    }
+
+    pub(super) fn is_down(&self, now: TimePoint) -> bool {
+        now < self.down_until
+    }
+
+    pub(super) fn slots(&self) -> u32 {
+        self.slots
+    }
+
+    pub(super) fn start_call(&mut self, now: TimePoint) {
+        self.in_flight.push(now);
+    }
+
+    /// Ends the call that started at `started`; the connection is free again.
+    pub(super) fn end_call(&mut self, started: TimePoint) {
+        if let Some(idx) = self.in_flight.iter().position(|it| *it == started) {
+            self.in_flight.swap_remove(idx);
+        }
+    }
+
+    pub(super) fn set_open_connections(&mut self, open: u32) {
+        self.open_connections = open;
+    }
+
+    pub(super) fn on_dialled(&mut self) {
+        self.failed_dials = 0;
+        self.down_until = TimePoint::ZERO;
+    }
+
+    pub(super) fn on_dial_failed(&mut self, now: TimePoint) {
+        let time = DOWN_TIME * (1 << self.failed_dials.min(8));
+        self.failed_dials += 1;
+        self.down_until = now + time.min(MAX_DOWN_TIME);
+    }
+
+    pub(super) fn on_load(&mut self, now: TimePoint, busy: u32) {
+        self.hint = Some(LoadHint { at: now, busy });
+    }
+
+    /// Takes in how a call ended for its query; returns the latency at average speed if it says
+    /// something about the pace of the route.
+    pub(super) fn on_outcome(
+        &mut self,
+        now: TimePoint,
+        outcome: CallOutcome,
+        pace: &CallPace,
+    ) -> Option<Duration> {
+        match outcome {
+            CallOutcome::Replied(latency) => {
+                let normal = latency.div_f64(self.factor);
+                self.on_reply(latency, pace);
+                Some(normal)
+            }
+            CallOutcome::Cancelled(elapsed) => {
+                self.on_unanswered(now, elapsed, pace);
+                None
+            }
+            CallOutcome::Failed(failure, elapsed) => {
+                self.on_failure(now, failure, elapsed, pace);
+                None
+            }
+            CallOutcome::Withdrawn => None,
+        }
+    }
+
+    /// Takes in a reply, also one that came too late for its query.
+    pub(super) fn on_reply(&mut self, latency: Duration, pace: &CallPace) {
+        self.record_factor(latency, pace);
+        self.failures -= self.failures * FAILURE_WEIGHT;
+        self.unanswered = 0;
+        self.suspect_until = TimePoint::ZERO;
+    }
+
+    fn on_unanswered(&mut self, now: TimePoint, elapsed: Duration, pace: &CallPace) {
+        if elapsed < pace.hedge_after * SUSPECT_DELAYS {
+            return;
+        }
+        if now < self.suspect_until {
+            // The other calls of the same pause say nothing new.
+            return;
+        }
+        let time = SUSPECT_TIME * (1 << self.unanswered.min(8));
+        self.unanswered += 1;
+        self.suspect_until = now + time.min(MAX_SUSPECT_TIME);
+    }
+
+    fn on_failure(
+        &mut self,
+        now: TimePoint,
+        failure: CallFailure,
+        elapsed: Duration,
+        pace: &CallPace,
+    ) {
+        match failure {
+            // A dial that failed is counted by the pool.
+            CallFailure::NotRun { reason: NotRunReason::NotSent, .. } => {}
+            CallFailure::Silent | CallFailure::DeadlinePassed => {
+                self.on_unanswered(now, elapsed, pace);
+            }
+            _ => self.failures += (1.0 - self.failures) * FAILURE_WEIGHT,
+        }
+    }
+
+    fn record_factor(&mut self, latency: Duration, pace: &CallPace) {
+        let sample = micros(latency) / micros(pace.typical).max(1.0);
+        let (least, most) = FACTOR_RANGE;
+        let sample = sample.clamp(least, most);
+        self.factor += (sample - self.factor) * FACTOR_WEIGHT;
+    }
+
+    /// Returns how far the upstream is to be avoided now.
+    pub(super) fn avoidance(&self, now: TimePoint, pace: &CallPace) -> Avoidance {
+        if now < self.suspect_until {
+            return Avoidance::Suspect;
+        }
+        let patience = pace.hedge_after.mul_f64(self.factor.clamp(1.0, 3.0));
+        if self.in_flight.iter().any(|it| patience < now.since(*it)) {
+            return Avoidance::Stalled;
+        }
+        Avoidance::Usable
+    }
+
+    /// Returns the time that a call started now is expected to take, in microseconds, with what
+    /// else speaks against it turned into time.
+    pub(super) fn cost(&self, now: TimePoint, pace: &CallPace, dial_us: f64) -> f64 {
+        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        let work = micros(pace.typical) * self.factor * cold;
+        let reported = self.hint.filter(|it| now.since(it.at) <= HINT_LIFETIME);
+        let busy = reported.map_or(0, |it| it.busy).max(self.busy());
+        let queue = work * f64::from(busy) / f64::from(self.slots);
+        let zone = if self.same_zone { 0.0 } else { micros(pace.zone_cost) };
+        let dial = if self.busy() < self.open_connections { 0.0 } else { dial_us };
+        let failure = self.failures * FAILURE_COST * micros(pace.hedge_after);
+        work + queue + zone + dial + failure
+    }
+}
--- /dev/null
+++ b/crates/routing/src/lane/route_router.rs
@@ -0,0 +1,106 @@
+//! The routing decisions of one query over the lanes of its shards.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use mux_model::{ShardIndex, SnapshotId, SnapshotMap, TimePoint, UpstreamId};
+
+use super::{CallPace, RoutePace, ServiceLane};
+use crate::{AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, UpstreamHint};
+
+/// Routes the calls of one query, each shard of which is a service with a lane of its own.
+#[derive(Debug)]
+pub struct RouteRouter {
+    lanes: Vec<Arc<ServiceLane>>,
+    /// The lane of each upstream, by shard.
+    places: Vec<(UpstreamId, usize)>,
+    map: Arc<SnapshotMap>,
+    pace: Arc<Mutex<RoutePace>>,
+    current: CallPace,
+}
+
+impl RouteRouter {
+    /// Creates a router for `lanes`, one a shard, whose upstreams it pins.
+    pub fn new(
+        snapshot: SnapshotId,
+        lanes: Vec<Arc<ServiceLane>>,
+        pace: Arc<Mutex<RoutePace>>,
+    ) -> Self {
+        let replicas: Vec<_> = lanes.iter().map(|it| it.members()).collect();
+        let mut places = Vec::with_capacity(replicas.iter().map(Vec::len).sum());
+        for (idx, members) in replicas.iter().enumerate() {
+            places.extend(members.iter().map(|it| (*it, idx)));
+        }
+        let current = lock(&pace).current();
+        let map = Arc::new(SnapshotMap::new(snapshot, replicas));
+        Self { lanes, places, map, pace, current }
+    }
+
+    /// Returns the pinned shards and their upstreams.
+    pub fn map(&self) -> &Arc<SnapshotMap> {
+        &self.map
+    }
+
+    /// Returns the lane of a shard.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the query has no such shard.
+    pub fn lane(&self, shard: ShardIndex) -> &Arc<ServiceLane> {
+        &self.lanes[usize::try_from(shard.0).unwrap_or(usize::MAX)]
+    }
+
+    /// Returns the pace that the query goes by.
+    pub fn pace(&self) -> CallPace {
+        self.current
+    }
+
+    fn lane_of(&self, upstream: UpstreamId) -> Option<&ServiceLane> {
+        let (_, idx) = self.places.iter().find(|(it, _)| *it == upstream)?;
+        Some(&self.lanes[*idx])
+    }
+}
+
+impl ReplicaRouter for RouteRouter {
+    fn admit(&self, _now: TimePoint) -> Result<(), QueryRefusal> {
+        Ok(())
+    }
+
+    fn finish(&self, _now: TimePoint) {}
+
+    fn acquire(
+        &self,
+        now: TimePoint,
+        candidates: &[UpstreamId],
+        excluded: &[UpstreamId],
+        kind: CallKind,
+    ) -> Result<UpstreamId, AcquireError> {
+        let lane = candidates.first().and_then(|it| self.lane_of(*it));
+        lane.ok_or(AcquireError::NoReplica)?.acquire(now, excluded, kind, &self.current)
+    }
+
+    fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
+        let Some(lane) = self.lane_of(upstream) else {
+            return;
+        };
+        if let Some(latency) = lane.record(now, upstream, outcome, &self.current) {
+            lock(&self.pace).record(latency);
+        }
+    }
+
+    fn hedge_delay(&self, _now: TimePoint) -> Option<Duration> {
+        Some(self.current.hedge_after)
+    }
+
+    fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
+        if let (Some(lane), Some(busy)) = (self.lane_of(upstream), hint.in_flight) {
+            lane.record_load(now, upstream, busy);
+        }
+    }
+}
+
+fn lock(pace: &Mutex<RoutePace>) -> MutexGuard<'_, RoutePace> {
+    pace.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/routing/src/lane/service_lane.rs
@@ -0,0 +1,281 @@
+//! The upstreams of one service, as this node uses them.
+
+use std::{
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use mux_model::{AvailabilityZone, InstanceId, TimePoint, UpstreamId};
+use rand::RngExt;
+
+use super::{
+    CallPace, RetryBounds, RetryWindow, UpstreamRecord, lane_upstream::Avoidance,
+    lane_upstream::LaneUpstream,
+};
+use crate::{AcquireError, CallKind, CallOutcome};
+
+/// Time after which a call asks again for a connection that is in use.
+const BUSY_RETRY: Duration = Duration::from_millis(2);
+/// Time to set up a connection before one was measured.
+const START_DIAL_US: f64 = 6_000.0;
+/// Weight of a new sample in the time to set up a connection.
+const DIAL_WEIGHT: f64 = 0.2;
+/// Relative spread of costs within which the choice is random, so that nodes with the same view
+/// do not all choose the same upstream.
+const COST_JITTER: f64 = 0.1;
+/// Connections a slot of the upstream that one node holds at most; more would only wait there.
+const CONNECTIONS_PER_SLOT: u32 = 3;
+/// Part of an upstream's connections that the nodes divide among them; the rest allows for nodes
+/// that do not know of one another yet.
+const SHARED_CONNECTIONS: f64 = 0.9;
+
+/// Counts of one lane.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LaneReport {
+    /// First calls.
+    pub first_calls: u64,
+    /// Calls beyond the first.
+    pub extra_calls: u64,
+    /// Calls beyond the first that the budget did not allow.
+    pub budget_refusals: u64,
+    /// Calls that found every usable upstream at its limit.
+    pub saturated: u64,
+}
+
+#[derive(Debug)]
+struct LaneState {
+    upstreams: Vec<LaneUpstream>,
+    window: RetryWindow,
+    connection_limit: Option<u32>,
+    nodes: u32,
+    dial_us: f64,
+    report: LaneReport,
+}
+
+/// Chooses upstreams for the calls to one service and keeps this node's part of its limits.
+#[derive(Debug)]
+pub struct ServiceLane {
+    bounds: RetryBounds,
+    zone: AvailabilityZone,
+    state: Mutex<LaneState>,
+}
+
+impl ServiceLane {
+    /// Creates a lane without upstreams for a node in `zone`.
+    pub fn new(bounds: RetryBounds, zone: AvailabilityZone) -> Self {
+        let state = LaneState {
+            upstreams: Vec::new(),
+            window: RetryWindow::new(),
+            connection_limit: None,
+            nodes: 1,
+            dial_us: START_DIAL_US,
+            report: LaneReport::default(),
+        };
+        Self { bounds, zone, state: Mutex::new(state) }
+    }
+
+    /// Replaces the set of upstreams that new calls go to; the others keep their open calls.
+    pub fn set_upstreams(&self, now: TimePoint, records: &[&UpstreamRecord]) {
+        let mut state = self.lock();
+        for upstream in &mut state.upstreams {
+            upstream.member = false;
+        }
+        for record in records {
+            let known = state.upstreams.iter_mut().find(|it| it.instance == record.instance);
+            match known {
+                Some(upstream) if upstream.id == record.upstream => upstream.renew(now, record),
+                _ => {
+                    let same_zone = record.availability_zone == self.zone;
+                    state.upstreams.push(LaneUpstream::new(now, record, same_zone));
+                }
+            }
+        }
+        state.upstreams.retain(|it| it.member || !it.is_idle());
+    }
+
+    /// Sets the connections that one upstream accepts from all nodes, and the number of nodes.
+    pub fn set_limits(&self, connection_limit: Option<u32>, nodes: u32) {
+        let mut state = self.lock();
+        state.connection_limit = connection_limit;
+        state.nodes = nodes.max(1);
+    }
+
+    /// Returns the upstreams that new calls may go to.
+    pub fn members(&self) -> Vec<UpstreamId> {
+        self.lock().upstreams.iter().filter(|it| it.member).map(|it| it.id).collect()
+    }
+
+    /// Returns the instance that is expected at `upstream`.
+    pub fn instance(&self, upstream: UpstreamId) -> Option<InstanceId> {
+        let state = self.lock();
+        let member = state.upstreams.iter().find(|it| it.id == upstream && it.member);
+        member.map(|it| it.instance.clone())
+    }
+
+    /// Returns the connections that this node may hold to `upstream`.
+    pub fn connection_share(&self, upstream: UpstreamId) -> u32 {
+        let state = self.lock();
+        let known = state.upstreams.iter().find(|it| it.id == upstream);
+        known.map_or(0, |it| state.share(it))
+    }
+
+    /// Returns the counts since the start.
+    pub fn report(&self) -> LaneReport {
+        self.lock().report
+    }
+
+    /// Reserves a connection for a call of `kind`.
+    ///
+    /// Of the upstreams with a free connection, those without a late call go first, then the one
+    /// from which the earliest reply is expected.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AcquireError`] if no upstream can take the call now.
+    pub fn acquire(
+        &self,
+        now: TimePoint,
+        excluded: &[UpstreamId],
+        kind: CallKind,
+        pace: &CallPace,
+    ) -> Result<UpstreamId, AcquireError> {
+        let mut guard = self.lock();
+        let state = &mut *guard;
+        let chosen = match state.choose(now, excluded, kind, pace) {
+            Ok(it) => it,
+            Err(error) => {
+                let is_saturated = matches!(error, AcquireError::Saturated { .. });
+                state.report.saturated += u64::from(is_saturated);
+                return Err(error);
+            }
+        };
+        if kind == CallKind::First {
+            state.window.record_first(now, &self.bounds);
+            state.report.first_calls += 1;
+        } else if state.window.try_extra(now, &self.bounds, state.nodes) {
+            state.report.extra_calls += 1;
+        } else {
+            state.report.budget_refusals += 1;
+            return Err(AcquireError::BudgetEmpty);
+        }
+        let upstream = &mut state.upstreams[chosen];
+        upstream.start_call(now);
+        Ok(upstream.id)
+    }
+
+    /// Records how a call ended for its query; the connection stays reserved until
+    /// [`Self::end_call`], but for a call that was never sent.
+    ///
+    /// Returns the latency at average speed if it says something about the pace of the route.
+    pub fn record(
+        &self,
+        now: TimePoint,
+        upstream: UpstreamId,
+        outcome: CallOutcome,
+        pace: &CallPace,
+    ) -> Option<Duration> {
+        self.with(upstream, |it| {
+            if outcome == CallOutcome::Withdrawn {
+                it.end_call(now);
+            }
+            it.on_outcome(now, outcome, pace)
+        })?
+    }
+
+    /// Frees the connection of the call that was reserved at `started`.
+    pub fn end_call(&self, upstream: UpstreamId, started: TimePoint) {
+        self.with(upstream, |it| it.end_call(started));
+    }
+
+    /// Records a reply that came after its query had ended.
+    pub fn record_late_reply(&self, upstream: UpstreamId, latency: Duration, pace: &CallPace) {
+        self.with(upstream, |it| it.on_reply(latency, pace));
+    }
+
+    /// Records the requests that an upstream says it has, running and waiting.
+    pub fn record_load(&self, now: TimePoint, upstream: UpstreamId, busy: u32) {
+        self.with(upstream, |it| it.on_load(now, busy));
+    }
+
+    /// Records the number of open connections to an upstream.
+    pub fn record_connections(&self, upstream: UpstreamId, open: u32) {
+        self.with(upstream, |it| it.set_open_connections(open));
+    }
+
+    /// Records the time that setting up a connection took; `None` if it failed.
+    pub fn record_dial(&self, now: TimePoint, upstream: UpstreamId, elapsed: Option<Duration>) {
+        let mut state = self.lock();
+        if let Some(elapsed) = elapsed {
+            let sample = elapsed.as_secs_f64() * 1e6;
+            state.dial_us += (sample - state.dial_us) * DIAL_WEIGHT;
+        }
+        let Some(known) = state.upstreams.iter_mut().find(|it| it.id == upstream) else {
+            return;
+        };
+        match elapsed {
+            Some(_) => known.on_dialled(),
+            None => known.on_dial_failed(now),
+        }
+    }
+
+    fn with<T>(&self, upstream: UpstreamId, act: impl FnOnce(&mut LaneUpstream) -> T) -> Option<T> {
+        let mut state = self.lock();
+        // The newest of two instances at one address stands last.
+        state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(act)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LaneState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LaneState {
+    fn share(&self, upstream: &LaneUpstream) -> u32 {
+        let most = upstream.slots() * CONNECTIONS_PER_SLOT;
+        let Some(limit) = self.connection_limit else {
+            return most;
+        };
+        let part = f64::from(limit) * SHARED_CONNECTIONS / f64::from(self.nodes);
+        // A share below one would leave the upstream unused by this node.
+        (part as u32).clamp(1, most)
+    }
+
+    fn choose(
+        &self,
+        now: TimePoint,
+        excluded: &[UpstreamId],
+        kind: CallKind,
+        pace: &CallPace,
+    ) -> Result<usize, AcquireError> {
+        let mut rng = rand::rng();
+        let mut best: Option<(Avoidance, f64, usize)> = None;
+        let mut is_busy = false;
+        for (idx, upstream) in self.upstreams.iter().enumerate() {
+            let is_usable = upstream.member && !upstream.is_down(now);
+            if !is_usable || excluded.contains(&upstream.id) {
+                continue;
+            }
+            if self.share(upstream) <= upstream.busy() {
+                is_busy = true;
+                continue;
+            }
+            let avoidance = upstream.avoidance(now, pace);
+            let jitter = 1.0 + COST_JITTER * rng.random::<f64>();
+            let cost = upstream.cost(now, pace, self.dial_us) * jitter;
+            let is_better = best.is_none_or(|it| (avoidance, cost) < (it.0, it.1));
+            if is_better {
+                best = Some((avoidance, cost, idx));
+            }
+        }
+        let wait = AcquireError::Saturated { retry_after: BUSY_RETRY };
+        match best {
+            // A hedge to another late upstream would spend the budget for nothing.
+            Some((avoidance, ..)) if kind == CallKind::Hedge && Avoidance::Usable < avoidance => {
+                Err(wait)
+            }
+            Some((.., idx)) => Ok(idx),
+            None if is_busy => Err(wait),
+            None => Err(AcquireError::NoReplica),
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 mod candidate_survey;
 mod concurrency_limit;
 mod hedge_timer;
+pub mod lane;
 mod latency_average;
 mod latency_baseline;
 mod latency_window;
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -73,6 +73,8 @@
     Failed(CallFailure, Duration),
     /// The call was cancelled after this time because its reply was no longer needed.
     Cancelled(Duration),
+    /// The slot was given back before anything was sent.
+    Withdrawn,
 }
 
 /// What an upstream says about itself; a hint that never overrules what the node sees.
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -153,7 +153,7 @@
             | CallOutcome::Failed(CallFailure::Silent | CallFailure::DeadlinePassed, elapsed) => {
                 hedges.record_at_least(now, elapsed);
             }
-            CallOutcome::Failed(..) => {}
+            CallOutcome::Failed(..) | CallOutcome::Withdrawn => {}
         }
     }
 
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -160,6 +160,7 @@
             CallOutcome::Failed(failure, elapsed) => {
                 self.on_failure(now, share, failure, elapsed, jitter);
             }
+            CallOutcome::Withdrawn => self.on_cancelled(now, Duration::ZERO, jitter),
             CallOutcome::Cancelled(elapsed) => self.on_cancelled(now, elapsed, jitter),
         }
         self.in_flight = self.in_flight.saturating_sub(1);
@@ -323,7 +324,9 @@
                 self.health.on_success(now);
                 self.limit.cut_late(now, self.in_flight);
             }
-            NotRunReason::SnapshotMissing | NotRunReason::Rejected => {
+            NotRunReason::SnapshotMissing
+            | NotRunReason::Rejected
+            | NotRunReason::WrongInstance => {
                 self.health.on_success(now);
             }
         }
