Follow the store by one watch and let address answers live five seconds

Cause: each node made three watches of 1.5 s, and callers asked for addresses before nearly every request, since an answer lived one second.

Change: one watch of the whole store with a wait of 10 s; whether the store is there is learnt from the lease renewals, which cost a tenth. News gather for 250 ms. Hedges wait for a quarter of the latency target at least, and a call may take an eighth of it longer to stay in its zone.

Ruled out: serializable reads in place of the watch (cheaper, but seconds old).

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -36,8 +36,8 @@
 pub use in_force_tracker::{InForceProgress, InForceTracker};
 pub use lease_holder::LeaseHolder;
 pub use service_change::{ChangeAction, ServiceChange};
-pub use store_contact::StoreContact;
 pub use service_definition::{
     ConcurrencyMode, HedgeMode, HedgeSettings, ServiceDefinition, ServiceLimits, ShardMapSource,
     UpstreamEntry,
 };
+pub use store_contact::StoreContact;
--- a/crates/edge/src/caller/front_server.rs
+++ b/crates/edge/src/caller/front_server.rs
@@ -47,13 +47,7 @@
         return Err(failure_answer(status, "rejected", "the head of the request is too long"));
     }
     let body = read_body(edge, body, bounds).await?;
-    Ok(CallerRequest {
-        method: head.method,
-        uri: head.uri,
-        headers: head.headers,
-        body,
-        arrived,
-    })
+    Ok(CallerRequest { method: head.method, uri: head.uri, headers: head.headers, body, arrived })
 }
 
 async fn read_body(
@@ -87,8 +81,5 @@
 }
 
 fn head_bytes(headers: &HeaderMap) -> usize {
-    headers
-        .iter()
-        .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES)
-        .sum()
+    headers.iter().map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES).sum()
 }
--- a/crates/edge/src/caller/http_listener.rs
+++ b/crates/edge/src/caller/http_listener.rs
@@ -39,8 +39,7 @@
     /// Returns [`EdgeError::Listen`] if the address cannot be used.
     pub(crate) fn bind(purpose: &'static str, address: SocketAddr) -> Result<Self, EdgeError> {
         let listener = bind(address);
-        let listener =
-            listener.map_err(|source| EdgeError::Listen { purpose, address, source })?;
+        let listener = listener.map_err(|source| EdgeError::Listen { purpose, address, source })?;
         Ok(Self { listener })
     }
 
--- a/crates/edge/src/caller/side_servers.rs
+++ b/crates/edge/src/caller/side_servers.rs
@@ -10,7 +10,7 @@
 use crate::{WireProtocol, edge::Edge};
 
 /// Lifetime of an address answer; the shorter it is, the sooner callers leave a node that is gone.
-const ADDRESS_LIFETIME: Duration = Duration::from_secs(1);
+const ADDRESS_LIFETIME: Duration = Duration::from_secs(5);
 
 /// Answers the question which addresses to use.
 pub(crate) async fn serve_directory<W: WireProtocol>(
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -11,11 +11,13 @@
 use mux_placement::NodeRegistry;
 use mux_routing::lane::{RoutePace, ServiceLane, UpstreamRegistry};
 use mux_timer::TimerService;
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    EdgeSettings, StoreArea, edge_metrics::EdgeMetrics, upstream::LinkTable,
+    EdgeSettings, StoreFault,
+    edge_metrics::{EdgeMetrics, StoreCallLabel},
+    upstream::LinkTable,
 };
 
 /// Lines about single requests that are logged in one period, at most.
@@ -46,10 +48,12 @@
     pub(crate) request_log: LogThrottle,
     /// Wakes the task that keeps this node's entry in the store.
     pub(crate) announce: Notify,
+    /// Ends a watch that waits, so that the store is asked anew.
+    pub(crate) watch_again: Notify,
     config: RwLock<ConfigBelief>,
     upstreams: Mutex<UpstreamRegistry>,
     nodes: Mutex<NodeRegistry>,
-    contacts: Mutex<FastMap<StoreArea, StoreContact>>,
+    contact: Mutex<StoreContact>,
     lanes: RwLock<FastMap<ServiceName, Arc<ServiceLane>>>,
     limits: RwLock<FastMap<ServiceName, u32>>,
     paces: RwLock<FastMap<String, Arc<Mutex<RoutePace>>>>,
@@ -68,10 +72,11 @@
             stop: watch::Sender::new(StopPhase::Serving),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
             announce: Notify::new(),
+            watch_again: Notify::new(),
             config: RwLock::default(),
             upstreams: Mutex::default(),
             nodes: Mutex::new(nodes),
-            contacts: Mutex::default(),
+            contact: Mutex::default(),
             lanes: RwLock::default(),
             limits: RwLock::default(),
             paces: RwLock::default(),
@@ -113,9 +118,26 @@
         lock(&self.nodes)
     }
 
-    /// Gives access to what is known of the contact to one area of the store.
-    pub(crate) fn contact<T>(&self, area: StoreArea, act: impl FnOnce(&mut StoreContact) -> T) -> T {
-        act(lock(&self.contacts).entry(area).or_default())
+    /// Returns what is known of the contact to the store.
+    pub(crate) fn contact(&self) -> StoreContact {
+        *lock(&self.contact)
+    }
+
+    /// Takes in that the store answered.
+    pub(crate) fn on_store_answer(&self) {
+        if lock(&self.contact).on_answer(self.timer.now()) {
+            info!(self.logger, "store: reached");
+            // A watch that was waiting may have lost its connection, and what changed meanwhile.
+            self.watch_again.notify_one();
+        }
+    }
+
+    /// Takes in that a call to the store failed.
+    pub(crate) fn on_store_failure(&self, call: &'static str, fault: &StoreFault) {
+        self.metrics.store_failures.get_or_create(&StoreCallLabel { call }).inc();
+        if lock(&self.contact).on_failure(self.timer.now()) {
+            warn!(self.logger, "store: lost"; "call" => call, "cause" => fault.to_string());
+        }
     }
 
     /// Returns the lane of a service.
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -36,10 +36,10 @@
     pub(crate) route: String,
 }
 
-/// Label of one area of the store.
+/// Label of one kind of call to the store.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub(crate) struct AreaLabel {
-    pub(crate) area: &'static str,
+pub(crate) struct StoreCallLabel {
+    pub(crate) call: &'static str,
 }
 
 /// Label of the result of a call.
@@ -58,7 +58,7 @@
     pub(crate) latency: LatencyFamily,
     pub(crate) calls: Family<ResultLabel, Counter>,
     pub(crate) dials: Family<ResultLabel, Counter>,
-    pub(crate) store_failures: Family<AreaLabel, Counter>,
+    pub(crate) store_failures: Family<StoreCallLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,7 +19,9 @@
 pub use edge_settings::{EdgeSettings, ListenAddresses};
 pub use errors::EdgeError;
 pub use run_edge::run;
-pub use store::{AreaNews, ClusterStore, LeaseMark, StoreArea, StoreChange, StoreFault, StoreItem,
-    StoreMark, StoreName};
-pub use wire::{AddressQuestion, CallTerms, ReplyKind, ReplyTerms, RequestTerms, TermsFault,
-    WireProtocol};
+pub use store::{
+    ClusterStore, LeaseMark, StoreChange, StoreFault, StoreItem, StoreMark, StoreName, StoreNews,
+};
+pub use wire::{
+    AddressQuestion, CallTerms, ReplyKind, ReplyTerms, RequestTerms, TermsFault, WireProtocol,
+};
--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -16,7 +16,7 @@
     final_answer::{FinalAnswer, failure_answer, refusal_answer, stopped_answer},
 };
 use crate::{
-    StoreArea, TermsFault, WireProtocol,
+    TermsFault, WireProtocol,
     caller::strip_hop_headers,
     edge::Edge,
     upstream::{CallTemplate, UpstreamAnswer},
@@ -80,7 +80,8 @@
         let template = Arc::new(call_template(request, terms.request_id.clone(), rule.repeat));
         let (answer, calls, parts, shards) =
             self.dispatch::<W>(&rule, version, timing, template).await;
-        let note = RequestNote { id: &terms.request_id, rule: &rule, version, calls, shards, parts };
+        let note =
+            RequestNote { id: &terms.request_id, rule: &rule, version, calls, shards, parts };
         self.record(arrived, &note, &answer);
         answer
     }
@@ -142,7 +143,7 @@
         host: &str,
         uri: &Uri,
     ) -> FinalAnswer {
-        let age = self.edge.contact(StoreArea::Config, |it| it.age(now));
+        let age = self.edge.contact().age(now);
         if age.is_none_or(|it| SURE_CONTACT_AGE < it) {
             let reason = "no such route is known, and the configuration may be outdated";
             let left = time_left.unwrap_or(UNREADY_RETRY * 4);
@@ -159,12 +160,12 @@
         let Some(suppressed) = self.edge.request_log.allow(now) else {
             return;
         };
-        let contact = self.edge.contact(StoreArea::Config, |it| it.age(now)).unwrap_or_default();
+        let contact = self.edge.contact().age(now).unwrap_or_default();
         info!(self.edge.logger, "request: answered";
             "id" => note.id.to_str().unwrap_or("(not text)"),
             "route" => &note.rule.name,
             "version" => note.version.0,
-            "config_age_ms" => contact.as_millis() as u64,
+            "store_age_ms" => contact.as_millis() as u64,
             "status" => answer.status.as_u16(),
             "outcome" => answer.outcome,
             "ms" => latency.as_millis() as u64,
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    ClusterStore, EdgeError, EdgeSettings, StoreArea, WireProtocol,
+    ClusterStore, EdgeError, EdgeSettings, WireProtocol,
     caller::{HttpListener, serve_directory, serve_front, serve_metrics, serve_readiness},
     edge::{Edge, StopPhase},
     sync,
@@ -74,9 +74,7 @@
     if let Some(metrics) = metrics {
         tokio::spawn(metrics.serve(Arc::clone(&edge), serve_metrics));
     }
-    for area in StoreArea::ALL {
-        tokio::spawn(sync::watch_area(Arc::clone(&edge), store.clone(), area));
-    }
+    tokio::spawn(sync::watch_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::settle_missing(Arc::clone(&edge)));
     tokio::spawn(sync::keep_announced(Arc::clone(&edge), store));
     signals.wait(&edge).await;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -7,31 +7,6 @@
 use mux_placement::NodeRecord;
 use mux_routing::lane::UpstreamRecord;
 
-/// A part of the store that is read and watched as a whole.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
-pub enum StoreArea {
-    /// The operators' configuration.
-    Config,
-    /// The entries of upstreams.
-    Upstreams,
-    /// The entries of nodes.
-    Nodes,
-}
-
-impl StoreArea {
-    /// All areas.
-    pub const ALL: [Self; 3] = [Self::Config, Self::Upstreams, Self::Nodes];
-
-    /// Returns the name in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            Self::Config => "config",
-            Self::Upstreams => "upstreams",
-            Self::Nodes => "nodes",
-        }
-    }
-}
-
 /// Name of an entry.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreName {
@@ -78,9 +53,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct LeaseMark(pub u64);
 
-/// What was read of an area.
+/// What was read of the store.
 #[derive(Debug, Clone, PartialEq)]
-pub struct AreaNews {
+pub struct StoreNews {
     /// Entries in the order of the store.
     pub changes: Vec<StoreChange>,
     /// Where a watch goes on.
@@ -90,7 +65,7 @@
 /// Failure of a call to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreFault {
-    /// The history after the mark is no longer kept; the area has to be read again.
+    /// The history after the mark is no longer kept; all has to be read again.
     HistoryGone,
     /// The lease has ended.
     LeaseEnded,
@@ -115,19 +90,15 @@
 
 /// The platform's store, as far as nodes use it. Each call is bounded in time.
 pub trait ClusterStore: Clone + Send + Sync + 'static {
-    /// Reads all entries of `area`, and where a watch goes on so that it misses nothing.
-    fn list(
-        &self,
-        area: StoreArea,
-    ) -> impl Future<Output = Result<AreaNews, StoreFault>> + Send;
+    /// Reads all entries, and where a watch goes on so that it misses nothing.
+    fn list(&self) -> impl Future<Output = Result<StoreNews, StoreFault>> + Send;
 
-    /// Waits up to `wait` for changes of `area` after `mark`; none may have come.
+    /// Waits up to `wait` for changes after `mark`; none may have come.
     fn watch(
         &self,
-        area: StoreArea,
         mark: StoreMark,
         wait: Duration,
-    ) -> impl Future<Output = Result<AreaNews, StoreFault>> + Send;
+    ) -> impl Future<Output = Result<StoreNews, StoreFault>> + Send;
 
     /// Asks for a lease that ends `lifetime` after its last renewal.
     fn grant(
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -51,7 +51,12 @@
     lease: &mut Option<LeaseMark>,
 ) -> Result<(), StoreFault> {
     if let Some(held) = *lease {
-        return store.renew(held).await;
+        let renewed = store.renew(held).await;
+        match &renewed {
+            Ok(()) | Err(StoreFault::LeaseEnded) => edge.on_store_answer(),
+            Err(fault) => edge.on_store_failure("renew", fault),
+        }
+        return renewed;
     }
     if !edge.is_ready() {
         return Err(StoreFault::Refused("not ready yet".to_owned()));
--- a/crates/edge/src/sync/apply_news.rs
+++ b/crates/edge/src/sync/apply_news.rs
@@ -6,26 +6,20 @@
 use mux_routing::lane::{RecordChange, UpstreamPhase, UpstreamRecord};
 use slog::{info, warn};
 
-use crate::{StoreArea, StoreChange, StoreItem, StoreName, edge::Edge};
+use crate::{StoreChange, StoreItem, StoreName, edge::Edge};
 
-/// How what was read relates to the area.
+/// How what was read relates to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NewsKind {
-    /// It is all that the area holds.
+    /// It is all that the store holds.
     Listing,
     /// It is what has changed.
     Changes,
 }
 
-/// Applies what was read of `area`.
-pub(super) fn apply_news(
-    edge: &Edge,
-    now: TimePoint,
-    area: StoreArea,
-    kind: NewsKind,
-    changes: Vec<StoreChange>,
-) {
-    let doubtful = edge.contact(area, |it| it.is_absence_doubtful(now));
+/// Applies what was read.
+pub(super) fn apply_news(edge: &Edge, now: TimePoint, kind: NewsKind, changes: Vec<StoreChange>) {
+    let doubtful = edge.contact().is_absence_doubtful(now);
     let mut listed_instances = FastSet::default();
     let mut listed_nodes = FastSet::default();
     let mut is_changed = false;
@@ -55,11 +49,8 @@
         }
     }
     if kind == NewsKind::Listing {
-        is_changed |= match area {
-            StoreArea::Config => false,
-            StoreArea::Upstreams => drop_unlisted(edge, &listed_instances, doubtful),
-            StoreArea::Nodes => drop_unlisted_nodes(edge, &listed_nodes, doubtful),
-        };
+        is_changed |= drop_unlisted(edge, &listed_instances, doubtful);
+        is_changed |= drop_unlisted_nodes(edge, &listed_nodes, doubtful);
     }
     if is_changed {
         edge.refresh_lanes(now);
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -2,7 +2,7 @@
 
 mod announce_task;
 mod apply_news;
-mod area_watch;
+mod store_watch;
 
 pub(crate) use announce_task::keep_announced;
-pub(crate) use area_watch::{settle_missing, watch_area};
+pub(crate) use store_watch::{settle_missing, watch_store};
--- /dev/null
+++ b/crates/edge/src/sync/store_watch.rs
@@ -0,0 +1,89 @@
+//! Follows the store.
+
+use std::{sync::Arc, time::Duration};
+
+use slog::info;
+
+use super::apply_news::{NewsKind, apply_news};
+use crate::{ClusterStore, StoreFault, StoreMark, edge::Edge};
+
+/// Time for which a watch waits for changes. Each watch is a priced call; whether the store is
+/// there is learnt from the renewals of this node's lease, which cost a tenth.
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Time after news in which more of them gather, so that a burst does not cost a call each; a
+/// small part of the seconds in which changes must be in force.
+const GATHER_TIME: Duration = Duration::from_millis(250);
+/// First pause after a failed call; doubles up to [`MAX_RETRY_PAUSE`].
+const RETRY_PAUSE: Duration = Duration::from_millis(25);
+/// Longest pause after a failed call; a part of the time in which changes must be in force.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(400);
+/// Period in which entries that did not come back are looked for.
+const SETTLE_PERIOD: Duration = Duration::from_millis(250);
+
+/// Reads the store, then waits for its changes, until the process ends.
+pub(crate) async fn watch_store<S: ClusterStore>(edge: Arc<Edge>, store: S) {
+    let mut pauses = edge.timer.subscribe_pauses();
+    let mut mark: Option<StoreMark> = None;
+    let mut failures = 0_u32;
+    loop {
+        pauses.mark_unchanged();
+        let read = async {
+            match mark {
+                Some(mark) => (NewsKind::Changes, store.watch(mark, WATCH_WAIT).await),
+                None => (NewsKind::Listing, store.list().await),
+            }
+        };
+        let (kind, result) = tokio::select! {
+            it = read => it,
+            // What is known may be old, and the connection of the watch dead.
+            _ = pauses.changed() => {
+                info!(edge.logger, "store: read again after a pause of this process");
+                mark = None;
+                continue;
+            }
+            () = edge.watch_again.notified() => continue,
+        };
+        match result {
+            Ok(news) => {
+                failures = 0;
+                mark = Some(news.mark);
+                // The entries that lapsed in an outage come with the first news after it, which
+                // must be seen as such.
+                edge.on_store_answer();
+                apply_news(&edge, edge.timer.now(), kind, news.changes);
+                edge.timer.sleep(GATHER_TIME).await;
+            }
+            Err(StoreFault::HistoryGone) => {
+                info!(edge.logger, "store: history gone, read again");
+                mark = None;
+            }
+            Err(fault) => {
+                failures += 1;
+                // A watch that waits may be cut at any time; twice in a row is an outage.
+                if 1 < failures || matches!(fault, StoreFault::NoAnswer(_)) && mark.is_none() {
+                    edge.on_store_failure("watch", &fault);
+                }
+                let pause = RETRY_PAUSE * (1 << failures.min(5));
+                edge.timer.sleep(pause.min(MAX_RETRY_PAUSE)).await;
+            }
+        }
+    }
+}
+
+/// Gives up entries that did not come back after the store did, until the process ends.
+pub(crate) async fn settle_missing(edge: Arc<Edge>) {
+    let mut ticks = edge.timer.subscribe(SETTLE_PERIOD);
+    loop {
+        let now = ticks.next().await;
+        if edge.contact().is_absence_doubtful(now) {
+            continue;
+        }
+        let upstreams = edge.upstreams().drop_missing().len();
+        let nodes = edge.nodes().drop_missing().len();
+        if 0 < upstreams + nodes {
+            info!(edge.logger, "store: entries given up that did not come back";
+                "upstreams" => upstreams, "nodes" => nodes);
+            edge.refresh_lanes(now);
+        }
+    }
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -12,8 +12,8 @@
 pub use coverage::Coverage;
 pub use fast_map::{FastHasher, FastMap, FastSet};
 pub use ids::{
-    AvailabilityZone, ChangeId, InstanceId, NodeId, NodeIncarnation, RequestId, RevisionNumber, ServiceName,
-    ShardIndex, SnapshotId, UpstreamId,
+    AvailabilityZone, ChangeId, InstanceId, NodeId, NodeIncarnation, RequestId, RevisionNumber,
+    ServiceName, ShardIndex, SnapshotId, UpstreamId,
 };
 pub use shard_map::SnapshotMap;
 pub use time_point::TimePoint;
--- a/crates/node/src/conf/mod.rs
+++ b/crates/node/src/conf/mod.rs
@@ -5,6 +5,5 @@
 
 pub use errors::SettingsError;
 pub use node_settings::{
-    CallerLimits, ListenAddresses, NodeSettings, NodeTiming,
-    PlatformSettings,
+    CallerLimits, ListenAddresses, NodeSettings, NodeTiming, PlatformSettings,
 };
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -19,8 +19,8 @@
 };
 
 use mux_config::{ConfigReplica, FreshnessGuard};
-use mux_membership::GossipService;
 use mux_logs::LogThrottle;
+use mux_membership::GossipService;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
 use mux_placement::AddressPlanner;
 use mux_platform::HttpStore;
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -6,8 +6,8 @@
 };
 
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
-use mux_membership::GossipService;
 use mux_logs::LogThrottle;
+use mux_membership::GossipService;
 use mux_model::NodeIncarnation;
 use mux_placement::AddressPlanner;
 use mux_platform::{HttpStore, StoreSettings};
--- a/crates/routing/src/lane/call_pace.rs
+++ b/crates/routing/src/lane/call_pace.rs
@@ -14,11 +14,14 @@
 const HEDGE_FACTOR: f64 = 1.2;
 /// Shortest delay before another replica is asked; below it, hedges race the scheduler.
 const MIN_HEDGE: Duration = Duration::from_millis(4);
+/// Shortest delay before another replica is asked, as a share of the latency target: sooner, a
+/// second call gains nothing that the caller would notice.
+const MIN_HEDGE_SHARE: f64 = 0.25;
 /// Longest delay before another replica is asked, as a share of the latency target; leaves the
-/// second call most of the time.
-const MAX_HEDGE_SHARE: f64 = 0.35;
+/// second call half of the time.
+const MAX_HEDGE_SHARE: f64 = 0.4;
 /// Part of the latency target that a call may take longer to stay in its availability zone.
-const ZONE_COST_SHARE: f64 = 0.05;
+const ZONE_COST_SHARE: f64 = 0.12;
 
 /// The pace of a route at one moment.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -65,7 +68,8 @@
     /// Returns the pace now.
     pub fn current(&self) -> CallPace {
         let longest = self.target_us * MAX_HEDGE_SHARE;
-        let hedge_us = (self.slow_us * HEDGE_FACTOR).min(longest).max(micros(MIN_HEDGE));
+        let shortest = (self.target_us * MIN_HEDGE_SHARE).max(micros(MIN_HEDGE));
+        let hedge_us = (self.slow_us * HEDGE_FACTOR).min(longest).max(shortest);
         CallPace {
             typical: from_micros(self.typical_us),
             hedge_after: from_micros(hedge_us),
--- a/crates/routing/src/lane/upstream_registry.rs
+++ b/crates/routing/src/lane/upstream_registry.rs
@@ -74,11 +74,7 @@
     /// Takes in which entries a complete listing held; the others are gone.
     ///
     /// Returns the instances that are no longer used.
-    pub fn on_listing(
-        &mut self,
-        listed: &FastSet<InstanceId>,
-        doubtful: bool,
-    ) -> Vec<InstanceId> {
+    pub fn on_listing(&mut self, listed: &FastSet<InstanceId>, doubtful: bool) -> Vec<InstanceId> {
         let absent: Vec<_> =
             self.known.keys().filter(|it| !listed.contains(*it)).cloned().collect();
         absent.into_iter().filter(|it| self.on_removed(it, doubtful)).collect()
