Name nodes with fast links to callers, and spend fewer store calls in a large fleet

Cause: on the grown sites most nodes have links of 14 Mbit/s; the parts of one query take 27 ms to pass such a link, a third of the latency target. Connection shares were divided by all 63 nodes, though callers use a few, and every node paid for a watch at each event.

Change: a node's entry tells its link; nodes of the fastest class are named, two at least and three at most. Shares divide by the nodes that are named. The time in which news gather and the period of renewals grow with the fleet.

Ruled out: processor time (0.002 cores a node on the mean).

--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -9,10 +9,14 @@
     edge::{Edge, StopPhase},
 };
 
-/// Lifetime of the lease: a node that dies is named to callers for this long at most.
-const LEASE_LIFETIME: Duration = Duration::from_millis(2_500);
-/// Period of renewals; two may be lost before the lease ends.
+/// Period of renewals of the lease. A node that dies is named to callers for three of them at most.
 const RENEW_PERIOD: Duration = Duration::from_millis(800);
+/// What each node adds to [`RENEW_PERIOD`], as each adds to the calls of the fleet.
+const RENEW_PERIOD_PER_NODE: Duration = Duration::from_millis(10);
+/// Longest period of renewals.
+const MAX_RENEW_PERIOD: Duration = Duration::from_secs(2);
+/// Lifetime of the lease, in periods: two renewals may be lost.
+const LEASE_PERIODS: u32 = 3;
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(300);
 
@@ -27,7 +31,7 @@
         }
         let step = keep_once(&edge, &store, &mut lease).await;
         let pause = match step {
-            Ok(()) => RENEW_PERIOD,
+            Ok(()) => renew_period(&edge),
             Err(StoreFault::LeaseEnded) => {
                 info!(edge.logger, "node: lease ended, announced again");
                 lease = None;
@@ -45,6 +49,11 @@
     }
 }
 
+fn renew_period(edge: &Edge) -> Duration {
+    let nodes = edge.nodes().node_count();
+    (RENEW_PERIOD + RENEW_PERIOD_PER_NODE * nodes).min(MAX_RENEW_PERIOD)
+}
+
 async fn keep_once<S: ClusterStore>(
     edge: &Edge,
     store: &S,
@@ -61,7 +70,7 @@
     if !edge.is_ready() {
         return Err(StoreFault::Refused("not ready yet".to_owned()));
     }
-    let lifetime = LEASE_LIFETIME.max(edge.settings.shortest_lease);
+    let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.settings.shortest_lease);
     let granted = store.grant(lifetime).await?;
     store.announce(&edge.settings.node, granted).await?;
     info!(edge.logger, "node: announced"; "lease" => granted.0);
--- a/crates/edge/src/sync/store_watch.rs
+++ b/crates/edge/src/sync/store_watch.rs
@@ -13,6 +13,10 @@
 /// Time after news in which more of them gather, so that a burst does not cost a call each; a
 /// small part of the seconds in which changes must be in force.
 const GATHER_TIME: Duration = Duration::from_millis(250);
+/// What each node adds to [`GATHER_TIME`], as each adds to the calls of the fleet.
+const GATHER_TIME_PER_NODE: Duration = Duration::from_millis(12);
+/// Longest time in which news gather.
+const MAX_GATHER_TIME: Duration = Duration::from_secs(1);
 /// First pause after a failed call; doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 /// Longest pause after a failed call; a part of the time in which changes must be in force.
@@ -51,7 +55,7 @@
                 // must be seen as such.
                 edge.on_store_answer();
                 apply_news(&edge, edge.timer.now(), kind, news.changes);
-                edge.timer.sleep(GATHER_TIME).await;
+                edge.timer.sleep(gather_time(&edge)).await;
             }
             Err(StoreFault::HistoryGone) => {
                 info!(edge.logger, "store: history gone, read again");
@@ -70,6 +74,11 @@
     }
 }
 
+fn gather_time(edge: &Edge) -> Duration {
+    let nodes = edge.nodes().node_count();
+    (GATHER_TIME + GATHER_TIME_PER_NODE * nodes).min(MAX_GATHER_TIME)
+}
+
 /// Gives up entries that did not come back after the store did, until the process ends.
 pub(crate) async fn settle_missing(edge: Arc<Edge>) {
     let mut ticks = edge.timer.subscribe(SETTLE_PERIOD);
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -1,6 +1,6 @@
 //! The nodes that a node takes to be serving, and which of them callers are sent to.
 
-use std::net::SocketAddr;
+use std::{cmp::Reverse, net::SocketAddr};
 
 use mux_model::{AvailabilityZone, FastMap, FastSet, NodeId};
 use serde::{Deserialize, Serialize};
@@ -11,10 +11,12 @@
 ///
 /// A few nodes hold warm connections and see what the upstreams' queues hold; traffic that is
 /// spread over many would set up connections all the time.
-const NAMED_NODES: usize = 3;
+const MAX_NAMED_NODES: usize = 3;
+/// Nodes that callers are sent to at least, if there are so many.
+const MIN_NAMED_NODES: usize = 2;
 
 /// What a node says of itself to the others.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct NodeRecord {
     /// Name of the node.
     pub node: NodeId,
@@ -24,6 +26,19 @@
     pub region: String,
     /// Address for callers.
     pub callers: SocketAddr,
+    /// Bandwidth of the node's own link, in megabits a second.
+    pub link_mbps: f64,
+}
+
+impl NodeRecord {
+    /// Returns the class of the node's link; each is twice as fast as the one below.
+    ///
+    /// The parts of a query over many shards arrive at one moment, so that a slow link delays every
+    /// answer that passes it.
+    fn link_class(&self) -> u32 {
+        let mbps = self.link_mbps.clamp(1.0, f64::from(u32::MAX));
+        (mbps as u32).ilog2()
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -97,31 +112,62 @@
         u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Returns the number of nodes that callers are sent to, over all availability zones.
+    pub fn named_count(&self) -> u32 {
+        let mut zones: FastSet<&str> = FastSet::default();
+        zones.extend(self.records().map(|it| it.availability_zone.as_str()));
+        let mut named: FastSet<SocketAddr> = FastSet::default();
+        for zone in zones {
+            named.extend(self.addresses_for(zone, ""));
+        }
+        u32::try_from(named.len()).unwrap_or(u32::MAX).max(1)
+    }
+
     /// Returns the addresses for callers in `zone`; empty only if this node stops and knows of
     /// no other.
     ///
-    /// Nodes of the caller's zone go before those of its region, and those before all others.
-    /// Every node gives the same answer, as it ranks the nodes of a zone by a hash of both.
+    /// Nodes with fast links go first, then those of the caller's zone, then those of its region.
+    /// Every node gives the same answer, as it ranks equal nodes by a hash of zone and node. A
+    /// second node is named even if it is farther, so that callers have one to turn to.
     pub fn addresses_for(&self, zone: &str, region: &str) -> Vec<SocketAddr> {
+        let mut ranked: Vec<NodeRank> =
+            self.records().map(|it| NodeRank::new(it, zone, region)).collect();
+        ranked.sort_unstable();
+        let Some(best) = ranked.first().copied() else {
+            return Vec::new();
+        };
+        let equals = ranked.iter().filter(|it| it.is_equal(&best)).count();
+        let count = equals.clamp(MIN_NAMED_NODES, MAX_NAMED_NODES);
+        ranked.into_iter().take(count).map(|it| it.callers).collect()
+    }
+
+    fn records(&self) -> impl Iterator<Item = &NodeRecord> {
         let own = (!self.is_stopping).then_some(&self.own);
-        let serving: Vec<&NodeRecord> =
-            self.others.values().map(|it| &it.record).chain(own).collect();
-        let nearest = serving.iter().map(|it| distance(it, zone, region)).min();
-        let mut near: Vec<_> = serving
-            .into_iter()
-            .filter(|it| Some(distance(it, zone, region)) == nearest)
-            .map(|it| (stable_hash(&[zone.as_bytes(), it.node.as_str().as_bytes()]), it.callers))
-            .collect();
-        near.sort_unstable();
-        near.into_iter().take(NAMED_NODES).map(|(_, callers)| callers).collect()
+        self.others.values().map(|it| &it.record).chain(own)
     }
 }
 
-/// Returns how far a node is from callers in `zone`; a lower figure is nearer.
-fn distance(record: &NodeRecord, zone: &str, region: &str) -> u8 {
-    match record {
-        it if it.availability_zone.as_str() == zone => 0,
-        it if it.region == region => 1,
-        _ => 2,
+/// The order in which nodes are named; the first is the best.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct NodeRank {
+    link: Reverse<u32>,
+    distance: u8,
+    hash: u64,
+    callers: SocketAddr,
+}
+
+impl NodeRank {
+    fn new(record: &NodeRecord, zone: &str, region: &str) -> Self {
+        let distance = match record {
+            it if it.availability_zone.as_str() == zone => 0,
+            it if it.region == region => 1,
+            _ => 2,
+        };
+        let hash = stable_hash(&[zone.as_bytes(), record.node.as_str().as_bytes()]);
+        Self { link: Reverse(record.link_class()), distance, hash, callers: record.callers }
+    }
+
+    fn is_equal(&self, other: &Self) -> bool {
+        (self.link, self.distance) == (other.link, other.distance)
     }
 }
