Make no calls whose reply is expected too late

Change: a lane expects a call to take the usual time times the upstream's speed times its queue, from the load that replies report; a call expected later than 0.7 of the time left is not made. A query skips such shards while its minimum coverage allows, and is refused unrun otherwise. Speed is measured without the queue and loses weight without replies.

--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -111,7 +111,15 @@
                 RouteTarget::Shards(set) => (&set.services, ReplyRule::Success, Some(set)),
             };
         let lanes: Vec<_> = services.iter().map(|it| self.edge.lane(it)).collect();
-        let router = RouteRouter::new(SnapshotId(version.0), lanes, self.edge.pace(rule));
+        let router = RouteRouter::new(
+            SnapshotId(version.0),
+            lanes,
+            self.edge.pace(rule),
+            // A late answer from one upstream is still an answer; parts of many are mostly of no
+            // use to a caller that has gone on.
+            if set.is_some() { timing.target } else { timing.deadline },
+            timing.deadline,
+        );
         let coverage = set.map_or(1.0, |it| it.minimum_coverage);
         let plan = FanOutPlan {
             request: RequestId::random(),
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -93,8 +93,9 @@
         RepeatRule::AtMostOnce => order.deadline.since(edge.timer.now()),
     };
     if let Ok(Ok(_)) = edge.timer.timeout(limit, exchange).await {
-        let latency = edge.timer.now().since(order.started);
-        order.lane.record_late_reply(order.upstream, latency, &order.pace);
+        let now = edge.timer.now();
+        let latency = now.since(order.started);
+        order.lane.record_late_reply(now, order.upstream, latency, &order.pace);
     }
 }
 
--- a/crates/routing/src/lane/lane_upstream.rs
+++ b/crates/routing/src/lane/lane_upstream.rs
@@ -11,6 +11,9 @@
 const FACTOR_WEIGHT: f64 = 0.15;
 /// Bounds of the speed factor.
 const FACTOR_RANGE: (f64, f64) = (0.2, 50.0);
+/// Time in which what was measured of an upstream's speed loses half of its weight if no reply
+/// confirms it, so that one that was slow is tried again.
+const FACTOR_HALF_LIFE: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the share of failed calls.
 const FAILURE_WEIGHT: f64 = 0.15;
 /// Work of an upstream that has just started, relative to a warm one.
@@ -27,6 +30,8 @@
 const MAX_DOWN_TIME: Duration = Duration::from_millis(640);
 /// Time for which a reported load is used.
 const HINT_LIFETIME: Duration = Duration::from_millis(250);
+/// Part of the work that a slot in use counts like, though a request does not wait for it.
+const BALANCE_WEIGHT: f64 = 0.3;
 /// Number of slow calls that a certain failure counts like, in the comparison of costs.
 const FAILURE_COST: f64 = 6.0;
 
@@ -62,6 +67,7 @@
     in_flight: Vec<TimePoint>,
     open_connections: u32,
     factor: f64,
+    replied_at: TimePoint,
     failures: f64,
     unanswered: u32,
     suspect_until: TimePoint,
@@ -82,6 +88,7 @@
             in_flight: Vec::new(),
             open_connections: 0,
             factor: 1.0,
+            replied_at: now,
             failures: 0.0,
             unanswered: 0,
             suspect_until: TimePoint::ZERO,
@@ -154,8 +161,8 @@
     ) -> Option<Duration> {
         match outcome {
             CallOutcome::Replied(latency) => {
-                let normal = latency.div_f64(self.factor);
-                self.on_reply(latency, pace);
+                let normal = latency.div_f64(self.speed_factor(now) * self.queue_factor(now));
+                self.on_reply(now, latency, pace);
                 Some(normal)
             }
             CallOutcome::Cancelled(elapsed) => {
@@ -171,8 +178,8 @@
     }
 
     /// Takes in a reply, also one that came too late for its query.
-    pub(super) fn on_reply(&mut self, latency: Duration, pace: &CallPace) {
-        self.record_factor(latency, pace);
+    pub(super) fn on_reply(&mut self, now: TimePoint, latency: Duration, pace: &CallPace) {
+        self.record_factor(now, latency, pace);
         self.failures -= self.failures * FAILURE_WEIGHT;
         self.unanswered = 0;
         self.suspect_until = TimePoint::ZERO;
@@ -208,11 +215,38 @@
         }
     }
 
-    fn record_factor(&mut self, latency: Duration, pace: &CallPace) {
-        let sample = micros(latency) / micros(pace.typical).max(1.0);
+    fn record_factor(&mut self, now: TimePoint, latency: Duration, pace: &CallPace) {
+        let usual = micros(pace.typical).max(1.0) * self.queue_factor(now);
         let (least, most) = FACTOR_RANGE;
-        let sample = sample.clamp(least, most);
-        self.factor += (sample - self.factor) * FACTOR_WEIGHT;
+        let sample = (micros(latency) / usual).clamp(least, most);
+        let known = self.speed_factor(now);
+        self.factor = known + (sample - known) * FACTOR_WEIGHT;
+        self.replied_at = now;
+    }
+
+    /// Returns the time that work takes there relative to other upstreams.
+    fn speed_factor(&self, now: TimePoint) -> f64 {
+        let age = now.since(self.replied_at).as_secs_f64();
+        let weight = 0.5_f64.powf(age / FACTOR_HALF_LIFE.as_secs_f64());
+        self.factor.powf(weight)
+    }
+
+    /// Returns the requests that the upstream has, as far as this node knows.
+    fn load(&self, now: TimePoint) -> u32 {
+        let reported = self.hint.filter(|it| now.since(it.at) <= HINT_LIFETIME);
+        reported.map_or(0, |it| it.busy).max(self.busy())
+    }
+
+    /// Returns how much longer a request takes that has to wait for a slot.
+    fn queue_factor(&self, now: TimePoint) -> f64 {
+        let waiting = (self.load(now) + 1).saturating_sub(self.slots);
+        1.0 + f64::from(waiting) / f64::from(self.slots)
+    }
+
+    /// Returns the time that a call started now is expected to take, in microseconds.
+    pub(super) fn expected_us(&self, now: TimePoint, pace: &CallPace) -> f64 {
+        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
+        micros(pace.typical) * self.speed_factor(now) * cold * self.queue_factor(now)
     }
 
     /// Returns how far the upstream is to be avoided now.
@@ -220,24 +254,22 @@
         if now < self.suspect_until {
             return Avoidance::Suspect;
         }
-        let patience = pace.hedge_after.mul_f64(self.factor.clamp(1.0, 3.0));
+        let patience = pace.hedge_after.mul_f64(self.speed_factor(now).clamp(1.0, 3.0));
         if self.in_flight.iter().any(|it| patience < now.since(*it)) {
             return Avoidance::Stalled;
         }
         Avoidance::Usable
     }
 
-    /// Returns the time that a call started now is expected to take, in microseconds, with what
-    /// else speaks against it turned into time.
+    /// Returns the expected time with what else speaks against the upstream turned into time, in
+    /// microseconds.
     pub(super) fn cost(&self, now: TimePoint, pace: &CallPace, dial_us: f64) -> f64 {
-        let cold = if now < self.cold_until { COLD_FACTOR } else { 1.0 };
-        let work = micros(pace.typical) * self.factor * cold;
-        let reported = self.hint.filter(|it| now.since(it.at) <= HINT_LIFETIME);
-        let busy = reported.map_or(0, |it| it.busy).max(self.busy());
-        let queue = work * f64::from(busy) / f64::from(self.slots);
+        let expected = self.expected_us(now, pace);
+        // Room that is free anywhere is used evenly before any of it runs out.
+        let balance = expected * BALANCE_WEIGHT * f64::from(self.load(now)) / f64::from(self.slots);
         let zone = if self.same_zone { 0.0 } else { micros(pace.zone_cost) };
         let dial = if self.busy() < self.open_connections { 0.0 } else { dial_us };
         let failure = self.failures * FAILURE_COST * micros(pace.hedge_after);
-        work + queue + zone + dial + failure
+        expected + balance + zone + dial + failure
     }
 }
--- a/crates/routing/src/lane/route_router.rs
+++ b/crates/routing/src/lane/route_router.rs
@@ -10,6 +10,9 @@
 use super::{CallPace, RoutePace, ServiceLane};
 use crate::{AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, UpstreamHint};
 
+/// Part of the time left within which a reply has to be expected; what is expected is a mean.
+const PATIENCE_SHARE: f64 = 0.7;
+
 /// Routes the calls of one query, each shard of which is a service with a lane of its own.
 #[derive(Debug)]
 pub struct RouteRouter {
@@ -19,14 +22,21 @@
     map: Arc<SnapshotMap>,
     pace: Arc<Mutex<RoutePace>>,
     current: CallPace,
+    due: TimePoint,
+    deadline: TimePoint,
 }
 
 impl RouteRouter {
     /// Creates a router for `lanes`, one a shard, whose upstreams it pins.
+    ///
+    /// Replies that are expected after `due` are not asked for until then, as they would be of
+    /// little use; later, `deadline` takes its place.
     pub fn new(
         snapshot: SnapshotId,
         lanes: Vec<Arc<ServiceLane>>,
         pace: Arc<Mutex<RoutePace>>,
+        due: TimePoint,
+        deadline: TimePoint,
     ) -> Self {
         let replicas: Vec<_> = lanes.iter().map(|it| it.members()).collect();
         let mut places = Vec::with_capacity(replicas.iter().map(Vec::len).sum());
@@ -35,7 +45,7 @@
         }
         let current = lock(&pace).current();
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
-        Self { lanes, places, map, pace, current }
+        Self { lanes, places, map, pace, current, due, deadline }
     }
 
     /// Returns the pinned shards and their upstreams.
@@ -78,7 +88,9 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
         let lane = candidates.first().and_then(|it| self.lane_of(*it));
-        lane.ok_or(AcquireError::NoReplica)?.acquire(now, excluded, kind, &self.current)
+        let until = if now < self.due { self.due } else { self.deadline };
+        let patience = until.since(now).mul_f64(PATIENCE_SHARE);
+        lane.ok_or(AcquireError::NoReplica)?.acquire(now, excluded, kind, &self.current, patience)
     }
 
     fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -127,7 +127,9 @@
     /// Reserves a connection for a call of `kind`.
     ///
     /// Of the upstreams with a free connection, those without a late call go first, then the one
-    /// from which the earliest reply is expected.
+    /// from which the earliest reply is expected. No call is made whose reply is expected later
+    /// than `patience`: where requests come faster than upstreams work, a queue would only make
+    /// all of them late, those that still could be in time included.
     ///
     /// # Errors
     ///
@@ -138,10 +140,11 @@
         excluded: &[UpstreamId],
         kind: CallKind,
         pace: &CallPace,
+        patience: Duration,
     ) -> Result<UpstreamId, AcquireError> {
         let mut guard = self.lock();
         let state = &mut *guard;
-        let chosen = match state.choose(now, excluded, kind, pace) {
+        let chosen = match state.choose(now, excluded, kind, pace, patience) {
             Ok(it) => it,
             Err(error) => {
                 let is_saturated = matches!(error, AcquireError::Saturated { .. });
@@ -188,8 +191,14 @@
     }
 
     /// Records a reply that came after its query had ended.
-    pub fn record_late_reply(&self, upstream: UpstreamId, latency: Duration, pace: &CallPace) {
-        self.with(upstream, |it| it.on_reply(latency, pace));
+    pub fn record_late_reply(
+        &self,
+        now: TimePoint,
+        upstream: UpstreamId,
+        latency: Duration,
+        pace: &CallPace,
+    ) {
+        self.with(upstream, |it| it.on_reply(now, latency, pace));
     }
 
     /// Records the requests that an upstream says it has, running and waiting.
@@ -246,10 +255,13 @@
         excluded: &[UpstreamId],
         kind: CallKind,
         pace: &CallPace,
+        patience: Duration,
     ) -> Result<usize, AcquireError> {
         let mut rng = rand::rng();
         let mut best: Option<(Avoidance, f64, usize)> = None;
         let mut is_busy = false;
+        let mut is_late = false;
+        let patience_us = patience.as_secs_f64() * 1e6;
         for (idx, upstream) in self.upstreams.iter().enumerate() {
             let is_usable = upstream.member && !upstream.is_down(now);
             if !is_usable || excluded.contains(&upstream.id) {
@@ -259,6 +271,10 @@
                 is_busy = true;
                 continue;
             }
+            if patience_us < upstream.expected_us(now, pace) {
+                is_late = true;
+                continue;
+            }
             let avoidance = upstream.avoidance(now, pace);
             let jitter = 1.0 + COST_JITTER * rng.random::<f64>();
             let cost = upstream.cost(now, pace, self.dial_us) * jitter;
@@ -274,7 +290,9 @@
                 Err(wait)
             }
             Some((.., idx)) => Ok(idx),
-            None if is_busy => Err(wait),
+            // A first call that waits would be later still.
+            None if is_late && kind == CallKind::First => Err(AcquireError::NoReplica),
+            None if is_busy || is_late => Err(wait),
             None => Err(AcquireError::NoReplica),
         }
     }
