--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -9,6 +9,7 @@
 use mux_query::{FanOutPlan, greatest_records};
 use mux_routing::lane::RouteRouter;
 use slog::info;
+use tokio::sync::watch;
 
 use super::{
     answer_timing::AnswerTiming,
@@ -78,8 +79,10 @@
         let timing = AnswerTiming::new(request.arrived, terms.time_left, &rule);
         let arrived = request.arrived;
         let template = Arc::new(call_template(request, terms.request_id.clone(), rule.repeat));
+        let mut guard = LeaveGuard { template: Arc::clone(&template), is_answered: false };
         let (answer, calls, parts, shards) =
             self.dispatch::<W>(&rule, version, timing, template).await;
+        guard.is_answered = true;
         let note =
             RequestNote { id: &terms.request_id, rule: &rule, version, calls, shards, parts };
         self.record(arrived, &note, &answer);
@@ -199,6 +202,21 @@
         body: request.body,
         request_id,
         repeat,
+        caller_left: watch::Sender::new(false),
+    }
+}
+
+/// Tells the calls of a request that its caller has left, unless it is disarmed by the answer.
+struct LeaveGuard {
+    template: Arc<CallTemplate>,
+    is_answered: bool,
+}
+
+impl Drop for LeaveGuard {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            self.template.caller_left.send_replace(true);
+        }
     }
 }
 
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -8,16 +8,19 @@
 use mux_config::traffic::RepeatRule;
 use mux_model::{CallFailure, InstanceId, TimePoint, UpstreamId};
 use mux_routing::lane::{CallPace, ServiceLane};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use super::{UpstreamAnswer, upstream_link::Freshness};
 use crate::{CallTerms, WireProtocol, edge::Edge};
 
-/// Time that a call whose result nobody waits for has to end by itself.
+/// Time that a call has to end by itself after its caller has left.
 ///
 /// Ending it at once would cost the connection, and a new one costs the upstream more than most
 /// replies; longer than this the upstream would work for nobody.
-const LINGER_LIMIT: Duration = Duration::from_millis(300);
+const LEFT_LIMIT: Duration = Duration::from_millis(300);
+/// Time that a call has to end by itself once its query needs it no more. An upstream that is slow
+/// accepts fewer connections, so that one that is closed early may not be had again.
+const UNNEEDED_LIMIT: Duration = Duration::from_secs(1);
 
 /// The parts of a caller's request that every call repeats.
 #[derive(Debug)]
@@ -28,6 +31,8 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
     pub(crate) repeat: RepeatRule,
+    /// Becomes true when the caller leaves before its answer.
+    pub(crate) caller_left: watch::Sender<bool>,
 }
 
 /// A call to be made.
@@ -87,18 +92,38 @@
         let _ = sender.send(end);
         return;
     }
-    let limit = match order.template.repeat {
-        RepeatRule::Idempotent => LINGER_LIMIT,
-        // Cutting it would leave its outcome unknown to the upstream's owner as well.
-        RepeatRule::AtMostOnce => order.deadline.since(edge.timer.now()),
+    let in_time = tokio::select! {
+        biased;
+        end = &mut exchange => Some(end),
+        () = unneeded_limit(edge, order) => None,
     };
-    if let Ok(Ok(_)) = edge.timer.timeout(limit, exchange).await {
+    if let Some(Ok(_)) = in_time {
         let now = edge.timer.now();
         let latency = now.since(order.started);
         order.lane.record_late_reply(now, order.upstream, latency, &order.pace);
     }
 }
 
+/// Waits until a call that nobody needs has had its time.
+async fn unneeded_limit(edge: &Edge, order: &CallOrder) {
+    if order.template.repeat == RepeatRule::AtMostOnce {
+        // Cutting it would leave its outcome unknown to the upstream's owner as well.
+        return edge.timer.sleep_until(order.deadline).await;
+    }
+    let mut caller_left = order.template.caller_left.subscribe();
+    tokio::select! {
+        () = edge.timer.sleep(UNNEEDED_LIMIT) => return,
+        () = edge.timer.sleep_until(order.deadline) => return,
+        () = wait_until_true(&mut caller_left) => {}
+    }
+    edge.timer.sleep(LEFT_LIMIT).await;
+}
+
+async fn wait_until_true(flag: &mut watch::Receiver<bool>) {
+    // The sender lives as long as the order that the receiver belongs to.
+    let _ = flag.wait_for(|it| *it).await;
+}
+
 async fn exchange<W: WireProtocol>(edge: &Edge, order: &CallOrder) -> CallEnd {
     let Some(instance) = order.lane.instance(order.upstream) else {
         let reason = mux_model::NotRunReason::NotSent;
