Test the decisions of lanes, routes, registries and the store's contact

Cause: the decisions that serve the platform had no tests of their own. Change: tables and replays for route matching, the configuration in force, splits, doubt about missing entries, named nodes, merging, choice of upstreams, the shared budget and overload. The replay of a shard at 133 % of its room compares calls that wait with calls that are not made.

--- /dev/null
+++ b/crates/config/tests/traffic_routes.rs
@@ -0,0 +1,144 @@
+//! Which route a request takes, and which version of the routes is in force.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use mux_config::traffic::{
+    BeliefChange, CallerBounds, ConfigBelief, RepeatRule, RouteRule, RouteTable, RouteTarget,
+    SplitChooser, TrafficConfig, WeightedService,
+};
+use mux_model::{FastMap, RevisionNumber, ServiceName};
+
+fn rule(host: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        repeat: RepeatRule::Idempotent,
+        time_limit: Duration::from_millis(800),
+        latency_target: Duration::from_millis(80),
+        rank: 1,
+        max_calls: 2,
+        target: RouteTarget::Service(ServiceName::from("orders")),
+    }
+}
+
+fn config(version: u64, routes: Vec<RouteRule>) -> TrafficConfig {
+    TrafficConfig {
+        version: RevisionNumber(version),
+        routes,
+        connection_limits: FastMap::default(),
+        caller_bounds: CallerBounds {
+            header_bytes: 16_384,
+            body_bytes: 262_144,
+            header_time: Duration::from_secs(3),
+            idle_time: Duration::from_secs(15),
+        },
+    }
+}
+
+fn parts(weights: &[f64]) -> Vec<WeightedService> {
+    let part = |(idx, weight): (usize, &f64)| WeightedService {
+        service: ServiceName::from(format!("part-{idx}")),
+        weight: *weight,
+    };
+    weights.iter().enumerate().map(part).collect()
+}
+
+#[gtest]
+fn longest_prefix_of_the_host_wins() {
+    let routes =
+        vec![rule("a.example", "/"), rule("a.example", "/x/"), rule("a.example", "/x/y/z/")];
+    let table = RouteTable::new(&config(1, routes));
+    let cases = [
+        ("a.example", "/x/y/z/1", Some("/x/y/z/")),
+        ("a.example", "/x/y/z/", Some("/x/y/z/")),
+        ("a.example", "/x/y/z", Some("/x/")),
+        ("a.example", "/x/y/1", Some("/x/")),
+        ("a.example", "/x", Some("/")),
+        ("a.example", "/xy/1", Some("/")),
+        ("A.Example:8080", "/x/1", Some("/x/")),
+        ("b.example", "/x/1", None),
+        ("a.example", "", None),
+        ("a.example", "x/", None),
+        ("", "/", None),
+    ];
+    for (host, path, expected) in cases {
+        let found = table.find(host, path).map(|it| it.prefix.as_str());
+
+        expect_that!(found, eq(expected), "{host} {path}");
+    }
+}
+
+#[gtest]
+fn host_without_a_root_route_has_unrouted_paths() {
+    let table = RouteTable::new(&config(1, vec![rule("a.example", "/x/")]));
+
+    let found = table.find("a.example", "/y/1");
+
+    expect_that!(found.is_none(), eq(true));
+}
+
+#[gtest]
+fn belief_never_goes_back() {
+    let mut belief = ConfigBelief::default();
+    let first = |from: Option<u64>| BeliefChange::Advanced { from: from.map(RevisionNumber) };
+    let steps = [
+        (5, first(None), 5),
+        (5, BeliefChange::Same, 5),
+        (9, first(Some(5)), 9),
+        (7, BeliefChange::Outdated, 9),
+        (5, BeliefChange::Outdated, 9),
+        (9, BeliefChange::Same, 9),
+        (10, first(Some(9)), 10),
+    ];
+    for (version, change, in_force) in steps {
+        let seen = belief.on_config(&config(version, vec![rule("a.example", "/")]));
+
+        expect_that!(seen, eq(change), "version {version}");
+        expect_that!(belief.version(), some(eq(RevisionNumber(in_force))));
+    }
+}
+
+#[gtest]
+fn removed_route_is_gone_with_the_version_that_drops_it() {
+    let mut belief = ConfigBelief::default();
+    belief.on_config(&config(1, vec![rule("a.example", "/x/"), rule("a.example", "/y/")]));
+
+    belief.on_config(&config(2, vec![rule("a.example", "/x/")]));
+
+    let table = belief.table().expect("two versions were heard");
+    expect_that!(table.find("a.example", "/y/1").is_none(), eq(true));
+    expect_that!(table.find("a.example", "/x/1").is_some(), eq(true));
+}
+
+#[gtest]
+fn every_run_of_a_split_is_within_one_request_of_the_weights() {
+    for weights in [vec![1.0, 1.0], vec![7.0, 2.0, 1.0], vec![0.9, 0.1], vec![5.0, 0.0, 3.0]] {
+        let split = parts(&weights);
+        let total: f64 = weights.iter().sum();
+        for offset in [0.0, 0.31, 0.77, 0.999] {
+            let mut chooser = SplitChooser::new(&split, offset);
+            let mut counts: FastMap<ServiceName, u32> = FastMap::default();
+            for request in 1..=500_u32 {
+                let chosen = chooser.choose().expect("a part has a weight").clone();
+                *counts.entry(chosen).or_default() += 1;
+                for part in &split {
+                    let count = f64::from(counts.get(&part.service).copied().unwrap_or_default());
+                    let share = f64::from(request) * part.weight / total;
+                    // The offset lets one part start one request ahead.
+                    expect_that!((count - share).abs(), le(2.0), "{weights:?} {offset} {request}");
+                }
+            }
+        }
+    }
+}
+
+#[gtest]
+fn split_without_a_weight_chooses_nothing() {
+    for weights in [vec![], vec![0.0], vec![0.0, 0.0]] {
+        let mut chooser = SplitChooser::new(&parts(&weights), 0.4);
+
+        expect_that!(chooser.choose(), none(), "{weights:?}");
+    }
+}
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -20,7 +20,7 @@
 const LEFT_LIMIT: Duration = Duration::from_millis(300);
 /// Time that a call has to end by itself once its query needs it no more. An upstream that is slow
 /// accepts fewer connections, so that one that is closed early may not be had again.
-const UNNEEDED_LIMIT: Duration = Duration::from_secs(1);
+const UNNEEDED_LIMIT: Duration = Duration::from_millis(300);
 
 /// The parts of a caller's request that every call repeats.
 #[derive(Debug)]
--- a/crates/edge/src/upstream/open_connection.rs
+++ b/crates/edge/src/upstream/open_connection.rs
@@ -24,8 +24,6 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Moment after which the upstream may close the idle connection.
     pub(super) usable_until: TimePoint,
-    /// Whether a reply has come on it.
-    pub(super) has_served: bool,
 }
 
 impl OpenConnection {
@@ -38,7 +36,7 @@
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // Its error reaches the request that is in flight; an idle connection has nobody to tell.
         tokio::spawn(async move { connection.await.ok() });
-        Ok(Self { sender, usable_until: TimePoint::MAX, has_served: false })
+        Ok(Self { sender, usable_until: TimePoint::MAX })
     }
 
     /// Returns whether the connection is open and has no request.
--- a/crates/edge/src/upstream/upstream_link.rs
+++ b/crates/edge/src/upstream/upstream_link.rs
@@ -104,9 +104,6 @@
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(mut error) => {
-                if !connection.has_served {
-                    lane.record_crowded(timer.now(), self.upstream);
-                }
                 let was_kept = error.take_message().is_some();
                 return Err(if was_kept { not_sent() } else { CallFailure::ConnectionLost });
             }
@@ -202,7 +199,6 @@
     ) {
         let now = timer.now();
         connection.usable_until = now + idle_limit;
-        connection.has_served = true;
         let mut state = self.lock();
         if state.is_closed || connection.is_closed() {
             return;
--- /dev/null
+++ b/crates/placement/tests/node_registry.rs
@@ -0,0 +1,120 @@
+//! Which nodes callers are sent to.
+
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use mux_model::{FastSet, NodeId};
+use mux_placement::{NodeRecord, NodeRegistry};
+
+const FAST: f64 = 140.0;
+const SLOW: f64 = 14.0;
+
+fn record(idx: u16, zone: &str, link_mbps: f64) -> NodeRecord {
+    NodeRecord {
+        node: NodeId::from(format!("node-{idx}")),
+        availability_zone: zone.into(),
+        region: "bayern".to_owned(),
+        callers: address(idx),
+        link_mbps,
+    }
+}
+
+fn address(idx: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + idx))
+}
+
+/// Creates the registry of node 0, which knows the other records.
+fn registry(records: &[NodeRecord]) -> NodeRegistry {
+    let mut registry = NodeRegistry::new(records[0].clone());
+    for record in records {
+        registry.on_record(record.clone());
+    }
+    registry
+}
+
+fn named(registry: &NodeRegistry, zone: &str) -> Vec<SocketAddr> {
+    let mut named = registry.addresses_for(zone, "bayern");
+    named.sort_unstable();
+    named
+}
+
+#[gtest]
+fn nodes_of_the_callers_zone_are_named() {
+    let records: Vec<_> =
+        (0..7).map(|it| record(it, ["a", "b", "c"][usize::from(it) % 3], FAST)).collect();
+    let registry = registry(&records);
+
+    expect_that!(named(&registry, "a"), eq(&vec![address(0), address(3), address(6)]));
+    expect_that!(named(&registry, "b"), eq(&vec![address(1), address(4)]));
+    expect_that!(registry.named_count(), eq(7));
+}
+
+#[gtest]
+fn slow_links_are_named_only_when_no_fast_one_is_left() {
+    let records =
+        [record(0, "a", SLOW), record(1, "a", FAST), record(2, "a", FAST), record(3, "a", SLOW)];
+    let mut registry = registry(&records);
+    expect_that!(named(&registry, "a"), eq(&vec![address(1), address(2)]));
+
+    registry.on_removed(&records[1].node, false);
+    registry.on_removed(&records[2].node, false);
+
+    expect_that!(named(&registry, "a"), eq(&vec![address(0), address(3)]));
+}
+
+#[gtest]
+fn lone_node_of_a_zone_is_named_with_one_from_elsewhere() {
+    let registry = registry(&[record(0, "a", FAST), record(1, "b", FAST), record(2, "b", FAST)]);
+
+    let answer = registry.addresses_for("a", "bayern");
+
+    expect_that!(answer.len(), eq(2));
+    expect_that!(answer[0], eq(address(0)));
+}
+
+#[gtest]
+fn every_node_gives_the_same_answer() {
+    let records: Vec<_> = (0..40).map(|it| record(it, "a", SLOW)).collect();
+    let first = registry(&records).addresses_for("a", "bayern");
+    for idx in 1..records.len() {
+        let mut turned = records.clone();
+        turned.rotate_left(idx);
+
+        expect_that!(registry(&turned).addresses_for("a", "bayern"), eq(&first));
+    }
+}
+
+#[gtest]
+fn stopping_node_names_the_others_and_nobody_if_it_is_alone() {
+    let mut pair = registry(&[record(0, "a", FAST), record(1, "a", FAST)]);
+    let mut alone = registry(&[record(0, "a", FAST)]);
+
+    pair.begin_stop();
+    alone.begin_stop();
+
+    expect_that!(named(&pair, "a"), eq(&vec![address(1)]));
+    expect_that!(named(&alone, "a"), is_empty());
+}
+
+#[gtest]
+fn nodes_missing_in_doubt_are_named_until_they_are_given_up() {
+    let mut registry = registry(&[record(0, "a", FAST), record(1, "a", FAST)]);
+
+    let gone = registry.on_listing(&FastSet::default(), true);
+
+    expect_that!(gone, is_empty());
+    expect_that!(named(&registry, "a").len(), eq(2));
+    expect_that!(registry.drop_missing(), eq(&vec![NodeId::from("node-1")]));
+    expect_that!(named(&registry, "a"), eq(&vec![address(0)]));
+}
+
+#[gtest]
+fn entry_that_comes_back_is_kept() {
+    let mut registry = registry(&[record(0, "a", FAST), record(1, "a", FAST)]);
+    registry.on_removed(&NodeId::from("node-1"), true);
+
+    let is_news = registry.on_record(record(1, "a", FAST));
+
+    expect_that!(is_news, eq(true));
+    expect_that!(registry.drop_missing(), is_empty());
+}
--- /dev/null
+++ b/crates/query/tests/record_merge.rs
@@ -0,0 +1,45 @@
+//! Merging of records.
+
+use googletest::prelude::*;
+use mux_query::{RECORD_BYTES, greatest_records};
+
+fn record(first: u8) -> Vec<u8> {
+    let mut record = vec![0; RECORD_BYTES];
+    record[0] = first;
+    record
+}
+
+fn records(firsts: &[u8]) -> Vec<u8> {
+    firsts.iter().flat_map(|it| record(*it)).collect()
+}
+
+#[gtest]
+fn greatest_records_come_first_and_equal_ones_all_count() {
+    let remainder = [records(&[4]), vec![255; RECORD_BYTES - 1]].concat();
+    let cases: [(&str, Vec<Vec<u8>>, usize, Vec<u8>); 8] = [
+        ("two parts", vec![records(&[1, 9]), records(&[5, 2])], 3, records(&[9, 5, 2])),
+        ("equal ones", vec![records(&[7, 7]), records(&[7, 1])], 3, records(&[7, 7, 7])),
+        ("fewer than asked for", vec![records(&[1]), records(&[3])], 9, records(&[3, 1])),
+        ("exactly as many", vec![records(&[1, 2])], 2, records(&[2, 1])),
+        ("remainder", vec![remainder], 5, records(&[4])),
+        ("empty part", vec![vec![], records(&[3])], 5, records(&[3])),
+        ("nothing asked for", vec![records(&[3])], 0, vec![]),
+        ("no parts", vec![], 3, vec![]),
+    ];
+    for (name, parts, top, expected) in cases {
+        let merged = greatest_records(parts.iter().map(Vec::as_slice), top);
+
+        expect_that!(merged.as_ref(), eq(expected.as_slice()), "{name}");
+    }
+}
+
+#[gtest]
+fn later_bytes_decide_between_equal_beginnings() {
+    let mut greater = record(1);
+    greater[RECORD_BYTES - 1] = 1;
+    let part = [record(1), greater.clone()].concat();
+
+    let merged = greatest_records([part.as_slice()], 1);
+
+    expect_that!(merged.as_ref(), eq(greater.as_slice()));
+}
--- a/crates/routing/src/lane/lane_upstream.rs
+++ b/crates/routing/src/lane/lane_upstream.rs
@@ -8,7 +8,7 @@
 use crate::CallOutcome;
 
 /// Weight of a new sample in the speed factor.
-const FACTOR_WEIGHT: f64 = 0.25;
+const FACTOR_WEIGHT: f64 = 0.15;
 /// Bounds of the speed factor.
 const FACTOR_RANGE: (f64, f64) = (0.2, 50.0);
 /// Time in which what was measured of an upstream's speed loses half of its weight if no reply
@@ -28,9 +28,6 @@
 const DOWN_TIME: Duration = Duration::from_millis(80);
 /// Longest time without new calls after a failed dial.
 const MAX_DOWN_TIME: Duration = Duration::from_millis(640);
-/// Time for which no connection is opened to an upstream that has reset a new one; about the time
-/// in which a queue that has grown long is worked off.
-const CROWDED_TIME: Duration = Duration::from_millis(400);
 /// Time for which a reported load is used.
 const HINT_LIFETIME: Duration = Duration::from_millis(250);
 /// Part of the work that a slot in use counts like, though a request does not wait for it.
@@ -69,8 +66,6 @@
     /// Start times of the calls that hold a connection.
     in_flight: Vec<TimePoint>,
     open_connections: u32,
-    /// Until when the upstream is taken to accept no further connection.
-    crowded_until: TimePoint,
     factor: f64,
     replied_at: TimePoint,
     failures: f64,
@@ -92,7 +87,6 @@
             cold_until: now + record.cold_for,
             in_flight: Vec::new(),
             open_connections: 0,
-            crowded_until: TimePoint::ZERO,
             factor: 1.0,
             replied_at: now,
             failures: 0.0,
@@ -153,17 +147,6 @@
         self.down_until = now + time.min(MAX_DOWN_TIME);
     }
 
-    /// Takes in that a connection was reset before any reply on it: the upstream has as many as it
-    /// accepts, which are fewer while its queue is long.
-    pub(super) fn on_crowded(&mut self, now: TimePoint) {
-        self.crowded_until = now + CROWDED_TIME;
-    }
-
-    /// Returns the calls that can be in flight, of `share` connections.
-    pub(super) fn capacity(&self, now: TimePoint, share: u32) -> u32 {
-        if now < self.crowded_until { share.min(self.open_connections) } else { share }
-    }
-
     pub(super) fn on_load(&mut self, now: TimePoint, busy: u32) {
         self.hint = Some(LoadHint { at: now, busy });
     }
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -211,11 +211,6 @@
         self.with(upstream, |it| it.set_open_connections(open));
     }
 
-    /// Records that an upstream has reset a new connection.
-    pub fn record_crowded(&self, now: TimePoint, upstream: UpstreamId) {
-        self.with(upstream, |it| it.on_crowded(now));
-    }
-
     /// Records the time that setting up a connection took; `None` if it failed.
     pub fn record_dial(&self, now: TimePoint, upstream: UpstreamId, elapsed: Option<Duration>) {
         let mut state = self.lock();
@@ -272,7 +267,7 @@
             if !is_usable || excluded.contains(&upstream.id) {
                 continue;
             }
-            if upstream.capacity(now, self.share(upstream)) <= upstream.busy() {
+            if self.share(upstream) <= upstream.busy() {
                 is_busy = true;
                 continue;
             }
--- /dev/null
+++ b/crates/routing/tests/lane/main.rs
@@ -0,0 +1,7 @@
+//! Rules of the lanes: who is called, what is not called, and what is kept of upstreams.
+
+mod choice;
+mod fixtures;
+mod overload;
+mod registry;
+mod retry_window;
