Speak the platform's store protocol with one client, in the product and its stand-in

Cause: the product had a store client and a protocol of its own, besides the adapter's client. Change: the adapter's client implements the product's KvStore by range, watch, txn and lease; the old HTTP client is gone. The stand-in speaks the same protocol, with pages of 50 entries, leases that remove their keys, and history that can be dropped. crates/platform is mux-store: the trait and the store in memory. The VM list, for which the platform has no call, is one key of the store. Ruled out: keeping the old protocol for the product's own node, as two clients would drift apart. Conclusion: one client, one stand-in.

--- a/crates/config/src/audit_trail.rs
+++ b/crates/config/src/audit_trail.rs
@@ -1,7 +1,7 @@
 //! The trail of committed and refused changes.
 
 use mux_model::{ChangeId, RevisionNumber, ServiceName};
-use mux_platform::{KvStore, StoreError, ValueVersion};
+use mux_store::{KvStore, StoreError, ValueVersion};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 use crate::{
--- a/crates/config/src/config_head.rs
+++ b/crates/config/src/config_head.rs
@@ -1,7 +1,7 @@
 //! The stored head, which names the current definition of each service.
 
 use mux_model::{ChangeId, RevisionNumber, ServiceName};
-use mux_platform::{KvStore, ValueVersion};
+use mux_store::{KvStore, ValueVersion};
 use serde::{Deserialize, Serialize};
 
 use crate::{ChangeKind, ChangeRecord, LoadError, storage_keys::HEAD_KEY};
--- a/crates/config/src/config_janitor.rs
+++ b/crates/config/src/config_janitor.rs
@@ -1,7 +1,7 @@
 //! Deletes stored values that are no longer needed.
 
 use mux_model::{ChangeId, FastSet};
-use mux_platform::{KvStore, LeaseId, StoreError, ValueVersion};
+use mux_store::{KvStore, LeaseId, StoreError, ValueVersion};
 
 use crate::{
     ChangeRecord, ConfigHead, LoadError,
--- a/crates/config/src/config_loader.rs
+++ b/crates/config/src/config_loader.rs
@@ -4,7 +4,7 @@
 
 use futures::future::try_join_all;
 use mux_model::{FastSet, RevisionNumber};
-use mux_platform::{KvStore, ValueVersion};
+use mux_store::{KvStore, ValueVersion};
 
 use crate::{
     ChangeKind, ConfigHead, ConfigState, ConfigUpdate, HeadEntry, LoadError, RemovedService,
--- a/crates/config/src/config_writer.rs
+++ b/crates/config/src/config_writer.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mux_model::{RevisionNumber, TimePoint};
-use mux_platform::{KvStore, StoreError, ValueVersion};
+use mux_store::{KvStore, StoreError, ValueVersion};
 use mux_timer::TimerService;
 
 use crate::{
--- a/crates/config/src/errors.rs
+++ b/crates/config/src/errors.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 
 use mux_model::{ChangeId, RevisionNumber, ServiceName, Verdict};
-use mux_platform::StoreError;
+use mux_store::StoreError;
 
 use crate::ChangeRecord;
 
--- a/crates/config/src/lease_holder.rs
+++ b/crates/config/src/lease_holder.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use mux_model::{NodeId, TimePoint};
-use mux_platform::{KvStore, LeaseId, StoreError, ValueVersion};
+use mux_store::{KvStore, LeaseId, StoreError, ValueVersion};
 
 const TAKEOVER_LEASES: u32 = 2;
 const RENEWALS_PER_LEASE: u32 = 3;
--- a/crates/config/tests/common/mod.rs
+++ b/crates/config/tests/common/mod.rs
@@ -9,7 +9,7 @@
     ChangeAction, ConfigReplica, ConfigWriter, ServiceChange, ServiceDefinition, UpstreamEntry,
 };
 use mux_model::{RevisionNumber, UpstreamId};
-use mux_platform::memory::MemoryStore;
+use mux_store::memory::MemoryStore;
 use mux_timer::TimerService;
 
 pub const START: RevisionNumber = RevisionNumber(0);
--- a/crates/config/tests/config_replica.rs
+++ b/crates/config/tests/config_replica.rs
@@ -9,7 +9,7 @@
 use googletest::prelude::*;
 use mux_config::{ConfigLoader, ConfigReplica, ConfigUpdate, OfferOutcome, RECENT_LIMIT};
 use mux_model::RevisionNumber;
-use mux_platform::{KvStore, ValueVersion, memory::MemoryStore};
+use mux_store::{KvStore, ValueVersion, memory::MemoryStore};
 use proptest::{
     prelude::{Strategy, any},
     test_runner::{Config, RngAlgorithm, TestRng, TestRunner},
--- a/crates/config/tests/config_writer.rs
+++ b/crates/config/tests/config_writer.rs
@@ -12,7 +12,7 @@
     storage_keys::{HEAD_KEY, definition_key},
 };
 use mux_model::{RevisionNumber, Verdict};
-use mux_platform::{KvStore, memory::MemoryStore};
+use mux_store::{KvStore, memory::MemoryStore};
 
 use self::common::{START, put, put_deadline, remove, store, writer};
 
--- a/crates/config/tests/janitor_lease.rs
+++ b/crates/config/tests/janitor_lease.rs
@@ -12,7 +12,7 @@
     storage_keys::{DEFINITION_PREFIX, JANITOR_KEY},
 };
 use mux_model::TimePoint;
-use mux_platform::{KvStore, StoreError, ValueVersion, memory::MemoryStore};
+use mux_store::{KvStore, StoreError, ValueVersion, memory::MemoryStore};
 
 use self::common::{START, put, put_deadline, store, writer};
 
--- a/crates/config/tests/platform_faults.rs
+++ b/crates/config/tests/platform_faults.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use mux_adapter::{KvClient, KvSettings};
 use mux_config::{ChangeOutcome, ConfigLoader, ConfigReplica, ConfigWriter, read_audit};
 use mux_model::Verdict;
-use mux_platform::{HttpStore, StoreSettings};
 use tokio::net::TcpListener;
 
 use self::common::{START, contents, put, timer};
@@ -20,15 +20,15 @@
 const CALL_LIMIT: Duration = Duration::from_secs(1);
 const CHANGE_LIMIT: Duration = Duration::from_secs(3);
 
-async fn http_store(faults: kv::FaultPlan) -> HttpStore {
+async fn kv_client(faults: kv::FaultPlan) -> KvClient {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
     let settings = kv::KvSettings { listen: address, faults, vms: Vec::new() };
     tokio::spawn(kv::serve(listener, settings));
-    HttpStore::new(timer(), &StoreSettings { address, call_limit: CALL_LIMIT })
+    KvClient::new(timer(), KvSettings { address, call_limit: CALL_LIMIT })
 }
 
-fn writer(store: &HttpStore) -> ConfigWriter<HttpStore> {
+fn writer(store: &KvClient) -> ConfigWriter<KvClient> {
     ConfigWriter::new(store.clone(), timer(), CHANGE_LIMIT)
 }
 
@@ -36,7 +36,7 @@
 #[tokio::test]
 async fn change_is_committed_once_however_many_replies_are_lost() {
     for lose_replies in 0..5 {
-        let store = http_store(kv::FaultPlan { lose_replies, ..Default::default() }).await;
+        let store = kv_client(kv::FaultPlan { lose_replies, ..Default::default() }).await;
         let outcome = writer(&store).apply(&put("c1", "shopfront", 0), START).await;
         expect_that!(outcome, ok(matches_pattern!(ChangeOutcome::Committed(_))), "{lose_replies}");
         expect_that!(read_audit(&store, START, 10).await.unwrap(), len(eq(1)), "{lose_replies}");
@@ -54,7 +54,7 @@
     let down = kv::FaultPlan { down: true, ..Default::default() };
     let slow = kv::FaultPlan { delay_ms: 3_000, ..Default::default() };
     for faults in [down, slow] {
-        let store = http_store(faults).await;
+        let store = kv_client(faults).await;
         let error = writer(&store).apply(&put("c1", "shopfront", 0), START).await.unwrap_err();
         expect_that!(error.verdict(), eq(Verdict::NotRun), "{error}");
     }
@@ -63,7 +63,7 @@
 #[gtest]
 #[tokio::test]
 async fn slow_store_within_the_call_limit_accepts_changes() {
-    let store = http_store(kv::FaultPlan { delay_ms: 100, ..Default::default() }).await;
+    let store = kv_client(kv::FaultPlan { delay_ms: 100, ..Default::default() }).await;
     let outcome = writer(&store).apply(&put("c1", "shopfront", 0), START).await;
     expect_that!(outcome, ok(anything()));
 }
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -18,12 +18,12 @@
     time::Duration,
 };
 
+use mux_adapter::KvClient;
 use mux_config::{ConfigReplica, FreshnessGuard};
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
 use mux_placement::AddressPlanner;
-use mux_platform::HttpStore;
 use mux_timer::TimerService;
 use mux_upstream::UpstreamPool;
 use slog::Logger;
@@ -46,7 +46,7 @@
     logger: Logger,
     started: TimePoint,
     incarnation: mux_model::NodeIncarnation,
-    store: HttpStore,
+    store: KvClient,
     gossip: GossipService,
     peers: Arc<PeerClient>,
     pool: UpstreamPool,
@@ -109,7 +109,7 @@
     }
 
     /// Returns the key-value service.
-    pub(crate) fn store(&self) -> &HttpStore {
+    pub(crate) fn store(&self) -> &KvClient {
         &self.store
     }
 
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -5,12 +5,12 @@
     time::Duration,
 };
 
+use mux_adapter::{KvClient, KvSettings};
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
 use mux_model::NodeIncarnation;
 use mux_placement::AddressPlanner;
-use mux_platform::{HttpStore, StoreSettings};
 use mux_query::{LedgerLimits, SessionLedger, SessionMint};
 use mux_timer::TimerService;
 use mux_upstream::{PoolSettings, UpstreamPool};
@@ -48,9 +48,9 @@
     /// Assembles the node.
     pub(crate) fn assemble(self) -> Arc<Node> {
         let Self { settings, timer, logger, incarnation, gossip } = self;
-        let store = HttpStore::new(
+        let store = KvClient::new(
             timer.clone(),
-            &StoreSettings {
+            KvSettings {
                 address: settings.platform.key_value,
                 call_limit: Duration::from_millis(settings.platform.call_limit_ms),
             },
--- a/crates/node/src/operator/operator_server.rs
+++ b/crates/node/src/operator/operator_server.rs
@@ -7,6 +7,7 @@
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
+use mux_adapter::KvClient;
 use mux_admin::{
     AuditRecord, ChangeReply, ChangeServiceRequest, DrainNodeReply, DrainNodeRequest,
     GetInForceRequest, GetServiceRequest, GetStatusRequest, InForce, ListServicesReply,
@@ -19,7 +20,6 @@
     InForceTracker, ServiceChange, ServiceDefinition, ServiceEntry, read_audit,
 };
 use mux_model::{ChangeId, RevisionNumber, ServiceName};
-use mux_platform::HttpStore;
 use slog::{info, warn};
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -37,8 +37,8 @@
 /// Serves the operators' calls.
 pub(crate) struct OperatorServer {
     node: Arc<Node>,
-    writer: ConfigWriter<HttpStore>,
-    loader: ConfigLoader<HttpStore>,
+    writer: ConfigWriter<KvClient>,
+    loader: ConfigLoader<KvClient>,
 }
 
 impl OperatorServer {
--- a/crates/node/src/sync/config_watch.rs
+++ b/crates/node/src/sync/config_watch.rs
@@ -2,9 +2,10 @@
 
 use std::{sync::Arc, time::Duration};
 
+use mux_adapter::KvClient;
 use mux_config::{ConfigLoader, ConfigState, LoadError, LoadedConfig, OfferOutcome};
 use mux_logs::LogThrottle;
-use mux_platform::{HttpStore, ValueVersion};
+use mux_store::ValueVersion;
 use rand::RngExt;
 use slog::{info, warn};
 
@@ -53,7 +54,7 @@
 
 async fn read_config(
     node: &Node,
-    loader: &ConfigLoader<HttpStore>,
+    loader: &ConfigLoader<KvClient>,
     version: Option<ValueVersion>,
 ) -> Result<ValueVersion, LoadError> {
     let known = node.config();
@@ -78,7 +79,7 @@
 
 async fn take_loaded(
     node: &Node,
-    loader: &ConfigLoader<HttpStore>,
+    loader: &ConfigLoader<KvClient>,
     loaded: LoadedConfig,
 ) -> Result<ValueVersion, LoadError> {
     let Some(update) = &loaded.update else {
--- a/crates/node/src/sync/vm_watch.rs
+++ b/crates/node/src/sync/vm_watch.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use mux_model::{FastSet, UpstreamId};
-use mux_platform::{KvStore, VmEntry, VmList, VmState};
+use mux_store::{KvStore, VmEntry, VmList, VmState};
 
 use crate::Node;
 
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -6,22 +6,32 @@
     time::Duration,
 };
 
+use base64::{Engine, engine::general_purpose::STANDARD};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming};
-use mux_platform::{
+use mux_store::{
     LeaseId, StoredValue, ValueVersion, VmList,
-    memory::{KvState, WriteRefusal},
+    memory::{KvEvent, KvState, KvWrite, WriteRefusal},
 };
 use mux_timer::TimerService;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::sync::watch;
 
 use super::{CallCounters, FaultPlan, KvSettings};
 
 type Reply = Response<Full<Bytes>>;
 
+/// Entries in one page of a range.
+const PAGE_ENTRIES: usize = 50;
+/// Period in which a waiting watch looks for keys whose leases have lapsed.
+const LAPSE_CHECK: Duration = Duration::from_millis(50);
+/// Beginnings of keys that only the operators and upstreams write.
+const FOREIGN_PREFIXES: [&str; 2] = ["op/", "servers/"];
+/// Key of the VM list.
+const VM_LIST_KEY: &str = "vms";
+
 /// Answers the stand-in's requests.
 #[derive(Debug)]
 pub(crate) struct HttpRoutes {
@@ -33,23 +43,49 @@
 #[derive(Debug, Default)]
 struct PlatformState {
     kv: KvState,
-    vms: VmList,
     faults: FaultPlan,
     counters: CallCounters,
 }
 
 #[derive(Debug, Deserialize)]
-struct PutBody {
+#[serde(rename_all = "PascalCase")]
+struct TxnBody {
+    #[serde(default)]
+    expected_rev: Vec<ExpectedRow>,
+    #[serde(default)]
+    writes: Vec<WriteRow>,
+    #[serde(default)]
+    deletes: Vec<String>,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct ExpectedRow {
+    key: String,
+    revision: ValueVersion,
+}
+
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "PascalCase")]
+struct WriteRow {
+    key: String,
     value: String,
-    expected_version: ValueVersion,
-    lease: Option<LeaseId>,
+    #[serde(default)]
+    lease_id: u64,
 }
 
 #[derive(Debug, Deserialize)]
-struct GrantBody {
+#[serde(rename_all = "PascalCase")]
+struct LeaseBody {
     ttl_ms: u64,
 }
 
+#[derive(Debug, Deserialize)]
+struct EntryBody {
+    key: String,
+    value: Option<String>,
+}
+
 /// Parts of a request.
 #[derive(Debug)]
 struct CallParts {
@@ -62,12 +98,10 @@
 impl HttpRoutes {
     /// Creates the routes with the contents that `settings` give.
     pub(crate) fn new(timer: TimerService, settings: KvSettings) -> Self {
-        let platform = PlatformState {
-            vms: VmList { vms: settings.vms },
-            faults: settings.faults,
-            ..PlatformState::default()
-        };
-        Self { timer, platform: Mutex::new(platform), changes: watch::Sender::new(0) }
+        let platform = PlatformState { faults: settings.faults, ..PlatformState::default() };
+        let routes = Self { timer, platform: Mutex::new(platform), changes: watch::Sender::new(0) };
+        routes.set_vms(&VmList { vms: settings.vms });
+        routes
     }
 
     /// Answers one request.
@@ -82,11 +116,12 @@
         }
         self.delay().await;
         self.count(&call);
+        self.expire();
         let faults = self.platform().faults.clone();
         if faults.down {
             return refuse_when_down(&faults);
         }
-        if call.path == "/v1/watch" {
+        if call.path == "/api/kv-watch" {
             return self.watch(&call).await;
         }
         let reply = self.answer_store(&call);
@@ -96,42 +131,67 @@
 
     fn answer_control(&self, call: &CallParts) -> Option<Reply> {
         match (&call.method, call.path.as_str()) {
-            (&Method::PUT, "/v1/faults") => Some(self.replace(call, |it, new| it.faults = new)),
-            (&Method::PUT, "/v1/vms") => Some(self.replace(call, |it, new| it.vms = new)),
+            (&Method::PUT, "/v1/faults") => {
+                let faults = self.steer(call, |routes, new| routes.platform().faults = new);
+                Some(faults)
+            }
+            (&Method::PUT, "/v1/vms") => {
+                Some(self.steer(call, |routes, vms: VmList| routes.set_vms(&vms)))
+            }
+            (&Method::PUT, "/v1/entries") => {
+                Some(self.steer(call, |routes, entry: EntryBody| routes.set(entry)))
+            }
+            (&Method::POST, "/v1/forget") => {
+                self.platform().kv.forget_history();
+                self.notify();
+                Some(ok(&json!({})))
+            }
             (&Method::GET, "/v1/counters") => Some(ok(&self.platform().counters)),
             _ => None,
         }
     }
 
-    fn replace<T: DeserializeOwned>(
-        &self,
-        call: &CallParts,
-        store: impl FnOnce(&mut PlatformState, T),
-    ) -> Reply {
+    fn steer<T: DeserializeOwned>(&self, call: &CallParts, act: impl FnOnce(&Self, T)) -> Reply {
         let Ok(value) = serde_json::from_slice(&call.body) else {
             return bad_request();
         };
-        store(&mut self.platform(), value);
+        act(self, value);
         self.notify();
         ok(&json!({}))
     }
 
+    fn set_vms(&self, vms: &VmList) {
+        let value = serde_json::to_string(vms).unwrap_or_default();
+        self.set(EntryBody { key: VM_LIST_KEY.to_owned(), value: Some(value) });
+    }
+
+    fn set(&self, entry: EntryBody) {
+        let now = self.timer.now();
+        let EntryBody { key, value } = entry;
+        let mut platform = self.platform();
+        // Nothing is compared and no lease is named, so that only a large value is refused.
+        let _ = match value {
+            Some(value) => {
+                platform.kv.apply(now, &[], vec![KvWrite { key, value, lease: None }], &[])
+            }
+            None => platform.kv.apply(now, &[], Vec::new(), &[key]),
+        };
+    }
+
     fn answer_store(&self, call: &CallParts) -> Reply {
-        if let Some(key) = call.path.strip_prefix("/v1/kv/") {
-            return match call.method {
-                Method::GET => self.get(key),
-                Method::PUT => self.put(key, call),
-                Method::DELETE => self.delete(key, call),
-                _ => not_found(),
-            };
+        if let Some(lease) = call.number_after("/api/kv-keep/") {
+            return self.renew(LeaseId(lease));
         }
-        if let Some(lease) = renewed_lease(call) {
-            return self.renew(lease);
+        if let Some(lease) = call.number_after("/api/kv-lease-end/") {
+            let is_known = self.platform().kv.end_lease(LeaseId(lease));
+            self.notify();
+            return if is_known { ok(&json!({})) } else { not_found() };
         }
         match (&call.method, call.path.as_str()) {
-            (&Method::GET, "/v1/keys") => self.list(call.parameter("prefix").unwrap_or_default()),
-            (&Method::POST, "/v1/leases") => self.grant(call),
-            (&Method::GET, "/v1/vms") => ok(&self.platform().vms),
+            (&Method::GET, "/api/kv-key") => self.get(&call.parameter("Key").unwrap_or_default()),
+            (&Method::GET, "/api/kv-range") => self.range(call),
+            (&Method::POST, "/api/kv-txn") => self.txn(call),
+            (&Method::POST, "/api/kv-lease") => self.grant(call),
             _ => not_found(),
         }
     }
@@ -142,100 +202,120 @@
             return not_found();
         };
         platform.count_read(&stored);
-        ok(&stored)
+        let mut body = item(key, &stored);
+        body["AtRev"] = json!(platform.kv.version());
+        ok(&body)
     }
 
-    fn list(&self, prefix: &str) -> Reply {
-        ok(&json!({ "keys": self.platform().kv.keys(prefix) }))
+    fn range(&self, call: &CallParts) -> Reply {
+        let prefix = call.parameter("Prefix").unwrap_or_default();
+        let after = call.parameter("after");
+        let platform = self.platform();
+        let is_later = |key: &str| after.as_deref().is_none_or(|it| it < key);
+        let mut rows = platform.kv.entries(&prefix).filter(|(key, _)| is_later(key));
+        let items: Vec<_> =
+            rows.by_ref().take(PAGE_ENTRIES).map(|(key, it)| item(key, it)).collect();
+        let more = rows.next().is_some();
+        ok(&json!({ "items": items, "MorePages": more, "AtRev": platform.kv.version() }))
     }
 
-    fn put(&self, key: &str, call: &CallParts) -> Reply {
-        let Ok(body) = serde_json::from_slice::<PutBody>(&call.body) else {
+    fn txn(&self, call: &CallParts) -> Reply {
+        let Ok(body) = serde_json::from_slice::<TxnBody>(&call.body) else {
             return bad_request();
         };
-        let now = self.timer.now();
-        let size = body.value.len();
+        let mut keys = body.writes.iter().map(|it| &it.key).chain(&body.deletes);
+        if keys.any(|key| FOREIGN_PREFIXES.iter().any(|it| key.starts_with(it))) {
+            return reply(StatusCode::FORBIDDEN, &json!({}));
+        }
+        let writes: Option<Vec<_>> = body.writes.into_iter().map(decode_write).collect();
+        let Some(writes) = writes else {
+            return bad_request();
+        };
+        let size: usize = writes.iter().map(|it| it.value.len()).sum();
+        let expected: Vec<_> =
+            body.expected_rev.into_iter().map(|it| (it.key, it.revision)).collect();
         let mut platform = self.platform();
-        let result = platform.kv.put(now, key, body.value, body.expected_version, body.lease);
+        let result = platform.kv.apply(self.timer.now(), &expected, writes, &body.deletes);
         platform.counters.bytes_written += u64::try_from(size).unwrap_or(u64::MAX);
         drop(platform);
-        self.write_reply(result)
-    }
-
-    fn delete(&self, key: &str, call: &CallParts) -> Reply {
-        let Some(expected) = call.number("expected_version") else {
-            return bad_request();
-        };
-        let result = self.platform().kv.delete(key, ValueVersion(expected));
-        self.write_reply(result)
-    }
-
-    fn write_reply(&self, result: Result<ValueVersion, WriteRefusal>) -> Reply {
         match result {
             Ok(version) => {
                 self.notify();
-                ok(&json!({ "version": version }))
+                ok(&json!({ "Revision": version }))
             }
             Err(WriteRefusal::Version(current)) => {
-                reply(StatusCode::CONFLICT, &json!({ "current_version": current }))
+                let row = |(key, version)| json!({ "Key": key, "Revision": version });
+                let items: Vec<_> = current.into_iter().map(row).collect();
+                reply(StatusCode::PRECONDITION_FAILED, &json!({ "items": items }))
             }
-            Err(WriteRefusal::Lease) => reply(StatusCode::GONE, &json!({})),
+            Err(WriteRefusal::Lease) => not_found(),
             Err(WriteRefusal::TooLarge) => reply(StatusCode::PAYLOAD_TOO_LARGE, &json!({})),
         }
     }
 
     fn grant(&self, call: &CallParts) -> Reply {
-        let Ok(body) = serde_json::from_slice::<GrantBody>(&call.body) else {
+        let Ok(body) = serde_json::from_slice::<LeaseBody>(&call.body) else {
             return bad_request();
         };
         let ttl = Duration::from_millis(body.ttl_ms);
         let lease = self.platform().kv.grant(self.timer.now(), ttl);
-        ok(&json!({ "lease": lease }))
+        ok(&json!({ "LeaseId": lease, "TtlMs": body.ttl_ms }))
     }
 
     fn renew(&self, lease: LeaseId) -> Reply {
         if self.platform().kv.renew(self.timer.now(), lease) {
-            return ok(&json!({ "lease": lease }));
+            return ok(&json!({ "TtlMs": 0 }));
         }
-        reply(StatusCode::GONE, &json!({}))
+        not_found()
     }
 
     async fn watch(&self, call: &CallParts) -> io::Result<Reply> {
-        let (Some(key), Some(after), Some(limit)) =
-            (call.parameter("key"), call.number("after"), call.number("limit_ms"))
+        let (Some(prefix), Some(after), Some(wait_ms)) =
+            (call.parameter("Prefix"), call.number("after"), call.number("WaitMs"))
         else {
             return Ok(bad_request());
         };
-        let wait = self.watch_key(key, ValueVersion(after));
-        match self.timer.timeout(Duration::from_millis(limit), wait).await {
+        let wait = self.watch_prefix(&prefix, ValueVersion(after));
+        match self.timer.timeout(Duration::from_millis(wait_ms), wait).await {
             Ok(result) => result,
             Err(_) if self.platform().faults.silent_watches => std::future::pending().await,
-            Err(_) => Ok(reply(StatusCode::NO_CONTENT, &())),
+            Err(_) => Ok(events(&[], self.platform().kv.version())),
         }
     }
 
-    async fn watch_key(&self, key: &str, after: ValueVersion) -> io::Result<Reply> {
+    async fn watch_prefix(&self, prefix: &str, after: ValueVersion) -> io::Result<Reply> {
         let mut changes = self.changes.subscribe();
         loop {
             changes.borrow_and_update();
-            if let Some(result) = self.watch_result(key, after) {
+            self.expire();
+            if let Some(result) = self.watch_result(prefix, after) {
                 return result;
             }
-            changes.changed().await.map_err(io::Error::other)?;
+            // A lapse is found at the next look if nothing else happens before.
+            let _ = self.timer.timeout(LAPSE_CHECK, changes.changed()).await;
         }
     }
 
-    fn watch_result(&self, key: &str, after: ValueVersion) -> Option<io::Result<Reply>> {
-        let mut platform = self.platform();
+    fn watch_result(&self, prefix: &str, after: ValueVersion) -> Option<io::Result<Reply>> {
+        let platform = self.platform();
         if platform.faults.down {
             return Some(refuse_when_down(&platform.faults));
         }
         if platform.faults.silent_watches {
             return None;
         }
-        let stored = platform.kv.get(key).filter(|it| after < it.version).cloned()?;
-        platform.count_read(&stored);
-        Some(Ok(ok(&stored)))
+        match platform.kv.changes(prefix, after) {
+            Ok(changes) if changes.is_empty() => None,
+            Ok(changes) => Some(Ok(events(&changes, platform.kv.version()))),
+            Err(_) => Some(Ok(reply(StatusCode::GONE, &json!({})))),
+        }
+    }
+
+    fn expire(&self) {
+        let is_changed = self.platform().kv.expire(self.timer.now());
+        if is_changed {
+            self.notify();
+        }
     }
 
     async fn delay(&self) {
@@ -260,12 +340,14 @@
     fn count(&self, call: &CallParts) {
         let counters = &mut self.platform().counters;
         let counter = match (&call.method, call.path.as_str()) {
-            (_, "/v1/watch") => &mut counters.watch,
-            (_, "/v1/keys") => &mut counters.list,
-            (_, "/v1/vms") => &mut counters.vms,
-            (&Method::GET, _) => &mut counters.get,
-            (&Method::PUT, _) => &mut counters.put,
-            (&Method::DELETE, _) => &mut counters.delete,
+            (_, "/api/kv-watch") => &mut counters.watch,
+            (_, "/api/kv-range") => &mut counters.list,
+            (_, "/api/kv-key") if call.parameter("Key").as_deref() == Some(VM_LIST_KEY) => {
+                &mut counters.vms
+            }
+            (_, "/api/kv-key") => &mut counters.get,
+            (_, "/api/kv-txn") if call.deletes_only() => &mut counters.delete,
+            (_, "/api/kv-txn") => &mut counters.put,
             _ => &mut counters.lease,
         };
         *counter += 1;
@@ -296,20 +378,59 @@
         Ok(Self { method: head.method, path, query, body })
     }
 
-    fn parameter(&self, name: &str) -> Option<&str> {
+    fn parameter(&self, name: &str) -> Option<String> {
         let pairs = self.query.split('&').filter_map(|it| it.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| value).next()
+        pairs.filter(|(key, _)| *key == name).map(|(_, value)| unescaped(value)).next()
     }
 
     fn number(&self, name: &str) -> Option<u64> {
         self.parameter(name)?.parse().ok()
     }
+
+    fn number_after(&self, path: &str) -> Option<u64> {
+        self.path.strip_prefix(path)?.parse().ok()
+    }
+
+    fn deletes_only(&self) -> bool {
+        let body = serde_json::from_slice::<TxnBody>(&self.body);
+        body.is_ok_and(|it| it.writes.is_empty() && !it.deletes.is_empty())
+    }
+}
+
+fn unescaped(text: &str) -> String {
+    let mut bytes = Vec::with_capacity(text.len());
+    let mut rest = text.bytes();
+    while let Some(byte) = rest.next() {
+        let pair: Vec<u8> = match byte {
+            b'%' => rest.by_ref().take(2).collect(),
+            _ => Vec::new(),
+        };
+        let code = std::str::from_utf8(&pair).ok().and_then(|it| u8::from_str_radix(it, 16).ok());
+        bytes.push(code.unwrap_or(byte));
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
 }
 
-fn renewed_lease(call: &CallParts) -> Option<LeaseId> {
-    let rest = call.path.strip_prefix("/v1/leases/")?;
-    let lease = rest.strip_suffix("/renew")?;
-    lease.parse().ok().map(LeaseId)
+fn decode_write(row: WriteRow) -> Option<KvWrite> {
+    let value = String::from_utf8(STANDARD.decode(&row.value).ok()?).ok()?;
+    let lease = (row.lease_id != 0).then_some(LeaseId(row.lease_id));
+    Some(KvWrite { key: row.key, value, lease })
+}
+
+fn item(key: &str, stored: &StoredValue) -> Value {
+    let value = STANDARD.encode(&stored.value);
+    json!({ "Key": key, "Value": value, "Revision": stored.version })
+}
+
+fn events(changes: &[KvEvent], version: ValueVersion) -> Reply {
+    let event = |it: &KvEvent| match &it.value {
+        Some(value) => {
+            json!({ "Key": it.key, "Value": STANDARD.encode(value), "Revision": it.version })
+        }
+        None => json!({ "Key": it.key, "Revision": it.version, "Removed": true }),
+    };
+    let events: Vec<_> = changes.iter().map(event).collect();
+    ok(&json!({ "events": events, "AtRev": version }))
 }
 
 fn refuse_when_down(faults: &FaultPlan) -> io::Result<Reply> {
--- a/crates/standins/src/kv/kv_settings.rs
+++ b/crates/standins/src/kv/kv_settings.rs
@@ -2,7 +2,7 @@
 
 use std::{fs, io, net::SocketAddr, path::Path};
 
-use mux_platform::VmEntry;
+use mux_store::VmEntry;
 use serde::Deserialize;
 
 use super::FaultPlan;
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -1,24 +1,13 @@
-//! Stand-in of the platform: the key-value service and the VM list, in memory, over HTTP/1.1.
-//!
-//! Bodies are JSON. A key consists of ASCII letters, digits and `. _ - /`.
-//!
-//! | Request | Reply |
-//! |---|---|
-//! | `GET /v1/kv/{key}` | 200 `{value, version}`, 404 |
-//! | `PUT /v1/kv/{key}` `{value, expected_version, lease?}` | 200 `{version}`, 409 `{current_version}`, 410 lease lapsed, 413 |
-//! | `DELETE /v1/kv/{key}?expected_version=` | 200 `{version}`, 409 `{current_version}` |
-//! | `GET /v1/keys?prefix=` | 200 `{keys}` |
-//! | `GET /v1/watch?key=&after=&limit_ms=` | 200 `{value, version}`, 204 when the limit is over |
-//! | `POST /v1/leases` `{ttl_ms}` | 200 `{lease}` |
-//! | `POST /v1/leases/{lease}/renew` | 200 `{lease}`, 410 |
-//! | `GET /v1/vms` | 200 `{vms}` |
+//! Stand-in of the platform's store, in memory, over HTTP/1.1, as the users' pages describe it.
 //!
 //! These steer the stand-in, and faults do not apply to them:
 //!
 //! | Request | Effect |
 //! |---|---|
-//! | `PUT /v1/vms` `{vms}` | replaces the VM list |
+//! | `PUT /v1/vms` `{vms}` | replaces the VM list, which is the value of the key `vms` |
+//! | `PUT /v1/entries` `{key, value}` | writes a key as the operators and upstreams do; without a value it is removed |
 //! | `PUT /v1/faults` [`FaultPlan`] | replaces the faults |
+//! | `POST /v1/forget` | drops the history |
 //! | `GET /v1/counters` | 200 [`CallCounters`]; a waiting watch counts as one call |
 
 mod call_counters;
--- a/crates/platform/src/memory/memory_store.rs
+++ b/crates/store/src/memory/memory_store.rs
@@ -184,7 +184,11 @@
     }
 
     async fn delete(&self, key: &str, expected: ValueVersion) -> Result<(), StoreError> {
-        self.begin_write(key).await?.kv.delete(key, expected)?;
+        {
+            let mut contents = self.begin_write(key).await?;
+            let now = self.lease_time(&contents);
+            contents.kv.delete(now, key, expected)?;
+        }
         self.finish_write(key, ())
     }
 
@@ -221,7 +225,10 @@
 impl From<WriteRefusal> for StoreError {
     fn from(refusal: WriteRefusal) -> Self {
         match refusal {
-            WriteRefusal::Version(current) => Self::VersionMismatch { current },
+            WriteRefusal::Version(current) => {
+                let current = current.first().map(|it| it.1).unwrap_or_default();
+                Self::VersionMismatch { current }
+            }
             WriteRefusal::Lease => Self::LeaseLapsed,
             WriteRefusal::TooLarge => Self::Unavailable("the value is too large".to_owned()),
         }
