End a query with its caller, and count a pause before any task has run after it

And a woken node could answer from what it knew before its pause: the heartbeat bumped the pause count and looked alive again before the task that waits on the count had marked the node's knowledge as unverified, and a reply of the store to a request from before the pause confirmed it (woken_node_verifies_before_it_answers, seen failing beside load).

Change: mux-http serves both kinds of node by hyper, whose handlers end with their callers; the setting caller_limits.threads is gone with the library's threads. The guard takes in the pause count before anything that relies on it, and ignores replies to what was asked before the pause.

Ruled out: a longer wait in the frozen test, which would only hide the order of the tasks.

--- a/crates/config/src/freshness_guard.rs
+++ b/crates/config/src/freshness_guard.rs
@@ -66,6 +66,8 @@
     last_contact: Option<TimePoint>,
     lagging: VecDeque<SeenRevision>,
     verified: bool,
+    pauses: u64,
+    paused_at: TimePoint,
 }
 
 /// A revision above the applied one, with the moment when it was first heard of.
@@ -85,6 +87,8 @@
             last_contact: None,
             lagging: VecDeque::new(),
             verified: false,
+            pauses: 0,
+            paused_at: TimePoint::ZERO,
         }
     }
 
@@ -104,10 +108,26 @@
         self.on_contact(sent_at, revision);
     }
 
-    /// Records that the process was paused.
-    pub fn on_pause(&mut self) {
+    /// Takes in the number of pauses of the process so far; returns whether there was one since.
+    ///
+    /// To be called before anything else that relies on the guard, as the process may have been
+    /// paused just before.
+    pub fn on_pause_count(&mut self, now: TimePoint, count: u64) -> bool {
+        let is_new = count != self.pauses;
+        if is_new {
+            self.pauses = count;
+            self.on_pause(now);
+        }
+        is_new
+    }
+
+    /// Records that the process was paused until `now`.
+    ///
+    /// Replies to what was asked before confirm nothing: they may have waited in a socket.
+    pub fn on_pause(&mut self, now: TimePoint) {
         self.verified = false;
         self.last_contact = None;
+        self.paused_at = now;
     }
 
     /// Records how many other nodes may be running: those that the membership lists, and those
@@ -125,6 +145,9 @@
     }
 
     fn on_contact(&mut self, sent_at: TimePoint, revision: RevisionNumber) {
+        if sent_at < self.paused_at {
+            return;
+        }
         self.last_contact = self.last_contact.max(Some(sent_at));
         if self.applied <= revision {
             self.verified = true;
--- a/crates/config/tests/node_freshness.rs
+++ b/crates/config/tests/node_freshness.rs
@@ -30,7 +30,7 @@
 #[gtest]
 fn readiness_follows_contacts_and_pauses() {
     type Events = fn(&mut FreshnessGuard);
-    let cases: [(&str, Events, ReadyState); 10] = [
+    let cases: [(&str, Events, ReadyState); 13] = [
         ("peer seen", |it| it.on_peer_contact(at(7), FIVE), ReadyState::Ready),
         ("store seen", |it| it.on_store_contact(at(7), FIVE), ReadyState::Ready),
         ("nothing seen", |_| {}, not_ready(UnreadyReason::Isolated)),
@@ -40,11 +40,11 @@
             not_ready(UnreadyReason::Isolated),
         ),
         ("alone, store down", |it| it.on_other_nodes(0), ReadyState::Ready),
-        ("paused", |it| it.on_pause(), not_ready(UnreadyReason::Unverified)),
+        ("paused", |it| it.on_pause(at(6)), not_ready(UnreadyReason::Unverified)),
         (
             "paused, older peer",
             |it| {
-                it.on_pause();
+                it.on_pause(at(6));
                 it.on_peer_contact(at(7), RevisionNumber(4));
             },
             not_ready(UnreadyReason::Unverified),
@@ -52,11 +52,36 @@
         (
             "paused, equal peer",
             |it| {
-                it.on_pause();
+                it.on_pause(at(6));
                 it.on_peer_contact(at(7), FIVE);
             },
             ReadyState::Ready,
         ),
+        (
+            "paused, late reply of the store to a request before the pause",
+            |it| {
+                it.on_pause(at(6));
+                it.on_store_contact(at(5), FIVE);
+            },
+            not_ready(UnreadyReason::Unverified),
+        ),
+        (
+            "pause counted before the task that waits for it has run",
+            |it| {
+                it.on_pause_count(at(6), 1);
+                it.on_store_contact(at(5), FIVE);
+            },
+            not_ready(UnreadyReason::Unverified),
+        ),
+        (
+            "pause counted twice, verified in between",
+            |it| {
+                it.on_pause_count(at(6), 1);
+                it.on_store_contact(at(7), FIVE);
+                it.on_pause_count(at(7), 1);
+            },
+            ReadyState::Ready,
+        ),
         (
             "behind for long",
             |it| {
--- a/crates/edge/src/caller/front_server.rs
+++ b/crates/edge/src/caller/front_server.rs
@@ -1,6 +1,6 @@
 //! Takes in callers' requests.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -20,6 +20,7 @@
 /// Answers one request of a caller.
 pub(crate) async fn serve_front<W: WireProtocol>(
     edge: Arc<Edge>,
+    _caller: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let answer = match read_request(&edge, request).await {
--- a/crates/edge/src/caller/side_servers.rs
+++ b/crates/edge/src/caller/side_servers.rs
@@ -1,6 +1,6 @@
 //! Answers the questions around requests: addresses, readiness and metrics.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, header};
@@ -15,6 +15,7 @@
 /// Answers the question which addresses to use.
 pub(crate) async fn serve_directory<W: WireProtocol>(
     edge: Arc<Edge>,
+    _caller: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let Some(question) = W::read_address_question(request.uri()) else {
@@ -35,6 +36,7 @@
 /// Answers the question whether the node is ready.
 pub(crate) async fn serve_readiness<W: WireProtocol>(
     edge: Arc<Edge>,
+    _caller: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     if !W::is_readiness_question(request.uri()) {
@@ -49,6 +51,7 @@
 /// Serves the node's metrics.
 pub(crate) async fn serve_metrics(
     edge: Arc<Edge>,
+    _caller: SocketAddr,
     _request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(edge.metrics.render())));
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,11 +1,15 @@
 //! The state of a node, in parts that each have a lock of their own.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    time::Duration,
+};
 
 use mux_config::{
     StoreContact,
     traffic::{ConfigBelief, RouteRule, RouteTable, SplitChooser, WeightedService},
 };
+use mux_http::ListenerHost;
 use mux_logs::LogThrottle;
 use mux_model::{FastMap, InstanceId, ServiceName, TimePoint};
 use mux_placement::NodeRegistry;
@@ -20,10 +24,12 @@
     upstream::LinkTable,
 };
 
+/// Time for which an idle connection is kept before the operators' bound is known.
+const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(15);
 /// Lines about single requests that are logged in one period, at most.
 const REQUEST_LOG_LINES: u32 = 200;
 /// The period of [`REQUEST_LOG_LINES`].
-const REQUEST_LOG_PERIOD: std::time::Duration = std::time::Duration::from_secs(1);
+const REQUEST_LOG_PERIOD: Duration = Duration::from_secs(1);
 
 /// How far a node is on its way out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -216,6 +222,28 @@
     }
 }
 
+impl ListenerHost for Edge {
+    fn timer(&self) -> &TimerService {
+        &self.timer
+    }
+
+    fn logger(&self) -> &Logger {
+        &self.logger
+    }
+
+    fn head_time(&self) -> Duration {
+        self.table().map_or(DEFAULT_IDLE_TIME, |it| it.caller_bounds().idle_time)
+    }
+
+    fn closing(&self) -> impl Future<Output = ()> + Send + use<> {
+        let mut stop = self.stop.subscribe();
+        async move {
+            // The sender lives as long as the process serves.
+            let _ = stop.wait_for(|it| *it == StopPhase::Closing).await;
+        }
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -1,7 +1,8 @@
 //! Starts a node and runs it until its planned stop.
 
-use std::{sync::Arc, thread, time::Duration};
+use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
 
+use mux_http::HttpListener;
 use mux_logs::build_logger;
 use mux_timer::TimerService;
 use slog::info;
@@ -12,7 +13,7 @@
 
 use crate::{
     ClusterStore, EdgeError, EdgeSettings, WireProtocol,
-    caller::{HttpListener, serve_directory, serve_front, serve_metrics, serve_readiness},
+    caller::{serve_directory, serve_front, serve_metrics, serve_readiness},
     edge::{Edge, StopPhase},
     sync,
 };
@@ -61,10 +62,10 @@
     let timer = TimerService::start(PAUSE_LIMIT);
     let store = make_store(&timer);
     let edge = Arc::new(Edge::new(settings, timer, logger));
-    let callers = HttpListener::bind("callers", listen.callers)?;
-    let readiness = HttpListener::bind("readiness", listen.readiness)?;
-    let directory = HttpListener::bind("directory", listen.directory)?;
-    let metrics = listen.metrics.map(|it| HttpListener::bind("metrics", it)).transpose()?;
+    let callers = bind("callers", listen.callers)?;
+    let readiness = bind("readiness", listen.readiness)?;
+    let directory = bind("directory", listen.directory)?;
+    let metrics = listen.metrics.map(|it| bind("metrics", it)).transpose()?;
     let signals = StopSignals::new()?;
     info!(edge.logger, "node: started"; "callers" => listen.callers.to_string(),
         "directory" => listen.directory.to_string());
@@ -82,6 +83,10 @@
     Ok(())
 }
 
+fn bind(purpose: &'static str, address: SocketAddr) -> Result<HttpListener, EdgeError> {
+    HttpListener::bind(address).map_err(|source| EdgeError::Listen { purpose, address, source })
+}
+
 /// The signals that a node reacts to.
 struct StopSignals {
     terminate: Signal,
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -3,21 +3,18 @@
 use std::{
     io,
     net::{IpAddr, SocketAddr},
-    pin::pin,
     sync::Arc,
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{Method, Request, Response, body::Incoming, header, http::request::Parts};
+use mux_http::{HttpListener, ListenerHost};
 use mux_model::{RequestId, ServiceName};
-use tokio::{runtime::Handle, sync::mpsc};
-use xitca_server::ServerFuture;
-use xitca_web::{
-    App, WebContext,
-    body::{BodyExt, RequestBody},
-    handler::{body::Body, handler_service},
-    http::{Method, WebResponse, header},
-};
+use mux_timer::TimerService;
+use slog::Logger;
+use tokio::sync::{mpsc, watch};
 
 use super::{http_reply, query_request::QueryRequest, request_gate::RequestGate};
 use crate::{
@@ -26,17 +23,20 @@
     dispatch::{ProblemCode, QueryCommand, QueryOutcome, QueryProblem, SessionClaim, SessionUse},
 };
 
-const HEADER_COUNT_LIMIT: usize = 32;
-const READ_BUFFER_BYTES: usize = 65_536;
+/// Time to come back when too many requests are in flight; a few queries end meanwhile.
 const BUSY_RETRY_MS: u64 = 100;
+/// Period in which a stopping server looks whether its connections have ended.
+const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
+
+/// A response of this server.
+pub(super) type Reply = Response<Full<Bytes>>;
 
-/// Serves callers on threads of its own and hands queries to the node's runtime.
-#[derive(Clone)]
+/// Serves callers.
 pub(crate) struct CallerServer {
     node: Arc<Node>,
-    runtime: Handle,
     gate: Arc<RequestGate>,
     limits: CallerLimits,
+    closing: watch::Sender<bool>,
 }
 
 enum Route<'a> {
@@ -45,10 +45,10 @@
 }
 
 impl CallerServer {
-    /// Creates a server that runs queries on `runtime`.
-    pub(crate) fn new(node: Arc<Node>, runtime: Handle, limits: CallerLimits) -> Self {
+    /// Creates a server for the callers of `node`.
+    pub(crate) fn new(node: Arc<Node>, limits: CallerLimits) -> Self {
         let gate = Arc::new(RequestGate::new(limits.requests, limits.requests_per_ip));
-        Self { node, runtime, gate, limits }
+        Self { node, gate, limits, closing: watch::Sender::new(false) }
     }
 
     /// Listens on `address` and serves until the process ends.
@@ -56,43 +56,47 @@
     /// # Errors
     ///
     /// Returns an error if the address cannot be used.
-    pub(crate) fn listen(self, address: SocketAddr) -> io::Result<ServerFuture> {
-        let threads = self.limits.threads;
-        let receive = Duration::from_millis(self.limits.receive_ms);
-        let server = App::new()
-            .at("/", handler_service(handle))
-            .at("/{*path}", handler_service(handle))
-            .with_state(self)
-            .serve()
-            .worker_threads(threads)
-            .request_head_timeout(receive)
-            .max_read_buf_size::<READ_BUFFER_BYTES>()
-            .max_request_headers::<HEADER_COUNT_LIMIT>()
-            .disable_signal()
-            .bind(address)?;
-        Ok(server.run())
-    }
-
-    async fn answer(&self, ctx: &WebContext<'_, Self>) -> Result<WebResponse, QueryProblem> {
-        let ip = ctx.req().body().socket_addr().ip();
+    pub(crate) fn listen(self, address: SocketAddr) -> io::Result<Arc<Self>> {
+        let server = Arc::new(self);
+        tokio::spawn(HttpListener::bind(address)?.serve(Arc::clone(&server), handle));
+        Ok(server)
+    }
+
+    /// Ends connections after the requests that they have, and waits for that up to `limit`.
+    pub(crate) async fn stop(&self, limit: Duration) {
+        let timer = self.node.timer();
+        self.closing.send_replace(true);
+        let end = timer.now() + limit;
+        while 0 < self.closing.receiver_count() && timer.now() < end {
+            timer.sleep(STOP_CHECK_PERIOD).await;
+        }
+    }
+
+    async fn answer(
+        &self,
+        caller: SocketAddr,
+        request: Request<Incoming>,
+    ) -> Result<Reply, QueryProblem> {
+        let ip = caller.ip();
         let Some(_permit) = self.gate.enter(ip) else {
             let message = "too many requests are in flight; wait for answers before sending more";
             return Err(QueryProblem::not_run(ProblemCode::TooManyRequests, message)
                 .retry_after_ms(BUSY_RETRY_MS));
         };
-        match find_route(ctx.req().uri().path(), ctx.req().method())? {
-            Route::Addresses(service) => self.answer_addresses(service, ctx, ip),
-            Route::Query(service) => self.answer_query(service, ctx).await,
+        let (head, body) = request.into_parts();
+        match find_route(head.uri.path(), &head.method)? {
+            Route::Addresses(service) => self.answer_addresses(service, &head, ip),
+            Route::Query(service) => self.answer_query(service, &head, body).await,
         }
     }
 
     fn answer_addresses(
         &self,
         service: &str,
-        ctx: &WebContext<'_, Self>,
+        head: &Parts,
         ip: IpAddr,
-    ) -> Result<WebResponse, QueryProblem> {
-        let parameters = ctx.req().uri().query().unwrap_or_default();
+    ) -> Result<Reply, QueryProblem> {
+        let parameters = head.uri.query().unwrap_or_default();
         let zone = find_parameter(parameters, "zone");
         let caller = find_parameter(parameters, "caller");
         let caller = caller.map_or_else(|| ip.to_string(), str::to_owned);
@@ -103,10 +107,11 @@
     async fn answer_query(
         &self,
         service: &str,
-        ctx: &WebContext<'_, Self>,
-    ) -> Result<WebResponse, QueryProblem> {
-        check_content_type(ctx)?;
-        let body = self.receive_body(ctx).await?;
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Reply, QueryProblem> {
+        check_content_type(head)?;
+        let body = self.receive_body(body).await?;
         let request = QueryRequest::parse(&body)?;
         let command = QueryCommand {
             request: RequestId::random(),
@@ -129,14 +134,13 @@
         Ok(http_reply::outcome_reply(&outcome, &others))
     }
 
-    /// Runs a query on the node's runtime; dropping the future tells the query so.
+    /// Runs a query in a task of its own, which dropping the future tells that the caller has gone.
     async fn run(&self, command: QueryCommand) -> QueryOutcome {
         let request = command.request;
         let node = Arc::clone(&self.node);
         let (guard, caller_gone) = mpsc::channel(1);
-        let task = self
-            .runtime
-            .spawn(async move { node.dispatcher().dispatch(command, caller_gone).await });
+        let dispatch = async move { node.dispatcher().dispatch(command, caller_gone).await };
+        let task = tokio::spawn(dispatch);
         let outcome = task.await;
         drop(guard);
         outcome.unwrap_or_else(|_| QueryOutcome {
@@ -148,41 +152,59 @@
         })
     }
 
-    async fn receive_body(&self, ctx: &WebContext<'_, Self>) -> Result<Bytes, QueryProblem> {
+    async fn receive_body(&self, body: Incoming) -> Result<Bytes, QueryProblem> {
         let limit = Duration::from_millis(self.limits.receive_ms);
-        let received = self.node.timer().timeout(limit, self.read_body(ctx)).await;
+        let received = self.node.timer().timeout(limit, self.read_body(body)).await;
         received.unwrap_or_else(|_| {
             let message = "the body did not arrive in time; send it at once";
             Err(QueryProblem::not_run(ProblemCode::ReceiveTimeout, message))
         })
     }
 
-    async fn read_body(&self, ctx: &WebContext<'_, Self>) -> Result<Bytes, QueryProblem> {
-        let body: RequestBody =
-            ctx.extract::<Body<RequestBody>>().await.map(|it| it.0).map_err(|error| {
-                QueryProblem::not_run(ProblemCode::MalformedRequest, error.to_string())
-            })?;
-        let mut body = pin!(body);
-        let mut buffer = BytesMut::new();
-        while let Some(chunk) = body.as_mut().data().await {
-            let chunk = chunk.map_err(|error| {
-                let message = format!("the body ended early: {error}");
-                QueryProblem::not_run(ProblemCode::MalformedRequest, message)
-            })?;
-            if self.limits.body_bytes < buffer.len() + chunk.len() {
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, QueryProblem> {
+        match Limited::new(body, self.limits.body_bytes).collect().await {
+            Ok(collected) => Ok(collected.to_bytes()),
+            Err(error) if error.is::<LengthLimitError>() => {
                 let message = format!("the body is larger than {} bytes", self.limits.body_bytes);
-                return Err(QueryProblem::not_run(ProblemCode::BodyTooLarge, message));
+                Err(QueryProblem::not_run(ProblemCode::BodyTooLarge, message))
+            }
+            Err(error) => {
+                let message = format!("the body ended early: {error}");
+                Err(QueryProblem::not_run(ProblemCode::MalformedRequest, message))
             }
-            buffer.extend_from_slice(&chunk);
         }
-        Ok(buffer.freeze())
     }
 }
 
-async fn handle(ctx: &WebContext<'_, CallerServer>) -> WebResponse {
-    let server: &CallerServer = ctx.state();
-    match server.answer(ctx).await {
-        Ok(response) => response,
+impl ListenerHost for CallerServer {
+    fn timer(&self) -> &TimerService {
+        self.node.timer()
+    }
+
+    fn logger(&self) -> &Logger {
+        self.node.logger()
+    }
+
+    fn head_time(&self) -> Duration {
+        Duration::from_millis(self.limits.receive_ms)
+    }
+
+    fn closing(&self) -> impl Future<Output = ()> + Send + use<> {
+        let mut closing = self.closing.subscribe();
+        async move {
+            // The sender lives as long as the process serves.
+            let _ = closing.wait_for(|it| *it).await;
+        }
+    }
+}
+
+async fn handle(
+    server: Arc<CallerServer>,
+    caller: SocketAddr,
+    request: Request<Incoming>,
+) -> Reply {
+    match server.answer(caller, request).await {
+        Ok(reply) => reply,
         Err(problem) => {
             server.node.count_refusal(&problem);
             http_reply::problem_reply(None, &problem, &[])
@@ -210,8 +232,8 @@
     Ok(route)
 }
 
-fn check_content_type(ctx: &WebContext<'_, CallerServer>) -> Result<(), QueryProblem> {
-    let content_type = ctx.req().headers().get(header::CONTENT_TYPE);
+fn check_content_type(head: &Parts) -> Result<(), QueryProblem> {
+    let content_type = head.headers.get(header::CONTENT_TYPE);
     let text = content_type.and_then(|it| it.to_str().ok()).unwrap_or_default();
     if text.split(';').next().unwrap_or_default().trim() == "application/json" {
         return Ok(());
--- a/crates/node/src/caller/http_reply.rs
+++ b/crates/node/src/caller/http_reply.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{StatusCode, header, header::HeaderValue};
 use mux_model::{Coverage, RequestId, ShardIndex, SnapshotId, Verdict};
 use serde::Serialize;
 use serde_json::value::RawValue;
-use xitca_web::{
-    body::ResponseBody,
-    http::{HeaderValue, StatusCode, WebResponse, header},
-};
 
+use super::caller_server::Reply;
 use crate::dispatch::{ProblemCode, QueryAnswer, QueryOutcome, QueryProblem};
 
 const MILLIS_PER_SECOND: u64 = 1_000;
@@ -55,7 +55,7 @@
 }
 
 /// Turns the outcome of a query into a response.
-pub(crate) fn outcome_reply(outcome: &QueryOutcome, others: &[SocketAddr]) -> WebResponse {
+pub(crate) fn outcome_reply(outcome: &QueryOutcome, others: &[SocketAddr]) -> Reply {
     match &outcome.result {
         Ok(answer) => answer_reply(outcome.request, answer),
         Err(problem) => problem_reply(Some(outcome.request), problem, others),
@@ -67,7 +67,7 @@
     request: Option<RequestId>,
     problem: &QueryProblem,
     others: &[SocketAddr],
-) -> WebResponse {
+) -> Reply {
     let body = ProblemBody {
         request_id: request.map(|it| it.to_string()),
         verdict: problem.verdict,
@@ -88,14 +88,14 @@
 }
 
 /// Turns any serializable body into a JSON response.
-pub(crate) fn json_reply<T: Serialize>(status: u16, body: &T) -> WebResponse {
+pub(crate) fn json_reply<T: Serialize>(status: u16, body: &T) -> Reply {
     let Ok(bytes) = serde_json::to_vec(body) else {
         return bytes_reply(500, Vec::new());
     };
     bytes_reply(status, bytes)
 }
 
-fn answer_reply(request: RequestId, answer: &QueryAnswer) -> WebResponse {
+fn answer_reply(request: RequestId, answer: &QueryAnswer) -> Reply {
     let results: Result<Vec<_>, _> = answer
         .shards
         .iter()
@@ -125,9 +125,9 @@
     }
 }
 
-fn bytes_reply(status: u16, bytes: Vec<u8>) -> WebResponse {
+fn bytes_reply(status: u16, bytes: Vec<u8>) -> Reply {
     let length = HeaderValue::from(bytes.len());
-    let mut response = WebResponse::new(ResponseBody::from(bytes));
+    let mut response = Reply::new(Full::new(Bytes::from(bytes)));
     *response.status_mut() =
         StatusCode::from_u16(status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let headers = response.headers_mut();
--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -121,19 +121,11 @@
     pub requests_per_ip: u32,
     /// Requests in flight from all callers; 1 to 1000000.
     pub requests: u32,
-    /// Threads that serve callers; 1 to 64.
-    pub threads: usize,
 }
 
 impl Default for CallerLimits {
     fn default() -> Self {
-        Self {
-            body_bytes: 262_144,
-            receive_ms: 5_000,
-            requests_per_ip: 2_048,
-            requests: 8_192,
-            threads: 2,
-        }
+        Self { body_bytes: 262_144, receive_ms: 5_000, requests_per_ip: 2_048, requests: 8_192 }
     }
 }
 
@@ -299,8 +291,7 @@
             u64::from(self.requests),
             1..=1_000_000,
             "1 to 1000000",
-        )?;
-        check_range("caller_limits.threads", self.threads as u64, 1..=64, "1 to 64")
+        )
     }
 }
 
--- a/crates/node/src/node/admission.rs
+++ b/crates/node/src/node/admission.rs
@@ -31,20 +31,22 @@
     ///
     /// A pause that the heartbeat has not noticed yet counts as noticed.
     pub(crate) fn readiness(&self) -> ReadyState {
-        if self.timer.is_stalled() {
-            self.on_pause();
-        }
+        self.notice_pauses();
         self.lock_guard().readiness(self.timer.now())
     }
 
-    /// Treats all knowledge as unverified after a pause of the process.
-    pub(crate) fn on_pause(&self) {
-        self.lock_guard().on_pause();
-        self.gossip.on_pause();
+    /// Treats all knowledge as unverified if the process was paused since it was last asked.
+    pub(crate) fn notice_pauses(&self) {
+        let count = self.timer.pause_count();
+        let is_new = self.lock_guard().on_pause_count(self.timer.now(), count);
+        if is_new {
+            self.gossip.on_pause();
+        }
     }
 
     /// Records a reply of the key-value service to a request sent at `sent_at`.
     pub(crate) fn on_store_contact(&self, sent_at: TimePoint, revision: RevisionNumber) {
+        self.notice_pauses();
         self.lock_guard().on_store_contact(sent_at, revision);
         let mut contacts = self.contacts.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         contacts.store = Some(self.timer.now());
@@ -52,6 +54,7 @@
 
     /// Records that a peer with `revision` answered a probe at `moment`.
     pub(crate) fn on_peer_contact(&self, moment: TimePoint, revision: RevisionNumber) {
+        self.notice_pauses();
         self.lock_guard().on_peer_contact(moment, revision);
         let mut contacts = self.contacts.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
         contacts.peer = Some(moment);
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -12,7 +12,7 @@
 use mux_timer::TimerService;
 use slog::{Logger, info};
 use tokio::{
-    runtime::{Builder, Handle},
+    runtime::Builder,
     signal::unix::{SignalKind, signal},
     sync::mpsc,
 };
@@ -32,7 +32,6 @@
 pub fn run(settings: NodeSettings) -> Result<(), StartError> {
     let runtime = Builder::new_multi_thread().enable_all().build().map_err(StartError::Runtime)?;
     let result = runtime.block_on(serve(settings));
-    // Waiting for the caller threads here would let them answer without a runtime to run queries.
     runtime.shutdown_background();
     result
 }
@@ -51,7 +50,7 @@
         .await
         .map_err(|it| listen_error("listen.operator", listen.operator, it))?;
     let limits = node.settings().caller_limits.clone();
-    let callers = CallerServer::new(Arc::clone(&node), Handle::current(), limits)
+    let callers = CallerServer::new(Arc::clone(&node), limits)
         .listen(listen.caller)
         .map_err(|it| listen_error("listen.caller", listen.caller, it))?;
     let metrics = MetricsServer::new(Arc::clone(&node))
@@ -60,11 +59,10 @@
     spawn_tasks(&node, events);
     info!(node.logger(), "node: started"; "callers" => listen.caller.to_string(),
         "operators" => listen.operator.to_string());
-    let callers = HttpThread::start(callers).map_err(StartError::Runtime)?;
     let metrics = HttpThread::start(metrics).map_err(StartError::Runtime)?;
     wait_for_stop(&node).await.map_err(StartError::Runtime)?;
     // What is still open after the limit is idle: every query has been answered.
-    callers.stop(node.timer(), HTTP_STOP_LIMIT).await;
+    callers.stop(HTTP_STOP_LIMIT).await;
     metrics.stop(node.timer(), HTTP_STOP_LIMIT).await;
     Ok(())
 }
--- a/crates/node/src/sync/member_watch.rs
+++ b/crates/node/src/sync/member_watch.rs
@@ -24,7 +24,7 @@
             now = ticks.next() => report_contacts(&node, &mut lost, now),
             Ok(()) = pauses.changed() => {
                 warn!(node.logger(), "node: was paused, verifies before it admits");
-                node.on_pause();
+                node.notice_pauses();
             }
         }
     }
--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -83,6 +83,16 @@
         self.inner.pause_limit < self.now().since(heartbeat)
     }
 
+    /// Returns the number of pauses so far; one that the heartbeat has not noticed yet counts.
+    ///
+    /// A different number than before means that the process was paused in between, whichever
+    /// task runs first after it.
+    pub fn pause_count(&self) -> u64 {
+        // The heartbeat counts a pause before it moves on, so that none is left out here.
+        let stalled = self.is_stalled();
+        *self.inner.pauses.borrow() + u64::from(stalled)
+    }
+
     /// Subscribes to the count of pauses seen so far.
     pub fn subscribe_pauses(&self) -> watch::Receiver<u64> {
         self.inner.pauses.subscribe()
