--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,7 +18,7 @@
 
 pub use edge_settings::{EdgeSettings, ListenAddresses};
 pub use errors::EdgeError;
-pub use run_edge::run;
+pub use run_edge::{run, serve};
 pub use store::{
     ClusterStore, LeaseMark, StoreChange, StoreFault, StoreItem, StoreMark, StoreName, StoreNews,
 };
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -53,7 +53,12 @@
     builder.enable_all().build().map_err(EdgeError::Runtime)
 }
 
-async fn serve<W: WireProtocol, S: ClusterStore>(
+/// Runs a node on the current runtime until SIGTERM or SIGINT has stopped it as planned.
+///
+/// # Errors
+///
+/// Returns [`EdgeError`] if a listener or a signal handler cannot be set up.
+pub async fn serve<W: WireProtocol, S: ClusterStore>(
     settings: EdgeSettings,
     make_store: impl FnOnce(&TimerService) -> S,
 ) -> Result<(), EdgeError> {
