Keep a stopping node until its requests have their answers

The logs show nodes that stopped 3.65 s after SIGTERM with open_connections 0, while requests were at work. A connection's receiver of the stop signal was dropped once the signal had come, so that the count of open connections fell to zero at that moment and the process ended.

Change: connections hold a ticket of a gate until they end; the gate counts them and closes them.

Ruled out: too short a grace time (3.65 of 6 s were used); clients that cross the close, as the requests had been passed on. Conclusion: the ticket lives as long as its connection.

--- a/crates/config/tests/store_contact.rs
+++ b/crates/config/tests/store_contact.rs
@@ -27,15 +27,15 @@
 fn absence_is_doubtful_while_the_store_is_away_and_until_writers_are_back() {
     use Event::{Answer, Failure};
     let outage = [(0, Answer), (9_000, Answer), (10_000, Failure), (14_000, Answer)];
-    let cases: [(&str, &[(u64, Event)], u64, bool); 8] = [
-        ("never asked", &[], 0, true),
+    let cases = [
+        ("never asked", &outage[..0], 0, true),
         ("first answer just now", &outage[..1], 100, true),
         ("first answer a while ago", &outage[..1], 8_000, false),
         ("away", &outage[..3], 13_000, true),
-        ("just back", &outage, 14_100, true),
-        ("back for the time that the platform promises", &outage, 16_000, true),
-        ("back for longer", &outage, 17_100, false),
-        ("away again", &[(0, Answer), (5_000, Failure)], 60_000, true),
+        ("just back", &outage[..], 14_100, true),
+        ("back for the time that the platform promises", &outage[..], 16_000, true),
+        ("back for longer", &outage[..], 17_100, false),
+        ("away again", &[(0, Answer), (5_000, Failure)][..], 60_000, true),
     ];
     for (name, events, now, expected) in cases {
         let contact = contact(events);
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,7 +9,7 @@
     StoreContact,
     traffic::{ConfigBelief, RouteRule, RouteTable, SplitChooser, WeightedService},
 };
-use mux_http::ListenerHost;
+use mux_http::{ConnectionGate, ListenerHost};
 use mux_logs::LogThrottle;
 use mux_model::{FastMap, InstanceId, ServiceName, TimePoint};
 use mux_placement::NodeRegistry;
@@ -38,8 +38,6 @@
     Serving,
     /// It serves, but asks callers to leave.
     Leaving,
-    /// It closes connections that have no request.
-    Closing,
 }
 
 /// One node.
@@ -51,6 +49,7 @@
     pub(crate) metrics: EdgeMetrics,
     pub(crate) links: LinkTable,
     pub(crate) stop: watch::Sender<StopPhase>,
+    pub(crate) gate: ConnectionGate,
     pub(crate) request_log: LogThrottle,
     /// Wakes the task that keeps this node's entry in the store.
     pub(crate) announce: Notify,
@@ -76,6 +75,7 @@
             metrics: EdgeMetrics::new(),
             links: LinkTable::new(),
             stop: watch::Sender::new(StopPhase::Serving),
+            gate: ConnectionGate::new(),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
             announce: Notify::new(),
             watch_again: Notify::new(),
@@ -235,12 +235,8 @@
         self.table().map_or(DEFAULT_IDLE_TIME, |it| it.caller_bounds().idle_time)
     }
 
-    fn closing(&self) -> impl Future<Output = ()> + Send + use<> {
-        let mut stop = self.stop.subscribe();
-        async move {
-            // The sender lives as long as the process serves.
-            let _ = stop.wait_for(|it| *it == StopPhase::Closing).await;
-        }
+    fn gate(&self) -> &ConnectionGate {
+        &self.gate
     }
 }
 
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -130,11 +130,10 @@
     edge.nodes().begin_stop();
     edge.stop.send_replace(StopPhase::Leaving);
     edge.timer.sleep(limit * CLOSE_PERCENT / 100).await;
-    edge.stop.send_replace(StopPhase::Closing);
+    edge.gate.close();
     let end = edge.timer.now() + limit * (100 - CLOSE_PERCENT) / 100;
-    // Every connection watches the phase until it has ended.
-    while 0 < edge.stop.receiver_count() && edge.timer.now() + EXIT_RESERVE < end {
+    while 0 < edge.gate.open_count() && edge.timer.now() + EXIT_RESERVE < end {
         edge.timer.sleep(STOP_CHECK_PERIOD).await;
     }
-    info!(edge.logger, "node: stopped"; "open_connections" => edge.stop.receiver_count());
+    info!(edge.logger, "node: stopped"; "open_connections" => edge.gate.open_count());
 }
--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -12,6 +12,8 @@
 use socket2::{Domain, Protocol, Socket, Type};
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::ConnectionGate;
+
 /// Connections that wait to be accepted; callers' retries come in bursts.
 const BACKLOG: i32 = 1_024;
 /// Pause after a failed accept, which mostly means that descriptors are short.
@@ -31,10 +33,8 @@
     /// time included.
     fn head_time(&self) -> Duration;
 
-    /// Waits until connections are to end after the requests that they have.
-    ///
-    /// Dropped with the connection, so that it can count the open ones.
-    fn closing(&self) -> impl Future<Output = ()> + Send + use<Self>;
+    /// Returns the gate that the connections pass.
+    fn gate(&self) -> &ConnectionGate;
 }
 
 /// An open listener.
@@ -91,7 +91,7 @@
     // A socket that is already closed ends with the first read.
     let _ = stream.set_nodelay(true);
     let head_time = host.head_time();
-    let closing = host.closing();
+    let mut ticket = host.gate().enter();
     let service = service_fn(move |request| {
         let response = answer(Arc::clone(&host), caller, request);
         async move { Ok::<_, Infallible>(response.await) }
@@ -102,11 +102,10 @@
         .max_buf_size(HEAD_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
-    let mut closing = std::pin::pin!(closing);
     tokio::select! {
         // A caller that breaks off needs no answer.
         _ = connection.as_mut() => return,
-        () = closing.as_mut() => {}
+        () = ticket.closing() => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -10,11 +10,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{Method, Request, Response, body::Incoming, header, http::request::Parts};
-use mux_http::{HttpListener, ListenerHost};
+use mux_http::{ConnectionGate, HttpListener, ListenerHost};
 use mux_model::{RequestId, ServiceName};
 use mux_timer::TimerService;
 use slog::Logger;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 
 use super::{http_reply, query_request::QueryRequest, request_gate::RequestGate};
 use crate::{
@@ -36,7 +36,7 @@
     node: Arc<Node>,
     gate: Arc<RequestGate>,
     limits: CallerLimits,
-    closing: watch::Sender<bool>,
+    connections: ConnectionGate,
 }
 
 enum Route<'a> {
@@ -48,7 +48,7 @@
     /// Creates a server for the callers of `node`.
     pub(crate) fn new(node: Arc<Node>, limits: CallerLimits) -> Self {
         let gate = Arc::new(RequestGate::new(limits.requests, limits.requests_per_ip));
-        Self { node, gate, limits, closing: watch::Sender::new(false) }
+        Self { node, gate, limits, connections: ConnectionGate::new() }
     }
 
     /// Listens on `address` and serves until the process ends.
@@ -65,9 +65,9 @@
     /// Ends connections after the requests that they have, and waits for that up to `limit`.
     pub(crate) async fn stop(&self, limit: Duration) {
         let timer = self.node.timer();
-        self.closing.send_replace(true);
+        self.connections.close();
         let end = timer.now() + limit;
-        while 0 < self.closing.receiver_count() && timer.now() < end {
+        while 0 < self.connections.open_count() && timer.now() < end {
             timer.sleep(STOP_CHECK_PERIOD).await;
         }
     }
@@ -189,12 +189,8 @@
         Duration::from_millis(self.limits.receive_ms)
     }
 
-    fn closing(&self) -> impl Future<Output = ()> + Send + use<> {
-        let mut closing = self.closing.subscribe();
-        async move {
-            // The sender lives as long as the process serves.
-            let _ = closing.wait_for(|it| *it).await;
-        }
+    fn gate(&self) -> &ConnectionGate {
+        &self.connections
     }
 }
 
--- a/crates/query/tests/record_merge.rs
+++ b/crates/query/tests/record_merge.rs
@@ -16,7 +16,7 @@
 #[gtest]
 fn greatest_records_come_first_and_equal_ones_all_count() {
     let remainder = [records(&[4]), vec![255; RECORD_BYTES - 1]].concat();
-    let cases: [(&str, Vec<Vec<u8>>, usize, Vec<u8>); 8] = [
+    let cases = [
         ("two parts", vec![records(&[1, 9]), records(&[5, 2])], 3, records(&[9, 5, 2])),
         ("equal ones", vec![records(&[7, 7]), records(&[7, 1])], 3, records(&[7, 7, 7])),
         ("fewer than asked for", vec![records(&[1]), records(&[3])], 9, records(&[3, 1])),
