--- a/crates/config/src/traffic/route_table.rs
+++ b/crates/config/src/traffic/route_table.rs
@@ -35,6 +35,11 @@
         self.caller_bounds
     }
 
+    /// Returns all routes, in no order.
+    pub fn rules(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.hosts.values().flat_map(FastMap::values)
+    }
+
     /// Returns the route with the longest prefix of `path` among those of `host`.
     ///
     /// `host` may carry a port; `path` is without a query. Since every prefix ends with a slash,
--- a/crates/config/tests/traffic_routes.rs
+++ b/crates/config/tests/traffic_routes.rs
@@ -4,8 +4,8 @@
 
 use googletest::prelude::*;
 use mux_config::traffic::{
-    BeliefChange, CallerBounds, ConfigBelief, RepeatRule, RouteRule, RouteTable, RouteTarget,
-    SplitChooser, TrafficConfig, WeightedService,
+    BeliefChange, CallerBounds, ConfigBelief, RepeatRule, RouteDiff, RouteRule, RouteTable,
+    RouteTarget, SplitChooser, TrafficConfig, WeightedService,
 };
 use mux_model::{FastMap, RevisionNumber, ServiceName};
 
@@ -142,3 +142,17 @@
         expect_that!(chooser.choose(), none(), "{weights:?}");
     }
 }
+
+#[gtest]
+fn difference_of_two_versions_names_the_routes() {
+    let older = RouteTable::new(&config(1, vec![rule("a", "/x/"), rule("a", "/y/")]));
+    let slower = RouteRule { time_limit: Duration::from_secs(9), ..rule("a", "/y/") };
+    let newer = RouteTable::new(&config(2, vec![slower, rule("a", "/z/")]));
+
+    let diff = RouteDiff::between(&older, &newer);
+
+    expect_that!(diff.added, eq(&vec!["a/z/".to_owned()]));
+    expect_that!(diff.removed, eq(&vec!["a/x/".to_owned()]));
+    expect_that!(diff.changed, eq(&vec!["a/y/".to_owned()]));
+    expect_that!(RouteDiff::between(&newer, &newer), eq(&RouteDiff::default()));
+}
--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -1,13 +1,13 @@
 //! Carries out what a fan-out decides: calls, cancellations and waits.
 
-use std::{pin::pin, sync::Arc};
+use std::{fmt, pin::pin, sync::Arc};
 
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderValue, StatusCode};
 use mux_model::{CallFailure, CallId, FastMap, ShardIndex, TimePoint, UpstreamId};
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
-use mux_routing::lane::RouteRouter;
+use mux_routing::{AcquireError, lane::RouteRouter};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -33,6 +33,36 @@
     pub(super) answers: FastMap<ShardIndex, UpstreamAnswer>,
     /// The latest failure that an upstream itself answered with.
     pub(super) failure: Option<UpstreamAnswer>,
+    /// What kept shards from contributing, in order.
+    pub(super) troubles: Vec<ShardTrouble>,
+}
+
+/// Why a call was not made or had no use.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ShardTrouble {
+    pub(super) shard: ShardIndex,
+    pub(super) cause: TroubleCause,
+}
+
+/// What went wrong.
+#[derive(Debug, Clone, Copy)]
+pub(super) enum TroubleCause {
+    /// No upstream was given for a call.
+    NotCalled(AcquireError),
+    /// The call to this upstream failed.
+    Failed(UpstreamId, CallFailure),
+    /// The call to this upstream had no reply when the answer was due.
+    NoReply(UpstreamId),
+}
+
+impl fmt::Display for TroubleCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::NotCalled(error) => error.fmt(f),
+            Self::Failed(upstream, failure) => write!(f, "{upstream} {failure}"),
+            Self::NoReply(upstream) => write!(f, "{upstream} no reply yet"),
+        }
+    }
 }
 
 /// Drives the calls of one query.
@@ -44,12 +74,14 @@
     rule: ReplyRule,
     answers: FastMap<ShardIndex, UpstreamAnswer>,
     failure: Option<UpstreamAnswer>,
+    troubles: Vec<ShardTrouble>,
 }
 
 #[derive(Debug)]
 struct CallRecord {
     call: CallId,
     shard: ShardIndex,
+    upstream: UpstreamId,
     started: TimePoint,
 }
 
@@ -61,7 +93,16 @@
         template: Arc<CallTemplate>,
         rule: ReplyRule,
     ) -> Self {
-        Self { edge, router, plan, template, rule, answers: FastMap::default(), failure: None }
+        Self {
+            edge,
+            router,
+            plan,
+            template,
+            rule,
+            answers: FastMap::default(),
+            failure: None,
+            troubles: Vec::new(),
+        }
     }
 
     /// Runs the query to its result; dropping the future gives all calls up.
@@ -70,6 +111,7 @@
         let mut fan_out = FanOut::new(self.plan.clone());
         let mut calls = FuturesUnordered::new();
         let mut cancelled: Vec<CallId> = Vec::new();
+        let mut open: Vec<(CallId, ShardIndex, UpstreamId)> = Vec::new();
         let mut actions = Vec::with_capacity(self.plan.map.shard_count() as usize + 1);
         let mut wake = pin!(timer.sleep_until(self.plan.deadline));
         let mut now = timer.now();
@@ -79,13 +121,22 @@
                 match action {
                     FanOutAction::Send { call, shard, upstream, .. } => {
                         let receiver = self.send::<W>(now, shard, upstream);
-                        calls.push(wait_for(CallRecord { call, shard, started: now }, receiver));
+                        let record = CallRecord { call, shard, upstream, started: now };
+                        open.push((call, shard, upstream));
+                        calls.push(wait_for(record, receiver));
+                    }
+                    FanOutAction::Cancel(call) => {
+                        self.note_unanswered(&open, call);
+                        cancelled.push(call);
                     }
-                    FanOutAction::Cancel(call) => cancelled.push(call),
                     FanOutAction::WakeAt(moment) => wake.set(timer.sleep_until(moment)),
                     FanOutAction::Finish(result) => {
-                        let Self { answers, failure, .. } = self;
-                        return DrivenResult { result, answers, failure };
+                        let Self { answers, failure, mut troubles, router, .. } = self;
+                        let not_called = router.refusals().into_iter().map(|(shard, error)| {
+                            ShardTrouble { shard, cause: TroubleCause::NotCalled(error) }
+                        });
+                        troubles.extend(not_called);
+                        return DrivenResult { result, answers, failure, troubles };
                     }
                 }
             }
@@ -151,9 +202,19 @@
             Ok(_) => CallFailure::BadReply,
             Err(failure) => failure,
         };
+        let cause = TroubleCause::Failed(record.upstream, failure);
+        self.troubles.push(ShardTrouble { shard: record.shard, cause });
         fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
     }
 
+    /// Notes a call that is given up; one whose shard was answered by another call is left out of
+    /// what is logged.
+    fn note_unanswered(&mut self, open: &[(CallId, ShardIndex, UpstreamId)], call: CallId) {
+        if let Some((_, shard, upstream)) = open.iter().find(|it| it.0 == call).copied() {
+            self.troubles.push(ShardTrouble { shard, cause: TroubleCause::NoReply(upstream) });
+        }
+    }
+
     fn is_reply(&self, answer: &UpstreamAnswer) -> bool {
         if answer.signature.is_none() {
             return false;
--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -1,6 +1,6 @@
 //! Finds the route of a request and gets its answer.
 
-use std::{num::NonZeroU32, sync::Arc, time::Duration};
+use std::{fmt::Write, num::NonZeroU32, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
@@ -25,6 +25,8 @@
 
 /// Age of the contact to the store above which a route that is not known may have been added.
 const SURE_CONTACT_AGE: Duration = Duration::from_secs(3);
+/// Reasons for missing shards that one log line names at most.
+const MAX_LOGGED_TROUBLES: usize = 6;
 /// Time to come back to a node that has not read the configuration yet.
 const UNREADY_RETRY: Duration = Duration::from_millis(200);
 
@@ -48,9 +50,42 @@
     id: &'a HeaderValue,
     rule: &'a RouteRule,
     version: RevisionNumber,
+    summary: &'a DispatchSummary,
+}
+
+/// What is logged of the calls of a request.
+#[derive(Debug, Default)]
+struct DispatchSummary {
     calls: u32,
     shards: u32,
     parts: usize,
+    /// What kept shards from contributing.
+    troubles: String,
+}
+
+impl DispatchSummary {
+    fn new(driven: &DrivenResult, services: &[ServiceName]) -> Self {
+        Self {
+            calls: driven.result.calls,
+            shards: driven.result.coverage.total,
+            parts: driven.answers.len(),
+            troubles: describe_troubles(driven, services),
+        }
+    }
+}
+
+/// Names the shards that did not contribute, and why; a call that another one made up for is left
+/// out.
+fn describe_troubles(driven: &DrivenResult, services: &[ServiceName]) -> String {
+    let mut text = String::new();
+    let missing = driven.troubles.iter().filter(|it| !driven.answers.contains_key(&it.shard));
+    for trouble in missing.take(MAX_LOGGED_TROUBLES) {
+        let idx = usize::try_from(trouble.shard.0).unwrap_or(usize::MAX);
+        let service = services.get(idx).map_or("?", ServiceName::as_str);
+        // Writing to a string does not fail.
+        let _ = write!(text, "{service}: {}; ", trouble.cause);
+    }
+    text
 }
 
 impl<'a> QueryFlow<'a> {
@@ -80,11 +115,9 @@
         let arrived = request.arrived;
         let template = Arc::new(call_template(request, terms.request_id.clone(), rule.repeat));
         let mut guard = LeaveGuard { template: Arc::clone(&template), is_answered: false };
-        let (answer, calls, parts, shards) =
-            self.dispatch::<W>(&rule, version, timing, template).await;
+        let (answer, summary) = self.dispatch::<W>(&rule, version, timing, template).await;
         guard.is_answered = true;
-        let note =
-            RequestNote { id: &terms.request_id, rule: &rule, version, calls, shards, parts };
+        let note = RequestNote { id: &terms.request_id, rule: &rule, version, summary: &summary };
         self.record(arrived, &note, &answer);
         answer
     }
@@ -95,7 +128,7 @@
         version: RevisionNumber,
         timing: AnswerTiming,
         template: Arc<CallTemplate>,
-    ) -> (FinalAnswer, u32, usize, u32) {
+    ) -> (FinalAnswer, DispatchSummary) {
         let part;
         let (services, rule_of_reply, set): (&[ServiceName], _, Option<&ShardSet>) =
             match &rule.target {
@@ -106,7 +139,7 @@
                     let Some(chosen) = self.edge.choose_part(rule, parts) else {
                         let left = timing.deadline.since(self.edge.timer.now());
                         let reason = "no part of the route takes requests";
-                        return (refusal_answer(reason, None, left), 0, 0, 1);
+                        return (refusal_answer(reason, None, left), DispatchSummary::default());
                     };
                     part = chosen;
                     (std::slice::from_ref(&part), ReplyRule::AnyButFailure, None)
@@ -134,17 +167,15 @@
             coverage_minimum: coverage,
             max_calls: NonZeroU32::new(rule.max_calls),
         };
-        let shards = plan.map.shard_count();
         let driver = CallDriver::new(self.edge, router, plan, template, rule_of_reply);
         let driven = driver.run::<W>().await;
-        let calls = driven.result.calls;
-        let parts = driven.answers.len();
+        let summary = DispatchSummary::new(&driven, services);
         let left = timing.deadline.since(self.edge.timer.now());
         let answer = match set {
             Some(set) => merged_answer::<W>(driven, set, left),
             None => single_answer(driven, left),
         };
-        (answer, calls, parts, shards)
+        (answer, summary)
     }
 
     fn no_route(
@@ -181,9 +212,10 @@
             "outcome" => answer.outcome,
             "ms" => latency.as_millis() as u64,
             "target_ms" => note.rule.latency_target.as_millis() as u64,
-            "calls" => note.calls,
-            "shards" => note.shards,
-            "parts" => note.parts,
+            "calls" => note.summary.calls,
+            "shards" => note.summary.shards,
+            "parts" => note.summary.parts,
+            "missing" => &note.summary.troubles,
             "suppressed_lines" => suppressed);
     }
 }
--- a/crates/edge/src/sync/apply_news.rs
+++ b/crates/edge/src/sync/apply_news.rs
@@ -1,6 +1,6 @@
 //! Turns what was read from the store into what the node believes.
 
-use mux_config::traffic::{BeliefChange, TrafficConfig};
+use mux_config::traffic::{BeliefChange, RouteDiff, TrafficConfig};
 use mux_model::{FastSet, InstanceId, NodeId, TimePoint};
 use mux_placement::NodeRecord;
 use mux_routing::lane::{RecordChange, UpstreamPhase, UpstreamRecord};
@@ -8,6 +8,9 @@
 
 use crate::{StoreChange, StoreItem, StoreName, edge::Edge};
 
+/// Names that one field of a log line lists at most.
+const MAX_LOGGED_NAMES: usize = 8;
+
 /// How what was read relates to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum NewsKind {
@@ -60,12 +63,19 @@
 }
 
 fn apply_config(edge: &Edge, config: &TrafficConfig) -> bool {
+    let before = edge.table();
     let change = edge.change_config(|it| it.on_config(config));
     match change {
         BeliefChange::Advanced { from } => {
+            let diff = match (before, edge.table()) {
+                (Some(before), Some(after)) => RouteDiff::between(&before, &after),
+                _ => RouteDiff::default(),
+            };
             info!(edge.logger, "config: in force"; "version" => config.version.0,
                 "from" => from.map_or(0, |it| it.0), "routes" => config.routes.len(),
-                "services" => config.connection_limits.len());
+                "services" => config.connection_limits.len(),
+                "added" => listed_names(&diff.added), "removed" => listed_names(&diff.removed),
+                "changed" => listed_names(&diff.changed));
             edge.set_connection_limits(config.connection_limits.clone());
             let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
             edge.metrics.config_version.set(version);
@@ -79,6 +89,16 @@
     }
 }
 
+/// Returns the first names of a list, and how many there are.
+fn listed_names(names: &[String]) -> String {
+    let first: Vec<&str> = names.iter().take(MAX_LOGGED_NAMES).map(String::as_str).collect();
+    match names.len() {
+        0 => String::new(),
+        count if count <= MAX_LOGGED_NAMES => first.join(" "),
+        count => format!("{} and {} more", first.join(" "), count - MAX_LOGGED_NAMES),
+    }
+}
+
 fn apply_upstream(edge: &Edge, record: UpstreamRecord) -> bool {
     let instance = record.instance.clone();
     let (service, sequence) = (record.service.clone(), record.sequence);
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -38,7 +38,7 @@
                 self.wait_for_slot(now, shard, retry_after);
                 None
             }
-            Err(AcquireError::NoReplica | AcquireError::BudgetEmpty) => {
+            Err(AcquireError::NoReplica | AcquireError::BudgetEmpty | AcquireError::TooLate) => {
                 self.lose(shard);
                 None
             }
--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -71,7 +71,7 @@
                 let retry_after = self.hedge_delay.unwrap_or(Duration::MAX);
                 self.wait_for_hedge(now, shard, slow, retry_after);
             }
-            Err(AcquireError::NoReplica) => {}
+            Err(AcquireError::NoReplica | AcquireError::TooLate) => {}
         }
     }
 }
--- a/crates/routing/src/lane/route_router.rs
+++ b/crates/routing/src/lane/route_router.rs
@@ -24,6 +24,7 @@
     current: CallPace,
     due: TimePoint,
     deadline: TimePoint,
+    refusals: Mutex<Vec<(ShardIndex, AcquireError)>>,
 }
 
 impl RouteRouter {
@@ -45,7 +46,7 @@
         }
         let current = lock(&pace).current();
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
-        Self { lanes, places, map, pace, current, due, deadline }
+        Self { lanes, places, map, pace, current, due, deadline, refusals: Mutex::default() }
     }
 
     /// Returns the pinned shards and their upstreams.
@@ -67,6 +68,24 @@
         self.current
     }
 
+    /// Returns the calls for which no upstream was given, by shard, in order.
+    pub fn refusals(&self) -> Vec<(ShardIndex, AcquireError)> {
+        self.refusals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn note_refusal(&self, candidates: &[UpstreamId], error: AcquireError) {
+        // Slots are asked for again and again while a call waits.
+        if matches!(error, AcquireError::Saturated { .. }) {
+            return;
+        }
+        let place = candidates.first().and_then(|it| self.places.iter().find(|(id, _)| id == it));
+        if let Some((_, idx)) = place {
+            let shard = ShardIndex(u32::try_from(*idx).unwrap_or(u32::MAX));
+            let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+            refusals.push((shard, error));
+        }
+    }
+
     fn lane_of(&self, upstream: UpstreamId) -> Option<&ServiceLane> {
         let (_, idx) = self.places.iter().find(|(it, _)| *it == upstream)?;
         Some(&self.lanes[*idx])
@@ -90,7 +109,12 @@
         let lane = candidates.first().and_then(|it| self.lane_of(*it));
         let until = if now < self.due { self.due } else { self.deadline };
         let patience = until.since(now).mul_f64(PATIENCE_SHARE);
-        lane.ok_or(AcquireError::NoReplica)?.acquire(now, excluded, kind, &self.current, patience)
+        let lane = lane.ok_or(AcquireError::NoReplica)?;
+        let acquired = lane.acquire(now, excluded, kind, &self.current, patience);
+        if let Err(error) = acquired {
+            self.note_refusal(candidates, error);
+        }
+        acquired
     }
 
     fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -291,7 +291,7 @@
             }
             Some((.., idx)) => Ok(idx),
             // A first call that waits would be later still.
-            None if is_late && kind == CallKind::First => Err(AcquireError::NoReplica),
+            None if is_late && kind == CallKind::First => Err(AcquireError::TooLate),
             None if is_busy || is_late => Err(wait),
             None => Err(AcquireError::NoReplica),
         }
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -1,6 +1,6 @@
 //! The interface between the query engine and the routing decisions of one service.
 
-use std::time::Duration;
+use std::{fmt, time::Duration};
 
 use mux_model::{AvailabilityZone, CallFailure, TimePoint, UpstreamId};
 
@@ -55,6 +55,19 @@
     },
     /// The budget for hedges and retries is empty.
     BudgetEmpty,
+    /// Every usable candidate is expected to reply too late to be of use.
+    TooLate,
+}
+
+impl fmt::Display for AcquireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoReplica => "no usable upstream",
+            Self::Saturated { .. } => "upstreams at their limits",
+            Self::BudgetEmpty => "budget for further calls empty",
+            Self::TooLate => "no reply expected in time",
+        })
+    }
 }
 
 /// Says that a query is refused before anything ran.
