--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -1,6 +1,5 @@
 //! One caller's request, from its route to its final answer.
 
-mod answer_timing;
 mod call_driver;
 mod final_answer;
 mod query_flow;
--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -6,13 +6,12 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use mux_config::traffic::{RepeatRule, RouteRule, RouteTarget, ShardSet};
 use mux_model::{RequestId, RevisionNumber, ServiceName, SnapshotId, TimePoint};
-use mux_query::{FanOutPlan, greatest_records};
+use mux_query::{AnswerTiming, FanOutPlan, greatest_records};
 use mux_routing::lane::RouteRouter;
 use slog::info;
 use tokio::sync::watch;
 
 use super::{
-    answer_timing::AnswerTiming,
     call_driver::{CallDriver, DrivenResult, ReplyRule, signatures},
     final_answer::{FinalAnswer, failure_answer, refusal_answer, stopped_answer},
 };
@@ -111,7 +110,12 @@
         let rule = Arc::clone(rule);
         let version = table.version();
         drop(table);
-        let timing = AnswerTiming::new(request.arrived, terms.time_left, &rule);
+        let timing = AnswerTiming::new(
+            request.arrived,
+            terms.time_left,
+            rule.time_limit,
+            rule.latency_target,
+        );
         let arrived = request.arrived;
         let template = Arc::new(call_template(request, terms.request_id.clone(), rule.repeat));
         let mut guard = LeaveGuard { template: Arc::clone(&template), is_answered: false };
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -1,5 +1,6 @@
 //! The life of one query as a state machine without sockets or clocks.
 
+mod answer_timing;
 mod call_table;
 mod coverage_goal;
 mod fan_out;
@@ -13,6 +14,7 @@
 mod snapshot_catalog;
 mod snapshot_claims;
 
+pub use answer_timing::AnswerTiming;
 pub use fan_out::FanOut;
 pub use fan_out_events::{
     CallReply, FanOutAction, FanOutPlan, FanOutResult, FanOutStop, ShardResult,
