--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -6,22 +6,21 @@
     time::Duration,
 };
 
-use base64::{Engine, engine::general_purpose::STANDARD};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, StatusCode, body::Incoming};
 use mux_store::{
     LeaseId, StoredValue, ValueVersion, VmList,
-    memory::{KvEvent, KvState, KvWrite, WriteRefusal},
+    memory::{KvState, KvWrite, WriteRefusal},
 };
 use mux_timer::TimerService;
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use serde_json::{Value, json};
+use serde::de::DeserializeOwned;
+use serde_json::json;
 use tokio::sync::watch;
 
-use super::{CallCounters, FaultPlan, KvSettings};
-
-type Reply = Response<Full<Bytes>>;
+use super::{
+    CallCounters, FaultPlan, KvSettings,
+    call_parts::{CallParts, EntryBody, LeaseBody, TxnBody, decode_write},
+    replies::{Reply, bad_request, events, item, not_found, ok, refuse_when_down, reply},
+};
 
 /// Entries in one page of a range.
 const PAGE_ENTRIES: usize = 50;
@@ -48,54 +47,6 @@
     history_drops: u64,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct TxnBody {
-    #[serde(default)]
-    expected_rev: Vec<ExpectedRow>,
-    #[serde(default)]
-    writes: Vec<WriteRow>,
-    #[serde(default)]
-    deletes: Vec<String>,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct ExpectedRow {
-    key: String,
-    revision: ValueVersion,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct WriteRow {
-    key: String,
-    value: String,
-    #[serde(default)]
-    lease_id: u64,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(rename_all = "PascalCase")]
-struct LeaseBody {
-    ttl_ms: u64,
-}
-
-#[derive(Debug, Deserialize)]
-struct EntryBody {
-    key: String,
-    value: Option<String>,
-}
-
-/// Parts of a request.
-#[derive(Debug)]
-struct CallParts {
-    method: Method,
-    path: String,
-    query: String,
-    body: Bytes,
-}
-
 impl HttpRoutes {
     /// Creates the routes with the contents that `settings` give.
     pub(crate) fn new(timer: TimerService, settings: KvSettings) -> Self {
@@ -381,96 +332,3 @@
         self.counters.bytes_read += size;
     }
 }
-
-impl CallParts {
-    async fn read(request: Request<Incoming>) -> io::Result<Self> {
-        let (head, body) = request.into_parts();
-        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
-        let path = head.uri.path().to_owned();
-        let query = head.uri.query().unwrap_or_default().to_owned();
-        Ok(Self { method: head.method, path, query, body })
-    }
-
-    fn parameter(&self, name: &str) -> Option<String> {
-        let pairs = self.query.split('&').filter_map(|it| it.split_once('='));
-        pairs.filter(|(key, _)| *key == name).map(|(_, value)| unescaped(value)).next()
-    }
-
-    fn number(&self, name: &str) -> Option<u64> {
-        self.parameter(name)?.parse().ok()
-    }
-
-    fn number_after(&self, path: &str) -> Option<u64> {
-        self.path.strip_prefix(path)?.parse().ok()
-    }
-
-    fn deletes_only(&self) -> bool {
-        let body = serde_json::from_slice::<TxnBody>(&self.body);
-        body.is_ok_and(|it| it.writes.is_empty() && !it.deletes.is_empty())
-    }
-}
-
-fn unescaped(text: &str) -> String {
-    let mut bytes = Vec::with_capacity(text.len());
-    let mut rest = text.bytes();
-    while let Some(byte) = rest.next() {
-        let pair: Vec<u8> = match byte {
-            b'%' => rest.by_ref().take(2).collect(),
-            _ => Vec::new(),
-        };
-        let code = std::str::from_utf8(&pair).ok().and_then(|it| u8::from_str_radix(it, 16).ok());
-        bytes.push(code.unwrap_or(byte));
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
-fn decode_write(row: WriteRow) -> Option<KvWrite> {
-    let value = String::from_utf8(STANDARD.decode(&row.value).ok()?).ok()?;
-    let lease = (row.lease_id != 0).then_some(LeaseId(row.lease_id));
-    Some(KvWrite { key: row.key, value, lease })
-}
-
-fn item(key: &str, stored: &StoredValue) -> Value {
-    let value = STANDARD.encode(&stored.value);
-    json!({ "Key": key, "Value": value, "Revision": stored.version })
-}
-
-fn events(changes: &[KvEvent], version: ValueVersion) -> Reply {
-    let event = |it: &KvEvent| match &it.value {
-        Some(value) => {
-            json!({ "Key": it.key, "Value": STANDARD.encode(value), "Revision": it.version })
-        }
-        None => json!({ "Key": it.key, "Revision": it.version, "Removed": true }),
-    };
-    let events: Vec<_> = changes.iter().map(event).collect();
-    ok(&json!({ "events": events, "AtRev": version }))
-}
-
-fn refuse_when_down(faults: &FaultPlan) -> io::Result<Reply> {
-    if faults.close_when_down {
-        return Err(io::Error::other("the service is down"));
-    }
-    Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({})))
-}
-
-fn ok<T: Serialize>(body: &T) -> Reply {
-    reply(StatusCode::OK, body)
-}
-
-fn bad_request() -> Reply {
-    reply(StatusCode::BAD_REQUEST, &json!({}))
-}
-
-fn not_found() -> Reply {
-    reply(StatusCode::NOT_FOUND, &json!({}))
-}
-
-fn reply<T: Serialize>(status: StatusCode, body: &T) -> Reply {
-    let bytes = match status {
-        StatusCode::NO_CONTENT => Vec::new(),
-        _ => serde_json::to_vec(body).unwrap_or_default(),
-    };
-    let mut reply = Response::new(Full::new(Bytes::from(bytes)));
-    *reply.status_mut() = status;
-    reply
-}
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -11,9 +11,11 @@
 //! | `GET /v1/counters` | 200 [`CallCounters`]; a waiting watch counts as one call |
 
 mod call_counters;
+mod call_parts;
 mod fault_plan;
 mod http_routes;
 mod kv_settings;
+mod replies;
 
 use std::{io, path::Path, sync::Arc, time::Duration};
 
