--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -60,6 +60,15 @@
         Ok(Self { listener: TcpListener::from_std(socket.into())? })
     }
 
+    /// Returns the address that it listens on.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the system does not tell it.
+    pub fn local_address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
     /// Accepts connections until the process ends, and answers their requests with `answer`.
     pub async fn serve<H, F, R>(self, host: Arc<H>, answer: F)
     where
--- a/crates/http/tests/connection_end.rs
+++ b/crates/http/tests/connection_end.rs
@@ -87,10 +87,8 @@
         ended: ended_sender,
         release: Notify::new(),
     });
-    let probe = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = probe.local_addr().unwrap();
-    drop(probe);
-    let listener = HttpListener::bind(address).unwrap();
+    let listener = HttpListener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = listener.local_address().unwrap();
     tokio::spawn(listener.serve(Arc::clone(&host), answer));
     Fixture { host, address, begun, ended }
 }
