Count calls by result and the lanes' refusals; drop what nothing uses

Cause: reading the change as a newcomer: the counters of calls and dials were never counted, the lanes' counts reached no metric, and three functions had no caller. Change: calls by result, first and further calls, empty budgets and full upstreams in the metrics; refund_extra, RouteRule::services and NodeRegistry::own removed. Ruled out: dials as a metric of its own, which the pool cannot count yet.

--- a/crates/config/src/traffic/route_rule.rs
+++ b/crates/config/src/traffic/route_rule.rs
@@ -66,14 +66,3 @@
     /// Where requests go.
     pub target: RouteTarget,
 }
-
-impl RouteRule {
-    /// Returns the services that the route names.
-    pub fn services(&self) -> Vec<&ServiceName> {
-        match &self.target {
-            RouteTarget::Service(service) => vec![service],
-            RouteTarget::Split(parts) => parts.iter().map(|it| &it.service).collect(),
-            RouteTarget::Shards(set) => set.services.iter().collect(),
-        }
-    }
-}
--- a/crates/edge/src/caller/side_servers.rs
+++ b/crates/edge/src/caller/side_servers.rs
@@ -54,7 +54,7 @@
     _caller: SocketAddr,
     _request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(Bytes::from(edge.metrics.render())));
+    let mut response = Response::new(Full::new(Bytes::from(edge.render_metrics())));
     let text = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
     response.headers_mut().insert(header::CONTENT_TYPE, text);
     response
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -159,6 +159,14 @@
         Arc::clone(lane)
     }
 
+    /// Returns all metrics as text.
+    pub(crate) fn render_metrics(&self) -> String {
+        let lanes = self.lanes.read().unwrap_or_else(PoisonError::into_inner);
+        self.metrics.lanes.set(lanes.values().map(|it| it.report()));
+        drop(lanes);
+        self.metrics.render()
+    }
+
     /// Passes what is known of upstreams, limits and nodes on to the lanes.
     pub(crate) fn refresh_lanes(&self, now: TimePoint) {
         let nodes = self.nodes().named_count();
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use mux_routing::lane::LaneReport;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
     metrics::{
@@ -50,6 +51,45 @@
 
 type LatencyFamily = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
+/// What the lanes of all services have counted since the start, set before it is read.
+#[derive(Debug, Default)]
+pub(crate) struct LaneGauges {
+    first_calls: Gauge,
+    extra_calls: Gauge,
+    budget_refusals: Gauge,
+    saturated: Gauge,
+}
+
+impl LaneGauges {
+    /// Sets the sums over all lanes.
+    pub(crate) fn set(&self, reports: impl Iterator<Item = LaneReport>) {
+        let mut sum = LaneReport::default();
+        for report in reports {
+            sum.first_calls += report.first_calls;
+            sum.extra_calls += report.extra_calls;
+            sum.budget_refusals += report.budget_refusals;
+            sum.saturated += report.saturated;
+        }
+        let gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
+        self.first_calls.set(gauge(sum.first_calls));
+        self.extra_calls.set(gauge(sum.extra_calls));
+        self.budget_refusals.set(gauge(sum.budget_refusals));
+        self.saturated.set(gauge(sum.saturated));
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let rows = [
+            ("first_calls", "First calls to shards", &self.first_calls),
+            ("extra_calls", "Hedges and retries", &self.extra_calls),
+            ("budget_refusals", "Further calls without budget", &self.budget_refusals),
+            ("saturated_calls", "Calls that found all upstreams at their limits", &self.saturated),
+        ];
+        for (name, help, gauge) in rows {
+            registry.register(name, help, gauge.clone());
+        }
+    }
+}
+
 /// The metrics of a node.
 #[derive(Debug)]
 pub(crate) struct EdgeMetrics {
@@ -57,7 +97,7 @@
     pub(crate) answers: Family<AnswerLabels, Counter>,
     pub(crate) latency: LatencyFamily,
     pub(crate) calls: Family<ResultLabel, Counter>,
-    pub(crate) dials: Family<ResultLabel, Counter>,
+    pub(crate) lanes: LaneGauges,
     pub(crate) store_failures: Family<StoreCallLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
@@ -73,7 +113,7 @@
             answers: Family::default(),
             latency: Family::new_with_constructor(latency),
             calls: Family::default(),
-            dials: Family::default(),
+            lanes: LaneGauges::default(),
             store_failures: Family::default(),
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
@@ -94,7 +134,7 @@
             self.latency.clone(),
         );
         registry.register("calls", "Calls to upstreams by result", self.calls.clone());
-        registry.register("dials", "New connections to upstreams", self.dials.clone());
+        self.lanes.register(registry);
         let failures = self.store_failures.clone();
         registry.register("store_failures", "Calls to the store that failed", failures);
         let version = self.config_version.clone();
--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderValue, StatusCode};
-use mux_model::{CallFailure, CallId, FastMap, ShardIndex, TimePoint, UpstreamId};
+use mux_model::{CallFailure, CallId, FastMap, NotRunReason, ShardIndex, TimePoint, UpstreamId};
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
 use mux_routing::{AcquireError, lane::RouteRouter};
 use tokio::sync::oneshot;
@@ -13,6 +13,7 @@
 use crate::{
     WireProtocol,
     edge::Edge,
+    edge_metrics::ResultLabel,
     upstream::{CallEnd, CallOrder, CallTemplate, UpstreamAnswer, spawn_call},
 };
 
@@ -185,6 +186,7 @@
         let latency = now.since(record.started);
         let failure = match end {
             Ok(answer) if self.is_reply(&answer) => {
+                self.count_call("replied");
                 self.answers.insert(record.shard, answer);
                 let reply = CallReply {
                     request: self.plan.request,
@@ -202,11 +204,16 @@
             Ok(_) => CallFailure::BadReply,
             Err(failure) => failure,
         };
+        self.count_call(failure_label(failure));
         let cause = TroubleCause::Failed(record.upstream, failure);
         self.troubles.push(ShardTrouble { shard: record.shard, cause });
         fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
     }
 
+    fn count_call(&self, result: &'static str) {
+        self.edge.metrics.calls.get_or_create(&ResultLabel { result }).inc();
+    }
+
     /// Notes a call that is given up; one whose shard was answered by another call is left out of
     /// what is logged.
     fn note_unanswered(&mut self, open: &[(CallId, ShardIndex, UpstreamId)], call: CallId) {
@@ -228,6 +235,20 @@
     }
 }
 
+/// Returns the value of the label of failed calls.
+fn failure_label(failure: CallFailure) -> &'static str {
+    match failure {
+        CallFailure::NotRun { reason: NotRunReason::NotSent, .. } => "not_sent",
+        CallFailure::NotRun { reason: NotRunReason::Shed, .. } => "shed",
+        CallFailure::NotRun { .. } => "not_run",
+        CallFailure::ConnectionLost => "connection_lost",
+        CallFailure::Silent => "silent",
+        CallFailure::UpstreamError => "upstream_error",
+        CallFailure::BadReply => "bad_reply",
+        CallFailure::DeadlinePassed => "deadline_passed",
+    }
+}
+
 /// Returns the signatures of the shards that replied, in shard order.
 pub(super) fn signatures(answers: &FastMap<ShardIndex, UpstreamAnswer>) -> Vec<HeaderValue> {
     let mut signed: Vec<_> =
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -62,11 +62,6 @@
         Self { own, is_stopping: false, others: FastMap::default() }
     }
 
-    /// Returns this node's record.
-    pub fn own(&self) -> &NodeRecord {
-        &self.own
-    }
-
     /// Takes in that this node begins its planned stop: callers are no longer sent to it.
     pub fn begin_stop(&mut self) {
         self.is_stopping = true;
--- a/crates/routing/src/lane/retry_window.rs
+++ b/crates/routing/src/lane/retry_window.rs
@@ -67,12 +67,6 @@
         true
     }
 
-    /// Takes back a call that was counted and not sent.
-    pub fn refund_extra(&mut self, now: TimePoint, bounds: &RetryBounds) {
-        let bucket = self.bucket(now, bounds);
-        bucket.extra = bucket.extra.saturating_sub(1);
-    }
-
     fn bucket(&mut self, now: TimePoint, bounds: &RetryBounds) -> &mut Bucket {
         let number = bucket_number(now, bounds);
         let idx = usize::try_from(number).unwrap_or_default() % self.buckets.len();
