Keep the retry budget over restarts of nodes

Cause: each node keeps its part of the budget for calls beyond the first in its own memory. A fault that uses the budget up, and a kill of all nodes within the same window, let the new processes spend it a second time; a node that is lost for good leaves its part to the others, who spend it again.

Change: a node marks in the store for which services it has spent over 0.6 of its part, without a lease. A process in its first window uses 0.4 of its part, 0.05 where the process before it left a mark. The part of the slack goes by the most nodes that shared it within the window.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -1,7 +1,7 @@
 //! The state of a node, in parts that each have a lock of their own.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock},
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
     time::Duration,
 };
 
@@ -11,9 +11,9 @@
 };
 use mux_http::{ConnectionGate, ListenerHost};
 use mux_logs::LogThrottle;
-use mux_model::{FastMap, InstanceId, ServiceName, TimePoint};
+use mux_model::{FastMap, FastSet, InstanceId, ServiceName, TimePoint};
 use mux_placement::NodeRegistry;
-use mux_routing::lane::{RoutePace, ServiceLane, UpstreamRegistry};
+use mux_routing::lane::{RetryWindow, RoutePace, ServiceLane, UpstreamRegistry};
 use mux_timer::TimerService;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
@@ -63,11 +63,16 @@
     limits: RwLock<FastMap<ServiceName, u32>>,
     paces: RwLock<FastMap<String, Arc<Mutex<RoutePace>>>>,
     splits: Mutex<FastMap<String, SplitChooser>>,
+    started: TimePoint,
+    /// Services for which the process before this one had spent much of the retry budget; set by
+    /// the first listing.
+    inherited_spent: OnceLock<FastSet<ServiceName>>,
 }
 
 impl Edge {
     pub(crate) fn new(settings: EdgeSettings, timer: TimerService, logger: Logger) -> Self {
         let nodes = NodeRegistry::new(settings.node.clone());
+        let started = timer.now();
         Self {
             settings,
             timer,
@@ -87,6 +92,8 @@
             limits: RwLock::default(),
             paces: RwLock::default(),
             splits: Mutex::default(),
+            started,
+            inherited_spent: OnceLock::new(),
         }
     }
 
@@ -154,11 +161,37 @@
         let mut lanes = self.lanes.write().unwrap_or_else(PoisonError::into_inner);
         let lane = lanes.entry(service.clone()).or_insert_with(|| {
             let zone = self.settings.node.availability_zone.clone();
-            Arc::new(ServiceLane::new(self.settings.retry, zone))
+            let is_spent = self.inherited_spent().is_some_and(|it| it.contains(service));
+            let window = RetryWindow::started(self.started, is_spent);
+            Arc::new(ServiceLane::with_window(self.settings.retry, zone, window))
         });
         Arc::clone(lane)
     }
 
+    /// Takes in for which services the process before this one had spent much of the retry budget;
+    /// only the first call has an effect.
+    pub(crate) fn inherit_spent(&self, services: Vec<ServiceName>) {
+        let count = services.len();
+        let is_first = self.inherited_spent.set(services.into_iter().collect()).is_ok();
+        if is_first && 0 < count {
+            info!(self.logger, "budget: the process before had spent its part";
+                "services" => count);
+        }
+    }
+
+    /// Returns the services for which the process before had spent much of the retry budget;
+    /// `None` before the first listing.
+    pub(crate) fn inherited_spent(&self) -> Option<&FastSet<ServiceName>> {
+        self.inherited_spent.get()
+    }
+
+    /// Returns the services for which much of this node's part of the retry budget is spent.
+    pub(crate) fn spent_services(&self, now: TimePoint) -> FastSet<ServiceName> {
+        let lanes = self.lanes.read().unwrap_or_else(PoisonError::into_inner);
+        let spent = lanes.iter().filter(|(_, lane)| lane.is_budget_spent(now));
+        spent.map(|(service, _)| service.clone()).collect()
+    }
+
     /// Returns all metrics as text.
     pub(crate) fn render_metrics(&self) -> String {
         let lanes = self.lanes.read().unwrap_or_else(PoisonError::into_inner);
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -82,6 +82,7 @@
     }
     tokio::spawn(sync::watch_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::settle_missing(Arc::clone(&edge)));
+    tokio::spawn(sync::mark_spent(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::keep_announced(Arc::clone(&edge), store));
     signals.wait(&edge).await;
     stop(&edge).await;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use mux_config::traffic::TrafficConfig;
-use mux_model::{InstanceId, NodeId};
+use mux_model::{InstanceId, NodeId, ServiceName};
 use mux_placement::NodeRecord;
 use mux_routing::lane::UpstreamRecord;
 
@@ -16,6 +16,8 @@
     Upstream(InstanceId),
     /// A node's entry.
     Node(NodeId),
+    /// The services for which a node has spent much of its part of the retry budget.
+    SpentBudget(NodeId),
 }
 
 /// A decoded entry.
@@ -27,6 +29,13 @@
     Upstream(UpstreamRecord),
     /// A node's entry.
     Node(NodeRecord),
+    /// The services for which a node has spent much of its part of the retry budget.
+    SpentBudget {
+        /// The node.
+        node: NodeId,
+        /// The services.
+        services: Vec<ServiceName>,
+    },
 }
 
 /// One thing that a listing or a watch says.
@@ -118,4 +127,12 @@
         record: &NodeRecord,
         lease: LeaseMark,
     ) -> impl Future<Output = Result<(), StoreFault>> + Send;
+
+    /// Writes for which services a node has spent much of its part of the retry budget, so that a
+    /// process that takes its place knows; none removes the entry.
+    fn mark_spent(
+        &self,
+        node: &NodeId,
+        services: &[ServiceName],
+    ) -> impl Future<Output = Result<(), StoreFault>> + Send;
 }
--- a/crates/edge/src/sync/apply_news.rs
+++ b/crates/edge/src/sync/apply_news.rs
@@ -39,6 +39,11 @@
                 listed_nodes.insert(record.node.clone());
                 is_changed |= apply_node(edge, record);
             }
+            StoreChange::Written(StoreItem::SpentBudget { node, services }) => {
+                if kind == NewsKind::Listing && node == edge.settings.node.node {
+                    edge.inherit_spent(services);
+                }
+            }
             StoreChange::Removed(name) => is_changed |= apply_removal(edge, &name, doubtful),
             StoreChange::Malformed { name, reason } => {
                 warn!(edge.logger, "store: entry skipped"; "entry" => entry_name(&name),
@@ -46,12 +51,14 @@
                 match name {
                     StoreName::Upstream(instance) => _ = listed_instances.insert(instance),
                     StoreName::Node(node) => _ = listed_nodes.insert(node),
-                    StoreName::Config => {}
+                    StoreName::Config | StoreName::SpentBudget(_) => {}
                 }
             }
         }
     }
     if kind == NewsKind::Listing {
+        // What is listed later was written by this process.
+        edge.inherit_spent(Vec::new());
         is_changed |= drop_unlisted(edge, &listed_instances, doubtful);
         is_changed |= drop_unlisted_nodes(edge, &listed_nodes, doubtful);
     }
@@ -134,6 +141,7 @@
             return false;
         }
         StoreName::Node(node) => edge.nodes().on_removed(node, doubtful),
+        StoreName::SpentBudget(_) => return false,
     };
     info!(edge.logger, "store: entry removed"; "entry" => entry_name(name),
         "doubtful" => doubtful, "given_up" => is_gone);
@@ -164,5 +172,6 @@
         StoreName::Config => "config".to_owned(),
         StoreName::Upstream(instance) => format!("upstream {instance}"),
         StoreName::Node(node) => format!("node {node}"),
+        StoreName::SpentBudget(node) => format!("spent budget of {node}"),
     }
 }
--- a/crates/routing/src/lane/mod.rs
+++ b/crates/routing/src/lane/mod.rs
@@ -7,6 +7,7 @@
 mod retry_window;
 mod route_router;
 mod service_lane;
+mod spent_marks;
 mod upstream_record;
 mod upstream_registry;
 
@@ -14,5 +15,6 @@
 pub use retry_window::{RetryBounds, RetryWindow};
 pub use route_router::RouteRouter;
 pub use service_lane::{LaneReport, ServiceLane};
+pub use spent_marks::SpentMarks;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
--- a/crates/routing/src/lane/retry_window.rs
+++ b/crates/routing/src/lane/retry_window.rs
@@ -9,6 +9,15 @@
 /// Part of the budget that is used; the rest allows for nodes whose counts of one another differ
 /// for a while, and for the granularity of the buckets.
 const USED_SHARE: f64 = 0.85;
+/// Part of a node's budget above which it counts as spent, for a process that takes its place.
+/// What is spent below it is left out of the budget of that process.
+const SPENT_SHARE: f64 = 0.6;
+/// The same within the first window of a process, as the one before may have spent up to the
+/// share above.
+const YOUNG_SPENT_SHARE: f64 = 0.3;
+/// Part of the budget that a process has in its first window if the one before had spent it; three
+/// of them together stay within what [`USED_SHARE`] leaves.
+const AFTER_SPENT_SHARE: f64 = 0.05;
 
 /// The budget that all nodes share, for each service.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -26,21 +35,60 @@
     number: u64,
     first: u32,
     extra: u32,
+    /// Most nodes that shared the budget in this time.
+    nodes: u32,
+}
+
+/// The start of a process within whose first window the budget may have been spent already.
+#[derive(Debug, Clone, Copy)]
+struct WindowStart {
+    at: TimePoint,
+    /// Whether the process before spent much of its part shortly before its end.
+    spent_before: bool,
 }
 
 /// Counts first and further calls in a sliding window.
 ///
 /// Nodes exchange no messages about it: each may add the ratio of its own first calls and its part
-/// of the slack, so that the sum over all nodes stays within the shared budget.
+/// of the slack, so that the sum over all nodes stays within the shared budget. Answers the load of
+/// a fault during which processes are killed: what they spent still counts, though the processes in
+/// their places remember none of it.
 #[derive(Debug, Clone)]
 pub struct RetryWindow {
     buckets: [Bucket; BUCKETS + 1],
+    start: Option<WindowStart>,
+}
+
+/// Calls within one window.
+#[derive(Debug, Clone, Copy, Default)]
+struct WindowSum {
+    first: u32,
+    extra: u32,
+    nodes: u32,
 }
 
 impl RetryWindow {
-    /// Creates a window without calls.
+    /// Creates a window without calls, for a process that has run for long.
     pub fn new() -> Self {
-        Self { buckets: [Bucket::default(); BUCKETS + 1] }
+        Self { buckets: [Bucket::default(); BUCKETS + 1], start: None }
+    }
+
+    /// Creates a window for a process that started at `at`; `spent_before` if the process before
+    /// it, which had the same part of the budget, had spent much of it.
+    pub fn started(at: TimePoint, spent_before: bool) -> Self {
+        Self { start: Some(WindowStart { at, spent_before }), ..Self::new() }
+    }
+
+    /// Returns whether so much of this node's part is spent that a process that takes its place
+    /// has to know.
+    pub fn is_spent(&self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> bool {
+        let young = self.start.filter(|it| now.since(it.at) < bounds.window);
+        if young.is_some_and(|it| it.spent_before) {
+            return true;
+        }
+        let share = if young.is_some() { YOUNG_SPENT_SHARE } else { SPENT_SHARE };
+        let sum = self.sum(now, bounds, nodes);
+        part(&sum, bounds) * share < f64::from(sum.extra)
     }
 
     /// Counts a first call.
@@ -50,23 +98,44 @@
 
     /// Counts a call beyond the first if the budget allows it; returns whether it does.
     pub fn try_extra(&mut self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> bool {
-        let number = bucket_number(now, bounds);
-        let oldest = number.saturating_sub(BUCKETS as u64);
-        let live = self.buckets.iter().filter(|it| oldest <= it.number);
-        let (mut first, mut extra) = (0_u32, 0_u32);
-        for bucket in live {
-            first += bucket.first;
-            extra += bucket.extra;
-        }
-        let slack = bounds.slack / f64::from(nodes.max(1));
-        let allowed = (f64::from(first) * bounds.ratio + slack) * USED_SHARE;
-        if allowed < f64::from(extra) + 1.0 {
+        let sum = self.sum(now, bounds, nodes);
+        let allowed = part(&sum, bounds) * self.start_share(now, bounds);
+        if allowed < f64::from(sum.extra) + 1.0 {
             return false;
         }
-        self.bucket(now, bounds).extra += 1;
+        let bucket = self.bucket(now, bounds);
+        bucket.extra += 1;
+        bucket.nodes = bucket.nodes.max(nodes);
         true
     }
 
+    /// Returns the part of the usual budget that is left to a process in its first window.
+    fn start_share(&self, now: TimePoint, bounds: &RetryBounds) -> f64 {
+        match self.start {
+            Some(start) if now.since(start.at) < bounds.window => {
+                if start.spent_before {
+                    AFTER_SPENT_SHARE
+                } else {
+                    1.0 - SPENT_SHARE
+                }
+            }
+            _ => 1.0,
+        }
+    }
+
+    /// Sums up the window; of the nodes that shared it, those that are gone count as well, as what
+    /// they spent does.
+    fn sum(&self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> WindowSum {
+        let number = bucket_number(now, bounds);
+        let oldest = number.saturating_sub(BUCKETS as u64);
+        let live = self.buckets.iter().filter(|it| oldest <= it.number);
+        live.fold(WindowSum { nodes, ..WindowSum::default() }, |sum, it| WindowSum {
+            first: sum.first + it.first,
+            extra: sum.extra + it.extra,
+            nodes: sum.nodes.max(it.nodes),
+        })
+    }
+
     fn bucket(&mut self, now: TimePoint, bounds: &RetryBounds) -> &mut Bucket {
         let number = bucket_number(now, bounds);
         let idx = usize::try_from(number).unwrap_or_default() % self.buckets.len();
@@ -84,6 +153,12 @@
     }
 }
 
+/// Returns what a node may spend in a window of these calls.
+fn part(sum: &WindowSum, bounds: &RetryBounds) -> f64 {
+    let slack = bounds.slack / f64::from(sum.nodes.max(1));
+    (f64::from(sum.first) * bounds.ratio + slack) * USED_SHARE
+}
+
 fn bucket_number(now: TimePoint, bounds: &RetryBounds) -> u64 {
     let length = u64::try_from(bounds.window.as_micros()).unwrap_or(u64::MAX) / BUCKETS as u64;
     // The first bucket is not 0, which marks a bucket that was never used.
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -61,11 +61,17 @@
 }
 
 impl ServiceLane {
-    /// Creates a lane without upstreams for a node in `zone`.
+    /// Creates a lane without upstreams for a node in `zone` that has run for long.
     pub fn new(bounds: RetryBounds, zone: AvailabilityZone) -> Self {
+        Self::with_window(bounds, zone, RetryWindow::new())
+    }
+
+    /// Creates a lane without upstreams for a node in `zone`, with what the node knows of its part
+    /// of the budget.
+    pub fn with_window(bounds: RetryBounds, zone: AvailabilityZone, window: RetryWindow) -> Self {
         let state = LaneState {
             upstreams: Vec::new(),
-            window: RetryWindow::new(),
+            window,
             connection_limit: None,
             nodes: 1,
             dial_us: START_DIAL_US,
@@ -119,6 +125,13 @@
         known.map_or(0, |it| state.share(it))
     }
 
+    /// Returns whether so much of this node's part of the budget is spent that a process that takes
+    /// its place has to know.
+    pub fn is_budget_spent(&self, now: TimePoint) -> bool {
+        let state = self.lock();
+        state.window.is_spent(now, &self.bounds, state.nodes)
+    }
+
     /// Returns the counts since the start.
     pub fn report(&self) -> LaneReport {
         self.lock().report
--- a/crates/routing/tests/lane/main.rs
+++ b/crates/routing/tests/lane/main.rs
@@ -5,3 +5,4 @@
 mod overload;
 mod registry;
 mod retry_window;
+mod spent_marks;
--- a/crates/routing/tests/lane/retry_window.rs
+++ b/crates/routing/tests/lane/retry_window.rs
@@ -85,3 +85,96 @@
     expect_that!(take(9_900), eq(0));
     expect_that!(take(10_600), eq(6));
 }
+
+/// How a fleet under a fault goes on after its processes were killed.
+#[derive(Debug, Clone, Copy)]
+struct RestartCase {
+    /// Nodes that are killed and start again.
+    killed: usize,
+    /// Nodes that are killed for good.
+    lost: usize,
+    /// When the nodes are killed, in seconds after the fault began.
+    kills_s: &'static [u64],
+}
+
+/// Queries a second that each node takes in.
+const QUERIES_PER_S: u64 = 25;
+/// Seconds that the fault lasts; there is one failed call in two and a half.
+const FAULT_S: u64 = 25;
+
+/// Plays a fleet that wants more further calls than the budget allows while nodes are killed.
+///
+/// Returns the times of all first calls and of all further calls, in milliseconds.
+fn play_restarts(case: RestartCase) -> (Vec<u64>, Vec<u64>) {
+    let step_ms = 1_000 / QUERIES_PER_S;
+    let calm_ms = 12_000;
+    let mut windows = vec![RetryWindow::new(); NODES as usize];
+    let mut nodes = NODES;
+    let (mut firsts, mut extras) = (Vec::new(), Vec::new());
+    for now_ms in (1..calm_ms + FAULT_S * 1_000).step_by(step_ms as usize) {
+        let now = TimePoint::from_millis(now_ms);
+        let is_kill = |it: &&u64| (calm_ms + **it * 1_000).abs_diff(now_ms) < step_ms / 2;
+        if case.kills_s.iter().any(|it| is_kill(&it)) {
+            for window in windows.iter_mut().take(case.killed) {
+                let spent = window.is_spent(now, &bounds(), nodes);
+                *window = RetryWindow::started(now, spent);
+            }
+            windows.truncate(NODES as usize - case.lost);
+            nodes = NODES - case.lost as u32;
+        }
+        // The callers of lost nodes come to the others.
+        for caller in 0..NODES as usize {
+            let node = caller % windows.len();
+            windows[node].record_first(now, &bounds());
+            firsts.push(now_ms);
+            let wanted = calm_ms <= now_ms && (now_ms / step_ms) % 5 < 2;
+            if wanted && windows[node].try_extra(now, &bounds(), nodes) {
+                extras.push(now_ms);
+            }
+        }
+    }
+    (firsts, extras)
+}
+
+/// Nodes that are killed while they use up the budget leave none for the processes that take
+/// their places, nor for the nodes that remain.
+#[gtest]
+fn killed_nodes_do_not_spend_the_budget_twice() {
+    let cases = [
+        RestartCase { killed: 7, lost: 0, kills_s: &[3] },
+        RestartCase { killed: 7, lost: 0, kills_s: &[2, 6] },
+        RestartCase { killed: 7, lost: 0, kills_s: &[1, 2, 5] },
+        RestartCase { killed: 4, lost: 0, kills_s: &[3, 8] },
+        RestartCase { killed: 0, lost: 4, kills_s: &[3] },
+        RestartCase { killed: 2, lost: 2, kills_s: &[4] },
+    ];
+    for case in cases {
+        let (firsts, extras) = play_restarts(case);
+
+        let length = 10_000;
+        for end in &extras {
+            let within = |it: &&u64| **it <= *end && *end < **it + length;
+            let extra = extras.iter().filter(within).count() as f64;
+            let first = firsts.iter().filter(within).count() as f64;
+            let allowed = first * bounds().ratio + bounds().slack;
+            assert_that!(extra, le(allowed), "{case:?} at {end} ms");
+        }
+    }
+}
+
+/// A process that starts where none was spends what a restart leaves, and all of its part later.
+#[gtest]
+fn started_node_has_its_whole_part_after_one_window() {
+    let start = TimePoint::from_millis(1_000);
+    let spend = |spent_before: bool, at_ms: u64| {
+        let mut window = RetryWindow::started(start, spent_before);
+        let now = TimePoint::from_millis(at_ms);
+        (0..100).filter(|_| window.try_extra(now, &bounds(), 1)).count()
+    };
+
+    let early = (spend(false, 1_500), spend(true, 1_500));
+    let late = (spend(false, 11_500), spend(true, 11_500));
+
+    expect_that!(early, eq((18, 2)));
+    expect_that!(late, eq((45, 45)));
+}
