Hold as many connections to an upstream as it accepts

Cause: after all nodes lost power, upstreams still hold the connections of the processes before and reset what is beyond their limit. A dial that failed also kept a node from using the connections that it had.

Change: shortly after its start a node holds one connection to an upstream and adds one when a new one has carried a reply; one that is reset before its first reply shrinks the number to those that are open, and more are tried after 250 ms, doubled while as many are refused again. Open connections are used after a failed dial.

--- a/crates/edge/src/upstream/upstream_link.rs
+++ b/crates/edge/src/upstream/upstream_link.rs
@@ -100,14 +100,20 @@
         request_id: &HeaderValue,
         freshness: Freshness,
     ) -> Result<UpstreamAnswer, CallFailure> {
-        let (mut connection, count) = self.connection(timer, lane, freshness).await?;
+        let (mut connection, count, is_new) = self.connection(timer, lane, freshness).await?;
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(mut error) => {
+                if is_new {
+                    lane.record_refused(timer.now(), self.upstream);
+                }
                 let was_kept = error.take_message().is_some();
                 return Err(if was_kept { not_sent() } else { CallFailure::ConnectionLost });
             }
         };
+        if is_new {
+            lane.record_accepted(timer.now(), self.upstream);
+        }
         let (head, body) = response.into_parts();
         let terms = W::read_reply(head.status, &head.headers, request_id);
         if let Some(load) = terms.load {
@@ -123,14 +129,15 @@
         classify(answer, terms.kind)
     }
 
+    /// Returns a connection for one request, and whether it is a new one.
     async fn connection<'a>(
         &'a self,
         timer: &TimerService,
         lane: &'a ServiceLane,
         freshness: Freshness,
-    ) -> Result<(OpenConnection, ConnectionCount<'a>), CallFailure> {
+    ) -> Result<(OpenConnection, ConnectionCount<'a>, bool), CallFailure> {
         if let Some(connection) = self.take_idle(timer.now(), lane, freshness) {
-            return Ok((connection, ConnectionCount { link: self, lane }));
+            return Ok((connection, ConnectionCount { link: self, lane }, false));
         }
         let started = timer.now();
         let count = self.count_connection(lane);
@@ -139,7 +146,7 @@
         match opened {
             Ok(Ok(connection)) => {
                 lane.record_dial(now, self.upstream, Some(now.since(started)));
-                Ok((connection, count))
+                Ok((connection, count, true))
             }
             Ok(Err(_)) | Err(_) => {
                 lane.record_dial(now, self.upstream, None);
--- a/crates/routing/src/lane/lane_upstream.rs
+++ b/crates/routing/src/lane/lane_upstream.rs
@@ -28,6 +28,14 @@
 const DOWN_TIME: Duration = Duration::from_millis(80);
 /// Longest time without new calls after a failed dial.
 const MAX_DOWN_TIME: Duration = Duration::from_millis(640);
+/// Connections that an upstream is taken to accept at least, and shortly after the start of this
+/// process until one has carried a reply: it may still hold those of the process before, and resets
+/// what is beyond its limit.
+const FEWEST_CONNECTIONS: u32 = 1;
+/// Time without more connections after one was refused at first; doubles with each further one.
+const REFUSED_TIME: Duration = Duration::from_millis(250);
+/// Longest time without more connections after one was refused.
+const MAX_REFUSED_TIME: Duration = Duration::from_secs(2);
 /// Time for which a reported load is used.
 const HINT_LIFETIME: Duration = Duration::from_millis(250);
 /// Part of the work that a slot in use counts like, though a request does not wait for it.
@@ -66,6 +74,13 @@
     /// Start times of the calls that hold a connection.
     in_flight: Vec<TimePoint>,
     open_connections: u32,
+    /// Connections that the upstream is taken to accept from this node.
+    accepted_connections: u32,
+    /// Refused connections since as many as then were accepted.
+    refusals: u32,
+    /// Connections that were open when one was refused last, that one included.
+    refused_at: u32,
+    refused_until: TimePoint,
     factor: f64,
     replied_at: TimePoint,
     failures: f64,
@@ -77,7 +92,13 @@
 }
 
 impl LaneUpstream {
-    pub(super) fn new(now: TimePoint, record: &UpstreamRecord, same_zone: bool) -> Self {
+    /// Creates an upstream without calls; `is_start` shortly after the start of this process.
+    pub(super) fn new(
+        now: TimePoint,
+        record: &UpstreamRecord,
+        same_zone: bool,
+        is_start: bool,
+    ) -> Self {
         Self {
             id: record.upstream,
             instance: record.instance.clone(),
@@ -87,6 +108,10 @@
             cold_until: now + record.cold_for,
             in_flight: Vec::new(),
             open_connections: 0,
+            accepted_connections: if is_start { FEWEST_CONNECTIONS } else { u32::MAX },
+            refusals: 0,
+            refused_at: 0,
+            refused_until: TimePoint::ZERO,
             factor: 1.0,
             replied_at: now,
             failures: 0.0,
@@ -136,9 +161,43 @@
         self.open_connections = open;
     }
 
-    pub(super) fn on_dialled(&mut self) {
+    /// Returns whether a connection is open or being set up.
+    pub(super) fn has_connection(&self) -> bool {
+        0 < self.open_connections
+    }
+
+    /// Returns whether a connection is open that no call uses.
+    pub(super) fn has_free_connection(&self) -> bool {
+        self.busy() < self.open_connections
+    }
+
+    /// Takes in that a new connection carried its first reply: one more is worth a try.
+    pub(super) fn on_connection_accepted(&mut self, now: TimePoint) {
         self.failed_dials = 0;
         self.down_until = TimePoint::ZERO;
+        if self.refused_at <= self.open_connections {
+            self.refusals = 0;
+        }
+        if self.refused_until <= now {
+            let next = self.open_connections.saturating_add(1);
+            self.accepted_connections = self.accepted_connections.max(next);
+        }
+    }
+
+    /// Takes in that a new connection was reset before it carried a reply: those that are open
+    /// are all that can be had for a while.
+    pub(super) fn on_connection_refused(&mut self, now: TimePoint) {
+        let time = REFUSED_TIME * (1 << self.refusals.min(8));
+        self.refusals += 1;
+        self.refused_until = now + time.min(MAX_REFUSED_TIME);
+        self.refused_at = self.open_connections;
+        let others = self.open_connections.saturating_sub(1);
+        self.accepted_connections = others.max(FEWEST_CONNECTIONS);
+    }
+
+    /// Returns the connections that the upstream is taken to accept from this node.
+    pub(super) fn accepted_connections(&self) -> u32 {
+        self.accepted_connections
     }
 
     pub(super) fn on_dial_failed(&mut self, now: TimePoint) {
@@ -268,7 +327,7 @@
         // Room that is free anywhere is used evenly before any of it runs out.
         let balance = expected * BALANCE_WEIGHT * f64::from(self.load(now)) / f64::from(self.slots);
         let zone = if self.same_zone { 0.0 } else { micros(pace.zone_cost) };
-        let dial = if self.busy() < self.open_connections { 0.0 } else { dial_us };
+        let dial = if self.has_free_connection() { 0.0 } else { dial_us };
         let failure = self.failures * FAILURE_COST * micros(pace.hedge_after);
         expected + balance + zone + dial + failure
     }
--- a/crates/routing/src/lane/retry_window.rs
+++ b/crates/routing/src/lane/retry_window.rs
@@ -79,14 +79,19 @@
         Self { start: Some(WindowStart { at, spent_before }), ..Self::new() }
     }
 
+    /// Returns whether the process started less than a window ago.
+    pub fn is_young(&self, now: TimePoint, bounds: &RetryBounds) -> bool {
+        self.start.is_some_and(|it| now.since(it.at) < bounds.window)
+    }
+
     /// Returns whether so much of this node's part is spent that a process that takes its place
     /// has to know.
     pub fn is_spent(&self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> bool {
-        let young = self.start.filter(|it| now.since(it.at) < bounds.window);
-        if young.is_some_and(|it| it.spent_before) {
+        let is_young = self.is_young(now, bounds);
+        if is_young && self.start.is_some_and(|it| it.spent_before) {
             return true;
         }
-        let share = if young.is_some() { YOUNG_SPENT_SHARE } else { SPENT_SHARE };
+        let share = if is_young { YOUNG_SPENT_SHARE } else { SPENT_SHARE };
         let sum = self.sum(now, bounds, nodes);
         part(&sum, bounds) * share < f64::from(sum.extra)
     }
@@ -112,7 +117,7 @@
     /// Returns the part of the usual budget that is left to a process in its first window.
     fn start_share(&self, now: TimePoint, bounds: &RetryBounds) -> f64 {
         match self.start {
-            Some(start) if now.since(start.at) < bounds.window => {
+            Some(start) if self.is_young(now, bounds) => {
                 if start.spent_before {
                     AFTER_SPENT_SHARE
                 } else {
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -92,7 +92,9 @@
                 Some(upstream) if upstream.id == record.upstream => upstream.renew(now, record),
                 _ => {
                     let same_zone = record.availability_zone == self.zone;
-                    state.upstreams.push(LaneUpstream::new(now, record, same_zone));
+                    let is_start = state.window.is_young(now, &self.bounds);
+                    let upstream = LaneUpstream::new(now, record, same_zone, is_start);
+                    state.upstreams.push(upstream);
                 }
             }
         }
@@ -224,6 +226,16 @@
         self.with(upstream, |it| it.set_open_connections(open));
     }
 
+    /// Records that a new connection carried its first reply.
+    pub fn record_accepted(&self, now: TimePoint, upstream: UpstreamId) {
+        self.with(upstream, |it| it.on_connection_accepted(now));
+    }
+
+    /// Records that a new connection was reset before it carried a reply.
+    pub fn record_refused(&self, now: TimePoint, upstream: UpstreamId) {
+        self.with(upstream, |it| it.on_connection_refused(now));
+    }
+
     /// Records the time that setting up a connection took; `None` if it failed.
     pub fn record_dial(&self, now: TimePoint, upstream: UpstreamId, elapsed: Option<Duration>) {
         let mut state = self.lock();
@@ -234,9 +246,11 @@
         let Some(known) = state.upstreams.iter_mut().find(|it| it.id == upstream) else {
             return;
         };
-        match elapsed {
-            Some(_) => known.on_dialled(),
-            None => known.on_dial_failed(now),
+        if elapsed.is_none() {
+            if known.has_connection() {
+                known.on_connection_refused(now);
+            }
+            known.on_dial_failed(now);
         }
     }
 
@@ -254,6 +268,7 @@
 impl LaneState {
     fn share(&self, upstream: &LaneUpstream) -> u32 {
         let most = upstream.slots() * CONNECTIONS_PER_SLOT;
+        let most = most.min(upstream.accepted_connections());
         let Some(limit) = self.connection_limit else {
             return most;
         };
@@ -276,8 +291,12 @@
         let mut is_late = false;
         let patience_us = patience.as_secs_f64() * 1e6;
         for (idx, upstream) in self.upstreams.iter().enumerate() {
-            let is_usable = upstream.member && !upstream.is_down(now);
-            if !is_usable || excluded.contains(&upstream.id) {
+            if !upstream.member || excluded.contains(&upstream.id) {
+                continue;
+            }
+            if upstream.is_down(now) && !upstream.has_free_connection() {
+                // Connections in use come back; new ones are not to be had.
+                is_busy |= upstream.has_connection();
                 continue;
             }
             if self.share(upstream) <= upstream.busy() {
--- a/crates/routing/tests/lane/main.rs
+++ b/crates/routing/tests/lane/main.rs
@@ -1,6 +1,7 @@
 //! Rules of the lanes: who is called, what is not called, and what is kept of upstreams.
 
 mod choice;
+mod connections;
 mod fixtures;
 mod overload;
 mod registry;
