--- a/crates/edge/src/sync/mark_spent.rs
+++ b/crates/edge/src/sync/mark_spent.rs
@@ -21,8 +21,7 @@
         let Some(inherited) = edge.inherited_spent() else {
             continue;
         };
-        let marks = marks
-            .get_or_insert_with(|| SpentMarks::new(edge.settings.retry.window, inherited.clone()));
+        let marks = marks.get_or_insert_with(|| SpentMarks::new(inherited.clone()));
         let Some(services) = marks.on_check(now, edge.spent_services(now)) else {
             continue;
         };
--- a/crates/routing/src/lane/spent_marks.rs
+++ b/crates/routing/src/lane/spent_marks.rs
@@ -4,22 +4,25 @@
 
 use mux_model::{FastMap, FastSet, ServiceName, TimePoint};
 
+/// Time for which a mark is kept once the budget is no longer spent, so that one that is about to
+/// be spent again costs no writes; what is in the window then is no reason for a mark.
+const KEEP_TIME: Duration = Duration::from_secs(2);
+
 /// Decides when the marks that a process leaves for the one after it are written anew.
 ///
 /// Answers a fault during which the shares of many services run out within a second or two: one
 /// more service is worth a write at once, one less is not.
 #[derive(Debug, Clone)]
 pub struct SpentMarks {
-    window: Duration,
     /// When the budget of a service was last found spent.
     spent_at: FastMap<ServiceName, TimePoint>,
     written: FastSet<ServiceName>,
 }
 
 impl SpentMarks {
-    /// Creates marks for a budget with this window; `written` are those that are in force.
-    pub fn new(window: Duration, written: FastSet<ServiceName>) -> Self {
-        Self { window, spent_at: FastMap::default(), written }
+    /// Creates marks of which those in `written` are in force.
+    pub fn new(written: FastSet<ServiceName>) -> Self {
+        Self { spent_at: FastMap::default(), written }
     }
 
     /// Takes in the services whose budget is spent now; returns the marks to write, none of which
@@ -32,8 +35,7 @@
         for service in spent {
             self.spent_at.insert(service, now);
         }
-        // What was spent counts for one window after the last of it.
-        self.spent_at.retain(|_, at| now.since(*at) < self.window);
+        self.spent_at.retain(|_, at| now.since(*at) < KEEP_TIME);
         let is_missing = self.spent_at.keys().any(|it| !self.written.contains(it));
         let is_over = self.spent_at.is_empty() && !self.written.is_empty();
         if !is_missing && !is_over {
