--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -185,11 +185,10 @@
         self.inherited_spent.get()
     }
 
-    /// Returns the services for which much of this node's part of the retry budget is spent.
-    pub(crate) fn spent_services(&self, now: TimePoint) -> FastSet<ServiceName> {
+    /// Returns the share of this node's part of the retry budget that is spent, by service.
+    pub(crate) fn spent_parts(&self, now: TimePoint) -> Vec<(ServiceName, f64)> {
         let lanes = self.lanes.read().unwrap_or_else(PoisonError::into_inner);
-        let spent = lanes.iter().filter(|(_, lane)| lane.is_budget_spent(now));
-        spent.map(|(service, _)| service.clone()).collect()
+        lanes.iter().map(|(service, lane)| (service.clone(), lane.spent_part(now))).collect()
     }
 
     /// Returns all metrics as text.
--- a/crates/edge/src/sync/mark_spent.rs
+++ b/crates/edge/src/sync/mark_spent.rs
@@ -8,21 +8,20 @@
 
 use crate::{ClusterStore, edge::Edge};
 
-/// Period in which the lanes are looked at. A node spends its part in a second at the soonest, and
-/// is marked well before; each mark is a call to the store.
-const CHECK_PERIOD: Duration = Duration::from_millis(400);
+/// Period in which the lanes are looked at; a node spends its part in two seconds at the soonest.
+/// All nodes look at the same moments, as each mark ends the watches of all of them.
+const CHECK_PERIOD: Duration = Duration::from_secs(1);
 
 /// Marks the services for which much of the budget is spent until the process ends.
 pub(crate) async fn mark_spent<S: ClusterStore>(edge: Arc<Edge>, store: S) {
-    let mut ticks = edge.timer.subscribe(CHECK_PERIOD);
     let mut marks: Option<SpentMarks> = None;
     loop {
-        let now = ticks.next().await;
+        edge.timer.sleep(edge.timer.until_wall_multiple(CHECK_PERIOD)).await;
         let Some(inherited) = edge.inherited_spent() else {
             continue;
         };
         let marks = marks.get_or_insert_with(|| SpentMarks::new(inherited.clone()));
-        let Some(services) = marks.on_check(now, edge.spent_services(now)) else {
+        let Some(services) = marks.on_check(&edge.spent_parts(edge.timer.now())) else {
             continue;
         };
         match store.mark_spent(&edge.settings.node.node, &services).await {
--- a/crates/routing/src/lane/retry_window.rs
+++ b/crates/routing/src/lane/retry_window.rs
@@ -11,10 +11,10 @@
 const USED_SHARE: f64 = 0.85;
 /// Part of a node's budget above which it counts as spent, for a process that takes its place.
 /// What is spent below it is left out of the budget of that process.
-const SPENT_SHARE: f64 = 0.6;
-/// The same within the first window of a process, as the one before may have spent up to the
-/// share above.
-const YOUNG_SPENT_SHARE: f64 = 0.3;
+pub(super) const SPENT_SHARE: f64 = 0.6;
+/// What is spent in the first window of a process counts this much, as the one before may have
+/// spent as much.
+const YOUNG_WEIGHT: f64 = 2.0;
 /// Part of the budget that a process has in its first window if the one before had spent it; three
 /// of them together stay within what [`USED_SHARE`] leaves.
 const AFTER_SPENT_SHARE: f64 = 0.05;
@@ -87,13 +87,20 @@
     /// Returns whether so much of this node's part is spent that a process that takes its place
     /// has to know.
     pub fn is_spent(&self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> bool {
+        SPENT_SHARE < self.spent_part(now, bounds, nodes)
+    }
+
+    /// Returns the calls beyond the first as a share of this node's part.
+    ///
+    /// In the first window of a process, what the one before may have spent is taken in.
+    pub fn spent_part(&self, now: TimePoint, bounds: &RetryBounds, nodes: u32) -> f64 {
         let is_young = self.is_young(now, bounds);
         if is_young && self.start.is_some_and(|it| it.spent_before) {
-            return true;
+            return 1.0;
         }
-        let share = if is_young { YOUNG_SPENT_SHARE } else { SPENT_SHARE };
         let sum = self.sum(now, bounds, nodes);
-        part(&sum, bounds) * share < f64::from(sum.extra)
+        let spent = f64::from(sum.extra) / part(&sum, bounds).max(1.0);
+        if is_young { spent * YOUNG_WEIGHT } else { spent }
     }
 
     /// Counts a first call.
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -127,11 +127,10 @@
         known.map_or(0, |it| state.share(it))
     }
 
-    /// Returns whether so much of this node's part of the budget is spent that a process that takes
-    /// its place has to know.
-    pub fn is_budget_spent(&self, now: TimePoint) -> bool {
+    /// Returns the share of this node's part of the budget that is spent.
+    pub fn spent_part(&self, now: TimePoint) -> f64 {
         let state = self.lock();
-        state.window.is_spent(now, &self.bounds, state.nodes)
+        state.window.spent_part(now, &self.bounds, state.nodes)
     }
 
     /// Returns the counts since the start.
--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -8,7 +8,7 @@
         Arc, Weak,
         atomic::{AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
 use mux_model::TimePoint;
@@ -68,6 +68,16 @@
         TimePoint::ZERO + self.inner.origin.elapsed()
     }
 
+    /// Returns the time until the time of day is a multiple of `period`, so that processes that wait
+    /// for it act together as far as their clocks agree.
+    pub fn until_wall_multiple(&self, period: Duration) -> Duration {
+        // A clock before 1970 gives just another moment.
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let period = period.as_micros().max(1);
+        let left = period - since_epoch.as_micros() % period;
+        Duration::from_micros(u64::try_from(left).unwrap_or(u64::MAX))
+    }
+
     /// Subscribes to ticks every `period`; ticks missed during a pause are skipped.
     pub fn subscribe(&self, period: Duration) -> TickStream {
         let mut interval = time::interval(period);
