Ask a node on the platform from the command line

mustardmux platform status and platform query: readiness, the addresses that a node names, and a query as a caller sends it, with its coverage and the id by which its log lines are found.

--- a/crates/mustardmux/src/cli/mod.rs
+++ b/crates/mustardmux/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod node_command;
 mod operator_client;
 mod output;
+mod platform_command;
 mod program_args;
 mod query_command;
 mod service_command;
--- a/crates/mustardmux/src/cli/program_args.rs
+++ b/crates/mustardmux/src/cli/program_args.rs
@@ -9,6 +9,7 @@
     edge_command::{self, EdgeArgs},
     errors::CommandError,
     node_command::{self, NodeArgs},
+    platform_command::{self, PlatformCommand},
     query_command::{self, QueryArgs},
     service_command::{self, ServiceCommand},
     settings_command::{self, SettingsCommand},
@@ -32,6 +33,9 @@
     Node(NodeArgs),
     /// Runs a node on the users' platform, with the settings that the platform hands over.
     Edge(EdgeArgs),
+    /// Asks a node on the users' platform.
+    #[command(subcommand)]
+    Platform(PlatformCommand),
     /// Checks a settings file, or prints an example.
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -51,6 +55,7 @@
     let result = match args.command {
         ProgramCommand::Node(args) => node_command::run(args),
         ProgramCommand::Edge(args) => edge_command::run(&args),
+        ProgramCommand::Platform(command) => wait_for(platform_command::run(command)),
         ProgramCommand::Settings(command) => settings_command::run(command),
         ProgramCommand::Service(command) => wait_for(service_command::run(command)),
         ProgramCommand::Status(args) => wait_for(status_command::run(args)),
--- a/crates/mustardmux/tests/command_line.rs
+++ b/crates/mustardmux/tests/command_line.rs
@@ -23,7 +23,7 @@
 
 #[gtest]
 fn every_subcommand_has_help_with_an_example() {
-    let subcommands: [&[&str]; 12] = [
+    let subcommands: [&[&str]; 14] = [
         &["node"],
         &["node", "drain"],
         &["settings", "check"],
@@ -36,6 +36,8 @@
         &["status"],
         &["audit"],
         &["query"],
+        &["platform", "status"],
+        &["platform", "query"],
     ];
 
     for subcommand in subcommands {
