Let waiting calls go by the rank of their routes

Change: WaitingOrder, apart from input and output: a call lets more urgent ones that wait go first, but for one connection in four.

--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -7,7 +7,7 @@
 use mux_config::traffic::{RepeatRule, RouteRule, RouteTarget, ShardSet};
 use mux_model::{RequestId, RevisionNumber, ServiceName, SnapshotId, TimePoint};
 use mux_query::{AnswerTiming, FanOutPlan, greatest_records};
-use mux_routing::lane::RouteRouter;
+use mux_routing::lane::{RouteRouter, RouteTerms};
 use slog::info;
 use tokio::sync::watch;
 
@@ -177,15 +177,14 @@
                 RouteTarget::Shards(set) => (&set.services, ReplyRule::Success, Some(set)),
             };
         let lanes: Vec<_> = services.iter().map(|it| self.edge.lane(it)).collect();
-        let router = RouteRouter::new(
-            SnapshotId(version.0),
-            lanes,
-            self.edge.pace(rule),
+        let terms = RouteTerms {
+            rank: rule.rank,
             // A late answer from one upstream is still an answer; parts of many are mostly of no
             // use to a caller that has gone on.
-            if set.is_some() { timing.target } else { timing.deadline },
-            timing.deadline,
-        );
+            due: if set.is_some() { timing.target } else { timing.deadline },
+            deadline: timing.deadline,
+        };
+        let router = RouteRouter::new(SnapshotId(version.0), lanes, self.edge.pace(rule), terms);
         let coverage = set.map_or(1.0, |it| it.minimum_coverage);
         let plan = FanOutPlan {
             request: RequestId::random(),
--- a/crates/routing/src/lane/mod.rs
+++ b/crates/routing/src/lane/mod.rs
@@ -10,11 +10,13 @@
 mod spent_marks;
 mod upstream_record;
 mod upstream_registry;
+mod waiting_order;
 
 pub use call_pace::{CallPace, RoutePace};
 pub use retry_window::{RetryBounds, RetryWindow};
-pub use route_router::RouteRouter;
+pub use route_router::{RouteRouter, RouteTerms};
 pub use service_lane::{LaneReport, ServiceLane};
 pub use spent_marks::SpentMarks;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
+pub use waiting_order::WaitingOrder;
--- a/crates/routing/src/lane/route_router.rs
+++ b/crates/routing/src/lane/route_router.rs
@@ -13,6 +13,18 @@
 /// Part of the time left within which a reply has to be expected; what is expected is a mean.
 const PATIENCE_SHARE: f64 = 0.7;
 
+/// Moments and rank that the calls of a query go by.
+#[derive(Debug, Clone, Copy)]
+pub struct RouteTerms {
+    /// Rank of the route; zero is the most urgent one.
+    pub rank: u32,
+    /// Replies that are expected later are not asked for until then, as they would be of little
+    /// use.
+    pub due: TimePoint,
+    /// Takes the place of `due` after it.
+    pub deadline: TimePoint,
+}
+
 /// Routes the calls of one query, each shard of which is a service with a lane of its own.
 #[derive(Debug)]
 pub struct RouteRouter {
@@ -22,22 +34,17 @@
     map: Arc<SnapshotMap>,
     pace: Arc<Mutex<RoutePace>>,
     current: CallPace,
-    due: TimePoint,
-    deadline: TimePoint,
+    terms: RouteTerms,
     refusals: Mutex<Vec<(ShardIndex, AcquireError)>>,
 }
 
 impl RouteRouter {
     /// Creates a router for `lanes`, one a shard, whose upstreams it pins.
-    ///
-    /// Replies that are expected after `due` are not asked for until then, as they would be of
-    /// little use; later, `deadline` takes its place.
     pub fn new(
         snapshot: SnapshotId,
         lanes: Vec<Arc<ServiceLane>>,
         pace: Arc<Mutex<RoutePace>>,
-        due: TimePoint,
-        deadline: TimePoint,
+        terms: RouteTerms,
     ) -> Self {
         let replicas: Vec<_> = lanes.iter().map(|it| it.members()).collect();
         let mut places = Vec::with_capacity(replicas.iter().map(Vec::len).sum());
@@ -46,7 +53,7 @@
         }
         let current = lock(&pace).current();
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
-        Self { lanes, places, map, pace, current, due, deadline, refusals: Mutex::default() }
+        Self { lanes, places, map, pace, current, terms, refusals: Mutex::default() }
     }
 
     /// Returns the pinned shards and their upstreams.
@@ -107,10 +114,11 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
         let lane = candidates.first().and_then(|it| self.lane_of(*it));
-        let until = if now < self.due { self.due } else { self.deadline };
+        let RouteTerms { rank, due, deadline } = self.terms;
+        let until = if now < due { due } else { deadline };
         let patience = until.since(now).mul_f64(PATIENCE_SHARE);
         let lane = lane.ok_or(AcquireError::NoReplica)?;
-        let acquired = lane.acquire(now, excluded, kind, &self.current, patience);
+        let acquired = lane.acquire_in_order(now, excluded, kind, &self.current, patience, rank);
         if let Err(error) = acquired {
             self.note_refusal(candidates, error);
         }
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 
 use super::{
-    CallPace, RetryBounds, RetryWindow, UpstreamRecord, lane_upstream::Avoidance,
+    CallPace, RetryBounds, RetryWindow, UpstreamRecord, WaitingOrder, lane_upstream::Avoidance,
     lane_upstream::LaneUpstream,
 };
 use crate::{AcquireError, CallKind, CallOutcome};
@@ -46,6 +46,7 @@
 struct LaneState {
     upstreams: Vec<LaneUpstream>,
     window: RetryWindow,
+    order: WaitingOrder,
     connection_limit: Option<u32>,
     nodes: u32,
     dial_us: f64,
@@ -72,6 +73,7 @@
         let state = LaneState {
             upstreams: Vec::new(),
             window,
+            order: WaitingOrder::default(),
             connection_limit: None,
             nodes: 1,
             dial_us: START_DIAL_US,
@@ -180,6 +182,37 @@
         Ok(upstream.id)
     }
 
+    /// Reserves a connection as [`Self::acquire`] does, but lets calls of more urgent routes go
+    /// first; `rank` is that of the route, zero the most urgent one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AcquireError`] if no upstream can take the call now, or others go first.
+    pub fn acquire_in_order(
+        &self,
+        now: TimePoint,
+        excluded: &[UpstreamId],
+        kind: CallKind,
+        pace: &CallPace,
+        patience: Duration,
+        rank: u32,
+    ) -> Result<UpstreamId, AcquireError> {
+        if self.lock().order.is_to_yield(now, rank) {
+            self.lock().order.on_refused(now, rank);
+            return Err(AcquireError::Saturated { retry_after: BUSY_RETRY });
+        }
+        let acquired = self.acquire(now, excluded, kind, pace, patience);
+        match acquired {
+            Ok(_) => self.lock().order.on_granted(now, rank),
+            // A hedge that waits has a call of its own under way.
+            Err(AcquireError::Saturated { .. }) if kind != CallKind::Hedge => {
+                self.lock().order.on_refused(now, rank);
+            }
+            Err(_) => {}
+        }
+        acquired
+    }
+
     /// Records how a call ended for its query; the connection stays reserved until
     /// [`Self::end_call`], but for a call that was never sent.
     ///
--- a/crates/routing/tests/lane/main.rs
+++ b/crates/routing/tests/lane/main.rs
@@ -7,3 +7,4 @@
 mod registry;
 mod retry_window;
 mod spent_marks;
+mod waiting_order;
