Try again on a route whose calls were all taken for late

Cause: a call is not made if its reply is expected too late; what is expected follows the replies of the route. Ruled out: the order by rank (a typeahead query that yields waits, it is not refused); connections held at one after the start (no call was lost for want of connections). Change: the usual latency of a route that had no reply for 150 ms goes back to the assumed one, half of the way in 250 ms.

--- a/crates/edge/src/query/query_flow.rs
+++ b/crates/edge/src/query/query_flow.rs
@@ -179,6 +179,7 @@
         let lanes: Vec<_> = services.iter().map(|it| self.edge.lane(it)).collect();
         let terms = RouteTerms {
             rank: rule.rank,
+            started: self.edge.timer.now(),
             // A late answer from one upstream is still an answer; parts of many are mostly of no
             // use to a caller that has gone on.
             due: if set.is_some() { timing.target } else { timing.deadline },
--- a/crates/edge/src/sync/store_watch.rs
+++ b/crates/edge/src/sync/store_watch.rs
@@ -20,6 +20,9 @@
 const GATHER_TIME_PER_NODE: Duration = Duration::from_millis(12);
 /// Longest time in which news gather.
 const MAX_GATHER_TIME: Duration = Duration::from_secs(1);
+/// Time in which news gather at a node that callers are not sent to, as a part of the time in which
+/// a configuration has to be in force; the rest is for the call, on a slow store for a second one.
+const IDLE_GATHER_SHARE: f64 = 0.4;
 /// First pause after a failed call; doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Duration = Duration::from_millis(25);
 /// Longest pause after a failed call; a part of the time in which changes must be in force.
@@ -79,7 +82,13 @@
 }
 
 fn gather_time(edge: &Edge) -> Duration {
-    let nodes = edge.nodes().node_count();
+    let (nodes, is_named) = {
+        let registry = edge.nodes();
+        (registry.node_count(), registry.is_named())
+    };
+    if !is_named {
+        return edge.settings.config_limit.mul_f64(IDLE_GATHER_SHARE);
+    }
     (GATHER_TIME + GATHER_TIME_PER_NODE * nodes).min(MAX_GATHER_TIME)
 }
 
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -109,13 +109,22 @@
 
     /// Returns the number of nodes that callers are sent to, over all availability zones.
     pub fn named_count(&self) -> u32 {
+        u32::try_from(self.named().len()).unwrap_or(u32::MAX).max(1)
+    }
+
+    /// Returns whether callers of any availability zone are sent to this node.
+    pub fn is_named(&self) -> bool {
+        self.named().contains(&self.own.callers)
+    }
+
+    fn named(&self) -> FastSet<SocketAddr> {
         let mut zones: FastSet<&str> = FastSet::default();
         zones.extend(self.records().map(|it| it.availability_zone.as_str()));
         let mut named: FastSet<SocketAddr> = FastSet::default();
         for zone in zones {
             named.extend(self.addresses_for(zone, ""));
         }
-        u32::try_from(named.len()).unwrap_or(u32::MAX).max(1)
+        named
     }
 
     /// Returns the addresses for callers in `zone`; empty only if this node stops and knows of
--- a/crates/placement/tests/node_registry.rs
+++ b/crates/placement/tests/node_registry.rs
@@ -118,3 +118,16 @@
     expect_that!(is_news, eq(true));
     expect_that!(registry.drop_missing(), is_empty());
 }
+
+#[gtest]
+fn node_knows_whether_callers_are_sent_to_it() {
+    let others: Vec<_> = (1..9).map(|idx| record(idx, "a", 1_000.0)).collect();
+    let fast = NodeRegistry::new(record(0, "b", 1_000.0));
+    let mut slow = NodeRegistry::new(record(0, "a", 10.0));
+    for other in &others {
+        slow.on_record(other.clone());
+    }
+
+    expect_that!(fast.is_named(), eq(true));
+    expect_that!(slow.is_named(), eq(false));
+}
--- a/crates/routing/src/lane/call_pace.rs
+++ b/crates/routing/src/lane/call_pace.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use mux_model::TimePoint;
+
 /// Share of the latency target assumed as the usual latency before calls were measured.
 const START_TYPICAL_SHARE: f64 = 0.1;
 /// Share of the latency target assumed as the slow latency before calls were measured.
@@ -20,6 +22,12 @@
 /// Longest delay before another replica is asked, as a share of the latency target; leaves the
 /// second call half of the time.
 const MAX_HEDGE_SHARE: f64 = 0.4;
+/// Time without replies after which the usual latency is no longer trusted. A route whose calls are
+/// all taken for late makes none, and would never learn that they are not.
+const SILENCE: Duration = Duration::from_millis(150);
+/// Time in which a usual latency that no reply confirms goes half of the way back to that assumed
+/// before calls were measured.
+const TYPICAL_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Part of the latency target that a call may take longer to stay in its availability zone.
 const ZONE_COST_SHARE: f64 = 0.12;
 
@@ -35,11 +43,15 @@
 }
 
 /// Follows two quantiles of the latency of one route, relative to the upstreams' speeds.
+///
+/// Answers a moment of overload, after which every call of a route with a short target is expected
+/// too late: what was measured then is forgotten if no reply confirms it.
 #[derive(Debug, Clone, Copy)]
 pub struct RoutePace {
     target_us: f64,
     typical_us: f64,
     slow_us: f64,
+    replied_at: TimePoint,
 }
 
 impl RoutePace {
@@ -50,11 +62,14 @@
             target_us,
             typical_us: target_us * START_TYPICAL_SHARE,
             slow_us: target_us * START_SLOW_SHARE,
+            replied_at: TimePoint::ZERO,
         }
     }
 
     /// Takes in the latency of a reply, divided by the speed factor of the upstream.
-    pub fn record(&mut self, latency: Duration) {
+    pub fn record(&mut self, now: TimePoint, latency: Duration) {
+        self.typical_us = self.trusted_typical_us(now);
+        self.replied_at = now;
         let sample = micros(latency);
         self.typical_us = follow(self.typical_us, sample, 0.5);
         self.slow_us = follow(self.slow_us, sample, SLOW_QUANTILE).max(self.typical_us);
@@ -65,19 +80,31 @@
         self.target_us = micros(latency_target).max(1.0);
     }
 
-    /// Returns the pace now.
-    pub fn current(&self) -> CallPace {
+    /// Returns the pace at `now`.
+    pub fn current(&self, now: TimePoint) -> CallPace {
         let longest = self.target_us * MAX_HEDGE_SHARE;
         let shortest = (self.target_us * MIN_HEDGE_SHARE).max(micros(MIN_HEDGE));
         let hedge_us = (self.slow_us * HEDGE_FACTOR).min(longest).max(shortest);
         CallPace {
-            typical: from_micros(self.typical_us),
+            typical: from_micros(self.trusted_typical_us(now)),
             hedge_after: from_micros(hedge_us),
             zone_cost: from_micros(self.target_us * ZONE_COST_SHARE),
         }
     }
 }
 
+impl RoutePace {
+    fn trusted_typical_us(&self, now: TimePoint) -> f64 {
+        let assumed = self.target_us * START_TYPICAL_SHARE;
+        let silence = now.since(self.replied_at).saturating_sub(SILENCE);
+        if self.typical_us <= assumed || silence.is_zero() {
+            return self.typical_us;
+        }
+        let weight = 0.5_f64.powf(silence.as_secs_f64() / TYPICAL_HALF_LIFE.as_secs_f64());
+        assumed + (self.typical_us - assumed) * weight
+    }
+}
+
 /// Moves an estimate of a quantile by a step that balances where the share of samples below the
 /// estimate is `quantile`.
 fn follow(estimate: f64, sample: f64, quantile: f64) -> f64 {
--- a/crates/routing/src/lane/route_router.rs
+++ b/crates/routing/src/lane/route_router.rs
@@ -18,6 +18,8 @@
 pub struct RouteTerms {
     /// Rank of the route; zero is the most urgent one.
     pub rank: u32,
+    /// When the query began.
+    pub started: TimePoint,
     /// Replies that are expected later are not asked for until then, as they would be of little
     /// use.
     pub due: TimePoint,
@@ -51,7 +53,7 @@
         for (idx, members) in replicas.iter().enumerate() {
             places.extend(members.iter().map(|it| (*it, idx)));
         }
-        let current = lock(&pace).current();
+        let current = lock(&pace).current(terms.started);
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
         Self { lanes, places, map, pace, current, terms, refusals: Mutex::default() }
     }
@@ -114,7 +116,7 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
         let lane = candidates.first().and_then(|it| self.lane_of(*it));
-        let RouteTerms { rank, due, deadline } = self.terms;
+        let RouteTerms { rank, due, deadline, .. } = self.terms;
         let until = if now < due { due } else { deadline };
         let patience = until.since(now).mul_f64(PATIENCE_SHARE);
         let lane = lane.ok_or(AcquireError::NoReplica)?;
@@ -130,7 +132,7 @@
             return;
         };
         if let Some(latency) = lane.record(now, upstream, outcome, &self.current) {
-            lock(&self.pace).record(latency);
+            lock(&self.pace).record(now, latency);
         }
     }
 
--- /dev/null
+++ b/crates/routing/tests/lane/call_pace.rs
@@ -0,0 +1,60 @@
+//! What a route takes for its usual latency.
+
+use googletest::prelude::*;
+use mux_routing::{
+    AcquireError, CallKind,
+    lane::{CallPace, RoutePace},
+};
+
+use crate::fixtures::{OWN_ZONE, at, lane, ms, record};
+
+/// Latency target of the route; a reply is of use for seven tenths of the time left.
+const TARGET_MS: u64 = 30;
+
+/// Returns a route whose replies took 40 ms until `end_ms`.
+fn slow_route(end_ms: u64) -> RoutePace {
+    let mut pace = RoutePace::new(ms(TARGET_MS));
+    for now in (0..=end_ms).step_by(10) {
+        pace.record(at(now), ms(40));
+    }
+    pace
+}
+
+fn is_refused(now_ms: u64, pace: &CallPace) -> bool {
+    let lane = lane(&[record(0, OWN_ZONE)]);
+    let patience = ms(TARGET_MS).mul_f64(0.7);
+    let acquired = lane.acquire(at(now_ms), &[], CallKind::First, pace, patience);
+    acquired == Err(AcquireError::TooLate)
+}
+
+/// Load pattern: a moment of overload after which every call would be taken for late, so that no
+/// reply could show that it is over.
+#[gtest]
+fn route_whose_calls_are_all_refused_tries_again() {
+    let pace = slow_route(1_000);
+
+    expect_that!(is_refused(1_000, &pace.current(at(1_000))), eq(true));
+    expect_that!(is_refused(1_100, &pace.current(at(1_100))), eq(true));
+    expect_that!(is_refused(1_700, &pace.current(at(1_700))), eq(false));
+}
+
+#[gtest]
+fn replies_that_confirm_the_latency_keep_it() {
+    let pace = slow_route(2_000);
+
+    expect_that!(is_refused(2_010, &pace.current(at(2_010))), eq(true));
+}
+
+#[gtest]
+fn silence_does_not_raise_a_short_latency() {
+    let mut pace = RoutePace::new(ms(TARGET_MS));
+    for now in 0..200 {
+        pace.record(at(now), ms(1));
+    }
+
+    let now = pace.current(at(200));
+    let later = pace.current(at(5_000));
+
+    expect_that!(now.typical, le(ms(2)));
+    expect_that!(later.typical, eq(now.typical));
+}
--- a/crates/routing/tests/lane/main.rs
+++ b/crates/routing/tests/lane/main.rs
@@ -1,5 +1,6 @@
 //! Rules of the lanes: who is called, what is not called, and what is kept of upstreams.
 
+mod call_pace;
 mod choice;
 mod connections;
 mod fixtures;
