Reserve a connection in order under one lock; name requests as such

A refactoring: ServiceLane::acquire and acquire_in_order share LaneState::reserve, so that the order is looked at and noted under one lock; the adapter's functions that build requests are named so.

--- a/crates/mustardmux/src/cli/platform_command.rs
+++ b/crates/mustardmux/src/cli/platform_command.rs
@@ -10,8 +10,8 @@
     rt::TokioExecutor,
 };
 use mux_adapter::{
-    CallerQuery, PlatformSettings, address_question, caller_query, read_addresses, read_coverage,
-    readiness_question,
+    CallerQuery, PlatformSettings, address_request, query_request, read_addresses, read_coverage,
+    readiness_request,
 };
 use mux_edge::EdgeSettings;
 use mux_timer::TimerService;
@@ -87,7 +87,7 @@
     let settings = load(node)?;
     let client = NodeClient::new();
     let listen = &settings.listen;
-    let question = readiness_question(listen.readiness).map_err(bad_question)?;
+    let question = readiness_request(listen.readiness).map_err(bad_question)?;
     let readiness = client.ask(listen.readiness, question, QUESTION_LIMIT).await?;
     let is_ready = readiness.status.is_success();
     let record = &settings.node;
@@ -117,7 +117,7 @@
     let time_left = Duration::from_millis(args.deadline_ms);
     let query = CallerQuery { at, host: &args.host, path: &args.path, id: &args.id, time_left };
     let started = client.timer.now();
-    let question = caller_query(query).map_err(bad_question)?;
+    let question = query_request(query).map_err(bad_question)?;
     let answer = client.ask(at, question, time_left + PATIENCE).await?;
     let took = client.timer.now().since(started);
     println!("{} from {at} in {} ms, id {}", answer.status, took.as_millis(), args.id);
@@ -153,7 +153,7 @@
     host: &str,
 ) -> Result<Vec<SocketAddr>, CommandError> {
     let directory = settings.listen.directory;
-    let question = address_question(directory, host, &settings.node).map_err(bad_question)?;
+    let question = address_request(directory, host, &settings.node).map_err(bad_question)?;
     let answer = client.ask(directory, question, QUESTION_LIMIT).await?;
     read_addresses(&answer.body).map_err(|error| {
         CommandError::not_run(format!("{directory} gave no addresses ({}): {error}", answer.status))
--- a/crates/routing/src/lane/service_lane.rs
+++ b/crates/routing/src/lane/service_lane.rs
@@ -158,28 +158,7 @@
         pace: &CallPace,
         patience: Duration,
     ) -> Result<UpstreamId, AcquireError> {
-        let mut guard = self.lock();
-        let state = &mut *guard;
-        let chosen = match state.choose(now, excluded, kind, pace, patience) {
-            Ok(it) => it,
-            Err(error) => {
-                let is_saturated = matches!(error, AcquireError::Saturated { .. });
-                state.report.saturated += u64::from(is_saturated);
-                return Err(error);
-            }
-        };
-        if kind == CallKind::First {
-            state.window.record_first(now, &self.bounds);
-            state.report.first_calls += 1;
-        } else if state.window.try_extra(now, &self.bounds, state.nodes) {
-            state.report.extra_calls += 1;
-        } else {
-            state.report.budget_refusals += 1;
-            return Err(AcquireError::BudgetEmpty);
-        }
-        let upstream = &mut state.upstreams[chosen];
-        upstream.start_call(now);
-        Ok(upstream.id)
+        self.lock().reserve(now, &self.bounds, excluded, kind, pace, patience)
     }
 
     /// Reserves a connection as [`Self::acquire`] does, but lets calls of more urgent routes go
@@ -197,16 +176,17 @@
         patience: Duration,
         rank: u32,
     ) -> Result<UpstreamId, AcquireError> {
-        if self.lock().order.is_to_yield(now, rank) {
-            self.lock().order.on_refused(now, rank);
+        let mut state = self.lock();
+        if state.order.is_to_yield(now, rank) {
+            state.order.on_refused(now, rank);
             return Err(AcquireError::Saturated { retry_after: BUSY_RETRY });
         }
-        let acquired = self.acquire(now, excluded, kind, pace, patience);
+        let acquired = state.reserve(now, &self.bounds, excluded, kind, pace, patience);
         match acquired {
-            Ok(_) => self.lock().order.on_granted(now, rank),
+            Ok(_) => state.order.on_granted(now, rank),
             // A hedge that waits has a call of its own under way.
             Err(AcquireError::Saturated { .. }) if kind != CallKind::Hedge => {
-                self.lock().order.on_refused(now, rank);
+                state.order.on_refused(now, rank);
             }
             Err(_) => {}
         }
@@ -309,6 +289,37 @@
         (part as u32).clamp(1, most)
     }
 
+    fn reserve(
+        &mut self,
+        now: TimePoint,
+        bounds: &RetryBounds,
+        excluded: &[UpstreamId],
+        kind: CallKind,
+        pace: &CallPace,
+        patience: Duration,
+    ) -> Result<UpstreamId, AcquireError> {
+        let chosen = match self.choose(now, excluded, kind, pace, patience) {
+            Ok(it) => it,
+            Err(error) => {
+                let is_saturated = matches!(error, AcquireError::Saturated { .. });
+                self.report.saturated += u64::from(is_saturated);
+                return Err(error);
+            }
+        };
+        if kind == CallKind::First {
+            self.window.record_first(now, bounds);
+            self.report.first_calls += 1;
+        } else if self.window.try_extra(now, bounds, self.nodes) {
+            self.report.extra_calls += 1;
+        } else {
+            self.report.budget_refusals += 1;
+            return Err(AcquireError::BudgetEmpty);
+        }
+        let upstream = &mut self.upstreams[chosen];
+        upstream.start_call(now);
+        Ok(upstream.id)
+    }
+
     fn choose(
         &self,
         now: TimePoint,
