Forget the usual latency of a route only after calls were taken for late

Cause: the commit before last forgot it after 150 ms without a reply, which also met routes with a few requests a second, whose replies come further apart; their upstreams' speeds were then compared with too short a latency. Change: the time counts from the first call that was not made because its reply was expected too late, and ends with the next reply.

--- a/crates/routing/src/lane/call_pace.rs
+++ b/crates/routing/src/lane/call_pace.rs
@@ -22,10 +22,11 @@
 /// Longest delay before another replica is asked, as a share of the latency target; leaves the
 /// second call half of the time.
 const MAX_HEDGE_SHARE: f64 = 0.4;
-/// Time without replies after which the usual latency is no longer trusted. A route whose calls are
-/// all taken for late makes none, and would never learn that they are not.
+/// Time without a reply, counted from the first call that was taken for late, after which the usual
+/// latency is no longer trusted. A route whose calls are all taken for late makes none, and would
+/// never learn that they are not.
 const SILENCE: Duration = Duration::from_millis(150);
-/// Time in which a usual latency that no reply confirms goes half of the way back to that assumed
+/// Time in which a usual latency that is no longer trusted goes half of the way back to that assumed
 /// before calls were measured.
 const TYPICAL_HALF_LIFE: Duration = Duration::from_millis(250);
 /// Part of the latency target that a call may take longer to stay in its availability zone.
@@ -45,13 +46,14 @@
 /// Follows two quantiles of the latency of one route, relative to the upstreams' speeds.
 ///
 /// Answers a moment of overload, after which every call of a route with a short target is expected
-/// too late: what was measured then is forgotten if no reply confirms it.
+/// too late: what was measured then is forgotten if no reply follows.
 #[derive(Debug, Clone, Copy)]
 pub struct RoutePace {
     target_us: f64,
     typical_us: f64,
     slow_us: f64,
-    replied_at: TimePoint,
+    /// When a call was first taken for late after the latest reply.
+    late_since: Option<TimePoint>,
 }
 
 impl RoutePace {
@@ -62,19 +64,24 @@
             target_us,
             typical_us: target_us * START_TYPICAL_SHARE,
             slow_us: target_us * START_SLOW_SHARE,
-            replied_at: TimePoint::ZERO,
+            late_since: None,
         }
     }
 
     /// Takes in the latency of a reply, divided by the speed factor of the upstream.
     pub fn record(&mut self, now: TimePoint, latency: Duration) {
         self.typical_us = self.trusted_typical_us(now);
-        self.replied_at = now;
+        self.late_since = None;
         let sample = micros(latency);
         self.typical_us = follow(self.typical_us, sample, 0.5);
         self.slow_us = follow(self.slow_us, sample, SLOW_QUANTILE).max(self.typical_us);
     }
 
+    /// Takes in that a call was not made because its reply was expected too late.
+    pub fn record_late(&mut self, now: TimePoint) {
+        self.late_since.get_or_insert(now);
+    }
+
     /// Takes over a changed latency target.
     pub fn retarget(&mut self, latency_target: Duration) {
         self.target_us = micros(latency_target).max(1.0);
@@ -96,7 +103,8 @@
 impl RoutePace {
     fn trusted_typical_us(&self, now: TimePoint) -> f64 {
         let assumed = self.target_us * START_TYPICAL_SHARE;
-        let silence = now.since(self.replied_at).saturating_sub(SILENCE);
+        let silence = self.late_since.map_or(Duration::ZERO, |it| now.since(it));
+        let silence = silence.saturating_sub(SILENCE);
         if self.typical_us <= assumed || silence.is_zero() {
             return self.typical_us;
         }
--- a/crates/routing/src/lane/route_router.rs
+++ b/crates/routing/src/lane/route_router.rs
@@ -124,6 +124,9 @@
         if let Err(error) = acquired {
             self.note_refusal(candidates, error);
         }
+        if acquired == Err(AcquireError::TooLate) {
+            lock(&self.pace).record_late(now);
+        }
         acquired
     }
 
