Let a woken node verify against all that it has heard of

Cause: woken_node_verifies_before_it_answers failed once beside load, and 2 of 48 times with 16 copies at once. A woken node of the product's own interface took two replies for a proof that its configuration is current: a peer's reply with a higher revision than the applied one, before that one was applied; and the end of a watch of the store that was asked before the pause and waited in a socket, which counted as asked after it (after the first mend 2 of 144 runs failed, all by an address of a service whose removal came with the second change). Ruled out: the heartbeat that counts pauses; its order of writes leaves no gap. Change: after a pause the highest revision heard of has to be applied; the reply of a watch counts from the moment when the watch began. The case in node_freshness failed before.

--- a/crates/config/src/freshness_guard.rs
+++ b/crates/config/src/freshness_guard.rs
@@ -65,7 +65,10 @@
     other_nodes: usize,
     last_contact: Option<TimePoint>,
     lagging: VecDeque<SeenRevision>,
+    /// Whether the applied revision was the latest one that was heard of since the last pause.
     verified: bool,
+    /// Highest revision heard of since the last pause, while not verified.
+    heard: Option<RevisionNumber>,
     pauses: u64,
     paused_at: TimePoint,
 }
@@ -87,6 +90,7 @@
             last_contact: None,
             lagging: VecDeque::new(),
             verified: false,
+            heard: None,
             pauses: 0,
             paused_at: TimePoint::ZERO,
         }
@@ -96,6 +100,7 @@
     pub fn on_applied(&mut self, revision: RevisionNumber) {
         self.applied = revision.max(self.applied);
         self.lagging.retain(|it| self.applied < it.revision);
+        self.settle_verification();
     }
 
     /// Records a reply of the store to a request sent at `sent_at`, with the head's revision.
@@ -126,6 +131,7 @@
     /// Replies to what was asked before confirm nothing: they may have waited in a socket.
     pub fn on_pause(&mut self, now: TimePoint) {
         self.verified = false;
+        self.heard = None;
         self.last_contact = None;
         self.paused_at = now;
     }
@@ -150,14 +156,23 @@
         }
         self.last_contact = self.last_contact.max(Some(sent_at));
         if self.applied <= revision {
-            self.verified = true;
+            self.heard = self.heard.max(Some(revision));
         }
+        self.settle_verification();
         let highest = self.lagging.back().map_or(self.applied, |it| it.revision);
         if highest < revision && self.lagging.len() < LAGGING_LIMIT {
             self.lagging.push_back(SeenRevision { revision, seen_at: sent_at });
         }
     }
 
+    /// A newer revision that was heard of has to be applied first: what is known is outdated.
+    fn settle_verification(&mut self) {
+        if self.heard.is_some_and(|it| it <= self.applied) {
+            self.verified = true;
+            self.heard = None;
+        }
+    }
+
     fn unready_reason(&self, now: TimePoint) -> Option<UnreadyReason> {
         if self.applied == RevisionNumber(0) {
             return Some(UnreadyReason::NoConfiguration);
--- a/crates/config/tests/node_freshness.rs
+++ b/crates/config/tests/node_freshness.rs
@@ -30,7 +30,7 @@
 #[gtest]
 fn readiness_follows_contacts_and_pauses() {
     type Events = fn(&mut FreshnessGuard);
-    let cases: [(&str, Events, ReadyState); 13] = [
+    let cases: [(&str, Events, ReadyState); 15] = [
         ("peer seen", |it| it.on_peer_contact(at(7), FIVE), ReadyState::Ready),
         ("store seen", |it| it.on_store_contact(at(7), FIVE), ReadyState::Ready),
         ("nothing seen", |_| {}, not_ready(UnreadyReason::Isolated)),
@@ -57,6 +57,23 @@
             },
             ReadyState::Ready,
         ),
+        (
+            "paused, newer peer",
+            |it| {
+                it.on_pause(at(6));
+                it.on_peer_contact(at(7), RevisionNumber(6));
+            },
+            not_ready(UnreadyReason::Unverified),
+        ),
+        (
+            "paused, newer peer, caught up",
+            |it| {
+                it.on_pause(at(6));
+                it.on_peer_contact(at(7), RevisionNumber(6));
+                it.on_applied(RevisionNumber(6));
+            },
+            ReadyState::Ready,
+        ),
         (
             "paused, late reply of the store to a request before the pause",
             |it| {
--- a/crates/node/src/sync/config_watch.rs
+++ b/crates/node/src/sync/config_watch.rs
@@ -67,7 +67,8 @@
     };
     match loader.watch(&known, after, limit).await? {
         Some(loaded) => {
-            node.on_store_contact(node.timer().now(), loaded.revision);
+            // The reply may have waited in a socket while this process was paused.
+            node.on_store_contact(sent_at, loaded.revision);
             take_loaded(node, loader, loaded).await
         }
         None => {
