--- a/crates/mustardmux/src/cli/platform_command.rs
+++ b/crates/mustardmux/src/cli/platform_command.rs
@@ -22,6 +22,7 @@
 const QUESTION_LIMIT: Duration = Duration::from_secs(3);
 /// Time past its deadline for which the answer to a query is waited for.
 const PATIENCE: Duration = Duration::from_secs(1);
+/// Gap in the command's own time that counts as a pause; nothing depends on it here.
 const PAUSE_LIMIT: Duration = Duration::from_secs(1);
 /// Host for which addresses are asked when any will do.
 const ANY_HOST: &str = "any";
