Let few nodes read the store, and the others read their copies

Cause: every node watched the whole store.

Ruled out: that heartbeats end every watch at once.

Change: - ReadPacing: no delay after a reply that may be one page of a longer history. - At most six nodes of a zone have an entry in the store. Those advertised to callers read the store; all others read the copy of a nearby announced node over tarpc, and the store itself only if no peer has a recent copy.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -40,4 +40,4 @@
     ConcurrencyMode, HedgeMode, HedgeSettings, ServiceDefinition, ServiceLimits, ShardMapSource,
     UpstreamEntry,
 };
-pub use store_reachability::StoreReachability;
+pub use store_reachability::{ReachabilityReport, StoreReachability};
--- a/crates/config/src/store_reachability.rs
+++ b/crates/config/src/store_reachability.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use mux_model::TimePoint;
+use serde::{Deserialize, Serialize};
 
 /// Time after an outage of the store within which writers restore entries that expired during it.
 ///
@@ -11,6 +12,18 @@
 /// delay with which a watch reports restored entries.
 const RECOVERY_GRACE: Duration = Duration::from_secs(3);
 
+/// State of a [`StoreReachability`] relative to the current time, in a form that another node can
+/// adopt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachabilityReport {
+    /// Time since the last reply of the store; `None` if there was none.
+    pub since_reply: Option<Duration>,
+    /// Time since the latest reply that followed a failure; `None` if there was none.
+    pub since_recovery: Option<Duration>,
+    /// Whether the latest call got no reply, or no call has been made yet.
+    pub is_unreachable: bool,
+}
+
 /// Records when calls to the store succeeded and failed.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct StoreReachability {
@@ -21,6 +34,28 @@
 }
 
 impl StoreReachability {
+    /// Returns the state at `now` for another node.
+    pub fn report(&self, now: TimePoint) -> ReachabilityReport {
+        ReachabilityReport {
+            since_reply: self.time_since_reply(now),
+            since_recovery: self.recovered_at.map(|it| now.since(it)),
+            is_unreachable: self.is_unreachable(),
+        }
+    }
+
+    /// Reconstructs the state of the node that sent `report`. The time that the report took makes
+    /// the store's last reply look more recent by as much.
+    pub fn from_report(report: &ReachabilityReport, now: TimePoint) -> Self {
+        // Times before the start of this process cannot be represented, and are as good as never.
+        let uptime = now.since(TimePoint::ZERO);
+        let at = |age: Option<Duration>| age.filter(|it| *it < uptime).map(|it| now - it);
+        Self {
+            replied_at: at(report.since_reply),
+            failed_at: report.is_unreachable.then_some(now),
+            recovered_at: at(report.since_recovery),
+        }
+    }
+
     /// Records a reply; returns whether the store was unreachable before.
     pub fn on_reply(&mut self, now: TimePoint) -> bool {
         let has_recovered = self.is_unreachable();
--- a/crates/config/src/traffic/route_rule.rs
+++ b/crates/config/src/traffic/route_rule.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use mux_model::ServiceName;
+use serde::{Deserialize, Serialize};
 
 /// Whether a request may be executed more than once.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ExecutionSemantics {
     /// The request may be executed any number of times.
     Idempotent,
@@ -14,7 +15,7 @@
 }
 
 /// One service of a split route, with its weight.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// Name of the service.
     pub service: ServiceName,
@@ -23,7 +24,7 @@
 }
 
 /// Shards that a query is sent to, and how their results form the answer.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ShardSet {
     /// Services, one per shard.
     pub services: Vec<ServiceName>,
@@ -34,7 +35,7 @@
 }
 
 /// Destination of the requests of a route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum RouteTarget {
     /// One upstream of this service.
     Service(ServiceName),
@@ -45,7 +46,7 @@
 }
 
 /// Route of requests, matched by host and path prefix.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct RouteRule {
     /// Name of the route.
     pub name: String,
--- a/crates/config/src/traffic/traffic_config.rs
+++ b/crates/config/src/traffic/traffic_config.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use mux_model::{FastMap, RevisionNumber, ServiceName};
+use serde::{Deserialize, Serialize};
 
 use super::RouteRule;
 
 /// Size and time limits of callers' requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestLimits {
     /// Maximum size of a request head, in bytes.
     pub header_bytes: usize,
@@ -20,7 +21,7 @@
 }
 
 /// One version of the configuration of routes and limits.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TrafficConfig {
     /// Version of the configuration; later ones have higher versions.
     pub version: RevisionNumber,
--- a/crates/config/tests/store_reachability.rs
+++ b/crates/config/tests/store_reachability.rs
@@ -1,5 +1,7 @@
 //! Reports of outages of the store, and whether a missing entry proves that its writer has stopped.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use mux_config::StoreReachability;
 use mux_model::TimePoint;
@@ -57,3 +59,45 @@
     expect_that!(reachability.on_failure(at(4)), eq(false));
     expect_that!(reachability.on_reply(at(5)), eq(true));
 }
+
+#[gtest]
+fn report_carries_the_age_of_the_last_reply_to_another_node() {
+    let mut reachability = StoreReachability::default();
+    reachability.on_failure(TimePoint::from_millis(1_000));
+    reachability.on_reply(TimePoint::from_millis(2_000));
+    let report = reachability.report(TimePoint::from_millis(2_800));
+
+    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(50_000));
+
+    let now = TimePoint::from_millis(50_200);
+    expect_that!(adopted.time_since_reply(now), some(eq(Duration::from_millis(1_000))));
+    expect_that!(adopted.is_unreachable(), eq(false));
+    expect_that!(adopted.may_lack_live_entries(now), eq(true));
+    expect_that!(adopted.may_lack_live_entries(TimePoint::from_millis(53_000)), eq(false));
+}
+
+#[gtest]
+fn report_of_an_unreachable_store_is_adopted_as_such() {
+    let mut reachability = StoreReachability::default();
+    reachability.on_reply(TimePoint::from_millis(1_000));
+    reachability.on_failure(TimePoint::from_millis(2_000));
+    let report = reachability.report(TimePoint::from_millis(9_000));
+
+    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(50_000));
+
+    expect_that!(adopted.is_unreachable(), eq(true));
+    let now = TimePoint::from_millis(50_000);
+    expect_that!(adopted.time_since_reply(now), some(eq(Duration::from_secs(8))));
+}
+
+/// A young process cannot represent times before its start and must not take them for recent ones.
+#[gtest]
+fn reply_from_before_the_start_of_this_process_counts_as_none() {
+    let mut reachability = StoreReachability::default();
+    reachability.on_reply(TimePoint::from_millis(1_000));
+    let report = reachability.report(TimePoint::from_millis(9_000));
+
+    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(500));
+
+    expect_that!(adopted.time_since_reply(TimePoint::from_millis(500)), none());
+}
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -15,6 +15,8 @@
     pub readiness: SocketAddr,
     /// Address for callers' address requests.
     pub directory: SocketAddr,
+    /// Address at which other nodes read this node's copy of the store; `None` if it offers none.
+    pub relay: Option<SocketAddr>,
     /// Address for metrics; `None` if metrics are not served.
     pub metrics: Option<SocketAddr>,
 }
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,7 +1,10 @@
 //! The shared state of a node, with a separate lock for each part.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock},
+    sync::{
+        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
+        atomic::{AtomicBool, Ordering},
+    },
     time::Duration,
 };
 
@@ -19,7 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    ClusterStoreError, EdgeSettings,
+    ClusterStoreError, EdgeSettings, StoreMirror, StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     upstream::ConnectionPools,
 };
@@ -53,12 +56,19 @@
     pub(crate) request_log: LogThrottle,
     /// Makes the announcement task write this node's entry to the store again.
     pub(crate) announce_wakeup: Notify,
+    is_announced: AtomicBool,
     /// Interrupts a pending watch of the store, so that a new one is sent.
     pub(crate) watch_restart: Notify,
+    /// Position of the copy of the store that other nodes read.
+    pub(crate) mirror_revision: watch::Sender<Option<StoreRevision>>,
+    store_mirror: Mutex<StoreMirror>,
     active_routes: RwLock<ActiveRoutes>,
     upstreams: Mutex<UpstreamRegistry>,
     nodes: Mutex<NodeRegistry>,
     store_reachability: Mutex<StoreReachability>,
+    /// Reachability of the store as reported by the node whose copy this node reads; `None` while
+    /// this node reads the store itself.
+    relayed_reachability: Mutex<Option<StoreReachability>>,
     balancers: RwLock<FastMap<ServiceName, Arc<ServiceBalancer>>>,
     connection_limits: RwLock<FastMap<ServiceName, u32>>,
     latency_estimators: RwLock<FastMap<String, Arc<Mutex<LatencyEstimator>>>>,
@@ -83,11 +93,15 @@
             connection_tracker: ConnectionTracker::new(),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
             announce_wakeup: Notify::new(),
+            is_announced: AtomicBool::new(false),
             watch_restart: Notify::new(),
+            mirror_revision: watch::Sender::new(None),
+            store_mirror: Mutex::default(),
             active_routes: RwLock::default(),
             upstreams: Mutex::default(),
             nodes: Mutex::new(nodes),
             store_reachability: Mutex::default(),
+            relayed_reachability: Mutex::default(),
             balancers: RwLock::default(),
             connection_limits: RwLock::default(),
             latency_estimators: RwLock::default(),
@@ -124,6 +138,16 @@
         *self.connection_limits.write().unwrap_or_else(PoisonError::into_inner) = connection_limits;
     }
 
+    /// Returns whether this node has an entry in the store.
+    pub(crate) fn is_announced(&self) -> bool {
+        self.is_announced.load(Ordering::Relaxed)
+    }
+
+    /// Records whether this node has an entry in the store.
+    pub(crate) fn set_announced(&self, is_announced: bool) {
+        self.is_announced.store(is_announced, Ordering::Relaxed);
+    }
+
     pub(crate) fn upstreams(&self) -> MutexGuard<'_, UpstreamRegistry> {
         lock(&self.upstreams)
     }
@@ -132,9 +156,21 @@
         lock(&self.nodes)
     }
 
-    /// Returns the current reachability of the store.
+    /// Returns the copy of the store that other nodes read.
+    pub(crate) fn store_mirror(&self) -> MutexGuard<'_, StoreMirror> {
+        lock(&self.store_mirror)
+    }
+
+    /// Returns the current reachability of the store for the source that this node reads from.
     pub(crate) fn store_reachability(&self) -> StoreReachability {
-        *lock(&self.store_reachability)
+        let relayed = *lock(&self.relayed_reachability);
+        relayed.unwrap_or_else(|| *lock(&self.store_reachability))
+    }
+
+    /// Sets the reachability of the store as reported by another node; `None` if this node reads
+    /// the store itself.
+    pub(crate) fn set_relayed_reachability(&self, reachability: Option<StoreReachability>) {
+        *lock(&self.relayed_reachability) = reachability;
     }
 
     /// Records a reply of the store.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod edge_state;
 mod errors;
 mod query;
+mod relay;
 mod run_edge;
 mod store;
 mod sync;
@@ -18,11 +19,13 @@
 
 pub use edge_settings::{EdgeSettings, ListenAddresses};
 pub use errors::EdgeError;
+pub use relay::{MirrorUpdate, PeerRotation, RelayedUpdate, StoreMirror};
 pub use run_edge::{run, serve};
 pub use store::{
     ClusterStore, ClusterStoreError, StoreChange, StoreEntry, StoreKey, StoreLease, StoreRevision,
     StoreUpdate,
 };
+pub use sync::ReadPacing;
 pub use wire::{
     AddressRequest, CallMetadata, ReplyKind, ReplyMetadata, RequestMetadata, RequestMetadataError,
     WireProtocol,
--- /dev/null
+++ b/crates/edge/src/relay/relay_protocol.rs
@@ -0,0 +1,26 @@
+//! RPC interface between nodes.
+
+use mux_config::ReachabilityReport;
+use serde::{Deserialize, Serialize};
+
+use super::MirrorUpdate;
+use crate::StoreRevision;
+
+/// A part of a node's copy of the store, with the age of the copy.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RelayedUpdate {
+    /// The changes; `None` if the node's copy is not newer than the reader's.
+    pub update: Option<MirrorUpdate>,
+    /// Position of the node's copy; `None` before its first listing.
+    pub revision: Option<StoreRevision>,
+    /// What the node knows about the store.
+    pub reachability: ReachabilityReport,
+}
+
+/// Calls between nodes.
+#[tarpc::service]
+pub(crate) trait RelayProtocol {
+    /// Waits up to `wait_ms` until the node knows a revision after `after`, and returns the changes
+    /// since then; without `after`, returns all entries at once.
+    async fn read_changes(after: Option<StoreRevision>, wait_ms: u64) -> RelayedUpdate;
+}
--- /dev/null
+++ b/crates/edge/src/relay/relay_server.rs
@@ -0,0 +1,88 @@
+//! RPC server for other nodes.
+
+use std::{future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use futures::StreamExt;
+use slog::warn;
+use tarpc::{
+    context::Context,
+    serde_transport::tcp,
+    server::{BaseChannel, Channel},
+    tokio_serde::formats::Bincode,
+};
+
+use super::{RelayedUpdate, relay_protocol::RelayProtocol};
+use crate::{StoreRevision, edge_state::EdgeState};
+
+/// Largest message between nodes, in bytes.
+pub(super) const MESSAGE_BYTES_LIMIT: usize = 64 << 20;
+/// Maximum number of connections of other nodes.
+const CONNECTION_LIMIT: usize = 512;
+/// Maximum number of pending calls of a connection.
+const CALLS_PER_CONNECTION: usize = 4;
+/// Longest time for which a call waits for changes.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// RPC server for other nodes.
+#[derive(Clone)]
+pub(crate) struct RelayServer {
+    edge: Arc<EdgeState>,
+}
+
+impl RelayServer {
+    /// Creates a server that reads from the copy of `edge`.
+    pub(crate) fn new(edge: Arc<EdgeState>) -> Self {
+        Self { edge }
+    }
+
+    /// Listens on `address`, and serves until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be used.
+    pub(crate) async fn listen(self, address: SocketAddr) -> io::Result<()> {
+        let mut incoming = tcp::listen(address, Bincode::default).await?;
+        incoming.config_mut().max_frame_length(MESSAGE_BYTES_LIMIT);
+        tokio::spawn(async move {
+            let logger = self.edge.logger.clone();
+            let channels = incoming
+                .filter_map(|it| future::ready(it.ok()))
+                .map(BaseChannel::with_defaults)
+                .map(|channel| {
+                    let server = self.clone();
+                    channel
+                        .max_concurrent_requests(CALLS_PER_CONNECTION)
+                        .execute(server.serve())
+                        .for_each(|request| async move {
+                            tokio::spawn(request);
+                        })
+                })
+                .buffer_unordered(CONNECTION_LIMIT);
+            channels.for_each(|()| async {}).await;
+            warn!(logger, "relay: listener closed");
+        });
+        Ok(())
+    }
+}
+
+impl RelayProtocol for RelayServer {
+    async fn read_changes(
+        self,
+        _: Context,
+        after: Option<StoreRevision>,
+        wait_ms: u64,
+    ) -> RelayedUpdate {
+        let edge = &self.edge;
+        let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
+        let mut revisions = edge.mirror_revision.subscribe();
+        let changed = revisions.wait_for(|it| after < *it);
+        // Without a change in that time, the reply tells the age of the copy.
+        let _ = edge.timer.timeout(wait, changed).await;
+        let mirror = edge.store_mirror();
+        RelayedUpdate {
+            update: mirror.changes_after(after),
+            revision: mirror.revision(),
+            reachability: edge.store_reachability().report(edge.timer.now()),
+        }
+    }
+}
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -15,6 +15,7 @@
     ClusterStore, EdgeError, EdgeSettings, WireProtocol,
     caller::{serve_directory, serve_metrics, serve_readiness, serve_request},
     edge_state::{EdgeState, StopPhase},
+    relay::RelayServer,
     sync,
 };
 
@@ -82,7 +83,11 @@
     if let Some(metrics) = metrics {
         tokio::spawn(metrics.serve(Arc::clone(&edge), serve_metrics));
     }
-    tokio::spawn(sync::watch_store(Arc::clone(&edge), store.clone()));
+    if let Some(address) = listen.relay {
+        let result = RelayServer::new(Arc::clone(&edge)).listen(address).await;
+        result.map_err(|source| EdgeError::Listen { purpose: "relay", address, source })?;
+    }
+    tokio::spawn(sync::read_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -6,9 +6,10 @@
 use mux_model::{InstanceId, NodeId, ServiceName};
 use mux_placement::NodeRecord;
 use mux_routing::balancer::UpstreamRecord;
+use serde::{Deserialize, Serialize};
 
 /// Key of an entry.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum StoreKey {
     /// The operators' configuration.
     Config,
@@ -21,7 +22,7 @@
 }
 
 /// A decoded entry.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreEntry {
     /// The operators' configuration.
     Config(TrafficConfig),
@@ -39,7 +40,7 @@
 }
 
 /// The state of one entry as returned by a listing or a watch.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StoreChange {
     /// The entry was written with this content.
     Written(StoreEntry),
@@ -55,15 +56,17 @@
 }
 
 /// A position in the store's history, from which a watch can resume.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
 pub struct StoreRevision(pub u64);
 
 /// Id of a lease granted by the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreLease(pub u64);
 
 /// The result of a listing or a watch.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct StoreUpdate {
     /// Changes in the order of the store.
     pub changes: Vec<StoreChange>,
@@ -102,6 +105,11 @@
     /// Reads all entries; a watch from the returned revision misses no later change.
     fn list(&self) -> impl Future<Output = Result<StoreUpdate, ClusterStoreError>> + Send;
 
+    /// Reads the entries of all nodes. The result may be seconds old, and the call costs a tenth of
+    /// [`Self::list`].
+    fn list_nodes(&self)
+    -> impl Future<Output = Result<Vec<NodeRecord>, ClusterStoreError>> + Send;
+
     /// Waits up to `wait` for changes after `revision`; the result may be empty.
     fn watch(
         &self,
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -21,8 +21,8 @@
 /// Delay after a failed call, and between checks whether the node is ready to be announced.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
-/// Announces the node once it is ready, renews its lease, and withdraws the entry when the node
-/// stops.
+/// Announces the node once it is ready and needed, renews its lease, and withdraws the entry when
+/// the node stops.
 pub(crate) async fn maintain_announcement<S: ClusterStore>(edge: Arc<EdgeState>, store: S) {
     let mut stop_phase = edge.stop_phase.subscribe();
     let mut lease: Option<StoreLease> = None;
@@ -31,7 +31,14 @@
             withdraw(&edge, &store, lease.take()).await;
             return;
         }
+        if !edge.nodes().must_announce(lease.is_some()) {
+            if lease.take().is_some() {
+                info!(edge.logger, "node: not needed in the store, entry left to expire");
+            }
+            edge.set_announced(false);
+        }
         let result = announce_or_renew(&edge, &store, &mut lease).await;
+        edge.set_announced(lease.is_some());
         let delay = match result {
             Ok(()) => renew_period(&edge),
             Err(ClusterStoreError::LeaseExpired) => {
@@ -69,8 +76,15 @@
         }
         return renewed;
     }
-    if !edge.is_ready() {
-        return Err(ClusterStoreError::NotExecuted("not ready yet".to_owned()));
+    if !edge.is_ready() || !edge.nodes().must_announce(false) {
+        return Err(ClusterStoreError::NotExecuted("not ready or not needed".to_owned()));
+    }
+    let delay = edge.nodes().announcement_delay();
+    if !delay.is_zero() {
+        edge.timer.sleep(delay).await;
+        if !edge.nodes().must_announce(false) {
+            return Err(ClusterStoreError::NotExecuted("not needed any more".to_owned()));
+        }
     }
     let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.settings.min_lease_lifetime);
     let granted = store.grant(lifetime).await?;
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -6,7 +6,7 @@
 use mux_routing::balancer::{RecordChange, UpstreamPhase, UpstreamRecord};
 use slog::{info, warn};
 
-use crate::{StoreChange, StoreEntry, StoreKey, edge_state::EdgeState};
+use crate::{StoreChange, StoreEntry, StoreKey, StoreRevision, edge_state::EdgeState};
 
 /// Maximum number of names in one field of a log line.
 const MAX_LOGGED_NAMES: usize = 8;
@@ -20,13 +20,19 @@
     Changes,
 }
 
-/// Applies an update, and refreshes the balancers if it changed the state of the node.
+/// Applies an update that leads to `revision` to the state of the node and to the copy that other
+/// nodes read, and refreshes the balancers if the state changed.
 pub(super) fn apply_update(
     edge: &EdgeState,
     now: TimePoint,
     kind: UpdateKind,
     changes: Vec<StoreChange>,
+    revision: StoreRevision,
 ) {
+    match kind {
+        UpdateKind::Listing => edge.store_mirror().on_listing(&changes, revision),
+        UpdateKind::Changes => edge.store_mirror().on_changes(&changes, revision),
+    }
     let writer_may_be_alive = edge.store_reachability().may_lack_live_entries(now);
     let mut listed_instances = FastSet::default();
     let mut listed_nodes = FastSet::default();
@@ -74,6 +80,8 @@
         edge.metrics.upstreams.set(i64::try_from(edge.upstreams().len()).unwrap_or(i64::MAX));
         edge.metrics.nodes.set(i64::from(edge.nodes().node_count()));
     }
+    // Peers are told last, so that they do not compete with this node for its processor.
+    edge.mirror_revision.send_replace(edge.store_mirror().revision());
 }
 
 fn apply_config(edge: &EdgeState, config: &TrafficConfig) -> bool {
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -1,10 +1,14 @@
-//! Synchronization with the store: watch, announcement and spent budget markers.
+//! Synchronization with the store: reads, announcement and spent budget markers.
 
 mod announce_task;
 mod apply_update;
+mod missing_entries_task;
+mod read_pacing;
 mod spent_budget_task;
-mod store_watch;
+mod store_reader;
 
 pub(crate) use announce_task::maintain_announcement;
+pub(crate) use missing_entries_task::drop_missing_entries;
+pub use read_pacing::ReadPacing;
 pub(crate) use spent_budget_task::maintain_spent_budget_markers;
-pub(crate) use store_watch::{drop_missing_entries, watch_store};
+pub(crate) use store_reader::read_store;
--- /dev/null
+++ b/crates/edge/src/sync/store_reader.rs
@@ -0,0 +1,288 @@
+//! Keeps this node's copy of the store current: it reads the copy of another node, or the store
+//! itself.
+
+use std::{sync::Arc, time::Duration};
+
+use futures::{StreamExt, stream::FuturesUnordered};
+use mux_config::StoreReachability;
+use mux_model::{NodeId, TimePoint};
+use mux_placement::RelayPeer;
+use mux_timer::TimerService;
+use slog::info;
+
+use super::{
+    ReadPacing,
+    apply_update::{UpdateKind, apply_update},
+};
+use crate::{
+    ClusterStore, ClusterStoreError, PeerRotation, RelayedUpdate, StoreRevision,
+    edge_state::EdgeState,
+    relay::{RelayConnection, RelayError},
+};
+
+/// Half of the delay after the first failed call; the delay doubles with each further failure in a
+/// row, up to [`MAX_RETRY_DELAY`].
+const RETRY_DELAY: Duration = Duration::from_millis(25);
+/// Maximum delay after a failed call; a part of the time in which changes have to become active.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(400);
+/// Time for which a call to a peer waits for changes.
+const PEER_WAIT: Duration = Duration::from_secs(1);
+/// Period of the checks after the start whether a peer's copy can be read.
+const STARTUP_CHECK_PERIOD: Duration = Duration::from_millis(500);
+/// Time for which a node that the store rejects reads the copies of peers before it asks the store
+/// again.
+const STORE_RETRY_PERIOD: Duration = Duration::from_secs(2);
+/// Delay after all peers' copies were found to be stale.
+const STALE_PEERS_DELAY: Duration = Duration::from_millis(500);
+
+/// Reads the store or a peer's copy of it, until the process ends.
+pub(crate) async fn read_store<S: ClusterStore>(edge: Arc<EdgeState>, store: S) {
+    let mut pauses = edge.timer.subscribe_pauses();
+    let mut reader = StoreReader::new(edge, store);
+    reader.wait_for_peers().await;
+    loop {
+        pauses.mark_unchanged();
+        let edge = Arc::clone(&reader.edge);
+        tokio::select! {
+            () = reader.step() => {}
+            // The local state may be outdated, and the connection of the watch may be closed.
+            _ = pauses.changed() => {
+                info!(edge.logger, "store: listing again after a pause of this process");
+                edge.set_relayed_reachability(None);
+                reader.revision = None;
+            }
+            () = edge.watch_restart.notified() => {}
+        }
+    }
+}
+
+/// Result of an attempt to read a peer's copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PeerRead {
+    /// A peer's copy was read, and is recent.
+    Fresh,
+    /// Peers answered, and none has a recent copy.
+    AllStale,
+    /// No peer answered.
+    NoPeer,
+}
+
+struct StoreReader<S> {
+    edge: Arc<EdgeState>,
+    store: S,
+    pacing: ReadPacing,
+    /// Position of this node's copy; `None` if all entries have to be read.
+    revision: Option<StoreRevision>,
+    /// Number of failed calls to the store in a row.
+    failures: u32,
+    /// Time from which the store is asked again after failures.
+    store_retry_at: TimePoint,
+    peers: PeerRotation,
+    /// The peer whose copy was read last.
+    current_peer: Option<(NodeId, RelayConnection)>,
+}
+
+impl<S: ClusterStore> StoreReader<S> {
+    fn new(edge: Arc<EdgeState>, store: S) -> Self {
+        let pacing = ReadPacing { config_apply_limit: edge.settings.config_apply_limit };
+        Self {
+            edge,
+            store,
+            pacing,
+            revision: None,
+            failures: 0,
+            store_retry_at: TimePoint::ZERO,
+            peers: PeerRotation::default(),
+            current_peer: None,
+        }
+    }
+
+    /// Waits until another node offers its copy of the store, or this node has to read the store
+    /// itself.
+    async fn wait_for_peers(&mut self) {
+        if self.edge.settings.listen.relay.is_none() {
+            return;
+        }
+        let end = self.edge.timer.now() + self.edge.nodes().startup_wait();
+        while self.edge.timer.now() < end {
+            if let Ok(records) = self.store.list_nodes().await {
+                let mut nodes = self.edge.nodes();
+                for record in records {
+                    nodes.on_record(record);
+                }
+                if !nodes.relay_peers().is_empty() {
+                    return;
+                }
+            }
+            self.edge.timer.sleep(STARTUP_CHECK_PERIOD).await;
+        }
+    }
+
+    async fn step(&mut self) {
+        if !self.prefers_peers() {
+            return self.read_from_store().await;
+        }
+        let outcome = self.read_from_peers().await;
+        if outcome != PeerRead::Fresh {
+            self.edge.set_relayed_reachability(None);
+        }
+        match outcome {
+            PeerRead::Fresh => {}
+            // The other nodes have an entry so that someone notices the return of the store.
+            PeerRead::AllStale if !self.edge.is_announced() => {
+                self.edge.timer.sleep(STALE_PEERS_DELAY).await;
+                if self.store_retry_at <= self.edge.timer.now() {
+                    self.read_from_store().await;
+                }
+            }
+            PeerRead::AllStale | PeerRead::NoPeer => self.read_from_store().await,
+        }
+    }
+
+    /// Returns whether a peer's copy is read: callers are not directed to this node, or the store
+    /// does not answer it.
+    fn prefers_peers(&self) -> bool {
+        let edge = &self.edge;
+        if edge.settings.listen.relay.is_none() {
+            return false;
+        }
+        let has_failed = 1 < self.failures && edge.timer.now() < self.store_retry_at;
+        has_failed || !edge.nodes().is_advertised()
+    }
+
+    /// Reads the copy of the current peer, or of the first other one that has a recent copy.
+    async fn read_from_peers(&mut self) -> PeerRead {
+        let mut outcome = PeerRead::NoPeer;
+        if let Some((node, connection)) = self.current_peer.take() {
+            let result = connection.read_changes(self.revision, PEER_WAIT).await;
+            if self.apply_relayed(&node, result, &mut outcome) {
+                self.current_peer = Some((node, connection));
+                return PeerRead::Fresh;
+            }
+        }
+        loop {
+            let peers = self.edge.nodes().relay_peers();
+            let batch = self.peers.next_batch(self.edge.timer.now(), &peers);
+            if batch.is_empty() {
+                return outcome;
+            }
+            let (timer, revision) = (self.edge.timer.clone(), self.revision);
+            let mut reads: FuturesUnordered<_> =
+                batch.into_iter().map(|it| read_once(&timer, it, revision)).collect();
+            while let Some((node, connection, result)) = reads.next().await {
+                if self.apply_relayed(&node, result, &mut outcome) {
+                    info!(self.edge.logger, "relay: reading the copy of a peer";
+                        "peer" => node.as_str());
+                    self.current_peer = connection.map(|it| (node, it));
+                    return PeerRead::Fresh;
+                }
+            }
+        }
+    }
+
+    /// Applies what a peer answered; returns whether its copy is recent.
+    fn apply_relayed(
+        &mut self,
+        peer: &NodeId,
+        result: Result<RelayedUpdate, RelayError>,
+        outcome: &mut PeerRead,
+    ) -> bool {
+        let now = self.edge.timer.now();
+        let relayed = match result {
+            Ok(it) => it,
+            Err(error) => {
+                info!(self.edge.logger, "relay: peer did not answer"; "peer" => peer.as_str(),
+                    "cause" => error.to_string());
+                self.peers.on_silent(now, peer);
+                return false;
+            }
+        };
+        let is_fresh = PeerRotation::is_fresh(&relayed, self.revision);
+        if is_fresh {
+            let reachability = StoreReachability::from_report(&relayed.reachability, now);
+            self.edge.set_relayed_reachability(Some(reachability));
+        } else {
+            *outcome = PeerRead::AllStale;
+            self.peers.on_stale(now, peer);
+        }
+        // Replies of several peers may arrive for the same position.
+        if let Some(update) = relayed.update.filter(|it| self.revision < Some(it.revision)) {
+            let kind = match update.is_listing {
+                true => UpdateKind::Listing,
+                false => UpdateKind::Changes,
+            };
+            self.revision = Some(update.revision);
+            apply_update(&self.edge, now, kind, update.changes, update.revision);
+        }
+        is_fresh
+    }
+
+    async fn read_from_store(&mut self) {
+        let (kind, result) = match self.revision {
+            Some(revision) => {
+                let wait = self.pacing.watch_wait(self.reads_for_others());
+                (UpdateKind::Changes, self.store.watch(revision, wait).await)
+            }
+            None => (UpdateKind::Listing, self.store.list().await),
+        };
+        match result {
+            Ok(update) => {
+                self.failures = 0;
+                self.revision = Some(update.revision);
+                // The first update after an outage contains the entries that expired during it, so
+                // the reply has to be recorded before the update is applied.
+                self.edge.on_store_reply();
+                self.edge.set_relayed_reachability(None);
+                let changes = update.changes.len();
+                let now = self.edge.timer.now();
+                apply_update(&self.edge, now, kind, update.changes, update.revision);
+                self.edge.timer.sleep(self.delay_after(changes)).await;
+            }
+            Err(ClusterStoreError::HistoryCompacted) => {
+                info!(self.edge.logger, "store: history compacted, listing again");
+                self.revision = None;
+            }
+            Err(error) => self.on_store_error(&error).await,
+        }
+    }
+
+    async fn on_store_error(&mut self, error: &ClusterStoreError) {
+        self.failures += 1;
+        self.store_retry_at = self.edge.timer.now() + STORE_RETRY_PERIOD;
+        // A single watch may fail because its connection was closed; two failures in a row are an
+        // outage.
+        if 1 < self.failures
+            || matches!(error, ClusterStoreError::NoValidReply(_)) && self.revision.is_none()
+        {
+            self.edge.on_store_failure("watch", error);
+        }
+        let delay = RETRY_DELAY * (1 << self.failures.min(5));
+        self.edge.timer.sleep(delay.min(MAX_RETRY_DELAY)).await;
+    }
+
+    fn delay_after(&self, changes: usize) -> Duration {
+        let reads_for_others = self.reads_for_others();
+        self.pacing.delay_after(changes, self.edge.nodes().node_count(), reads_for_others)
+    }
+
+    /// Returns whether callers or other nodes may depend on this node's copy.
+    fn reads_for_others(&self) -> bool {
+        let edge = &self.edge;
+        edge.settings.listen.relay.is_none() || edge.is_announced() || edge.nodes().is_advertised()
+    }
+}
+
+/// Opens a connection to a peer, and reads its changes without waiting for new ones.
+async fn read_once(
+    timer: &TimerService,
+    peer: RelayPeer,
+    after: Option<StoreRevision>,
+) -> (NodeId, Option<RelayConnection>, Result<RelayedUpdate, RelayError>) {
+    match RelayConnection::open(timer, peer.address).await {
+        Ok(connection) => {
+            let result = connection.read_changes(after, Duration::ZERO).await;
+            (peer.node, Some(connection), result)
+        }
+        Err(error) => (peer.node, None, Err(error)),
+    }
+}
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,5 +12,5 @@
 pub use candidate_node::CandidateNode;
 pub use home_limits::HomeLimits;
 pub use home_nodes::home_nodes;
-pub use node_registry::{NodeRecord, NodeRegistry};
+pub use node_registry::{NodeRecord, NodeRegistry, RelayPeer};
 pub use watcher_nodes::watcher_nodes;
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -1,6 +1,6 @@
 //! The nodes known to be serving, and the selection of those advertised to callers.
 
-use std::{cmp::Reverse, net::SocketAddr};
+use std::{cmp::Reverse, net::SocketAddr, time::Duration};
 
 use mux_model::{AvailabilityZone, FastMap, FastSet, NodeId};
 use serde::{Deserialize, Serialize};
@@ -14,6 +14,23 @@
 const MAX_ADVERTISED_NODES: usize = 3;
 /// Minimum number of nodes that are advertised to callers, if that many exist.
 const MIN_ADVERTISED_NODES: usize = 2;
+/// Number of nodes in each availability zone that have an entry in the store: the advertised ones
+/// and as many that can replace them at once.
+///
+/// Every entry costs lease renewals and is read by every node, so a fleet of hundreds of nodes
+/// publishes only those that callers or other nodes may need.
+const ANNOUNCED_NODES_PER_ZONE: usize = 2 * MAX_ADVERTISED_NODES;
+/// Rank in its availability zone above which an announced node lets its entry expire. The distance
+/// from [`ANNOUNCED_NODES_PER_ZONE`] is a hysteresis against entries that come and go.
+const MAX_ANNOUNCED_RANK: usize = ANNOUNCED_NODES_PER_ZONE + 2;
+/// Time that the slowest links wait for faster nodes to publish their state after a start of the
+/// whole fleet, before they read the store themselves.
+const MAX_STARTUP_WAIT: Duration = Duration::from_secs(6);
+/// Time over which the nodes with the slowest links spread their announcements when others in
+/// their zone are gone, so that few announce themselves before they learn of each other.
+const MAX_ANNOUNCEMENT_SPREAD: Duration = Duration::from_secs(4);
+/// Bandwidth of a link from which a node never waits for others, in megabits per second.
+const FAST_LINK_MBPS: f64 = 1_000.0;
 
 /// The record that a node publishes about itself.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -28,6 +45,18 @@
     pub callers: SocketAddr,
     /// Bandwidth of the node's network link, in megabits per second.
     pub link_mbps: f64,
+    /// Address at which other nodes read this node's copy of the store; `None` if it offers none.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
+}
+
+/// A node whose copy of the store other nodes can read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayPeer {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Address of its relay.
+    pub address: SocketAddr,
 }
 
 impl NodeRecord {
@@ -39,6 +68,11 @@
         let mbps = self.link_mbps.clamp(1.0, f64::from(u32::MAX));
         (mbps as u32).ilog2()
     }
+
+    /// Returns how slow the node's link is: 0 for fast links, and more for each halving, up to 1.
+    fn slowness(&self) -> f64 {
+        1.0 - (self.link_mbps.clamp(1.0, FAST_LINK_MBPS).ln() / FAST_LINK_MBPS.ln())
+    }
 }
 
 #[derive(Debug, Clone)]
@@ -123,6 +157,77 @@
         self.advertised().contains(&self.own.callers)
     }
 
+    /// Returns whether this node should have an entry in the store: it is one of the best in its
+    /// availability zone among those that have one.
+    pub fn must_announce(&self, is_announced: bool) -> bool {
+        let limit = if is_announced { MAX_ANNOUNCED_RANK } else { ANNOUNCED_NODES_PER_ZONE };
+        self.rank_in_zone() < limit
+    }
+
+    /// Returns how long this node waits until it announces itself: nodes that rank higher announce
+    /// first, so that the others see that they are not needed.
+    ///
+    /// After the loss of many nodes, all the others would otherwise announce themselves together.
+    /// A node that knows of no other one in its zone waits a quarter of that time.
+    pub fn announcement_delay(&self) -> Duration {
+        let spread = MAX_ANNOUNCEMENT_SPREAD.mul_f64(self.own.slowness() * self.hash_fraction());
+        if self.rank_in_zone() == 0 && self.zone_peers().next().is_none() {
+            return spread / 4;
+        }
+        spread
+    }
+
+    /// Returns how long this node waits after its start for another one whose copy of the store it
+    /// can read, before it reads the store itself.
+    pub fn startup_wait(&self) -> Duration {
+        MAX_STARTUP_WAIT.mul_f64(self.own.slowness())
+    }
+
+    /// Returns the nodes whose copies of the store this node may read, in the order in which to ask
+    /// them: those in its availability zone and region before others, because bytes between zones
+    /// cost, and advertised ones before others, because these read the store themselves.
+    ///
+    /// Equal nodes are in an order of this node's own, which spreads the readers.
+    pub fn relay_peers(&self) -> Vec<RelayPeer> {
+        let advertised = self.advertised();
+        let mut peers: Vec<_> = self
+            .others
+            .values()
+            .filter_map(|it| Some((&it.record, it.record.relay?)))
+            .map(|(record, address)| {
+                let rank = NodeRank::new(record, self.own_zone(), &self.own.region);
+                let own_name = self.own.node.as_str().as_bytes();
+                let hash = stable_hash(&[own_name, record.node.as_str().as_bytes()]);
+                let key = (rank.distance, !advertised.contains(&record.callers), hash);
+                (key, RelayPeer { node: record.node.clone(), address })
+            })
+            .collect();
+        peers.sort_by_key(|(key, _)| *key);
+        peers.into_iter().map(|(_, peer)| peer).collect()
+    }
+
+    /// Returns the number of announced nodes in this node's availability zone that rank before it.
+    fn rank_in_zone(&self) -> usize {
+        let own = NodeRank::new(&self.own, self.own_zone(), &self.own.region);
+        let ranks = self.zone_peers().map(|it| NodeRank::new(it, self.own_zone(), &it.region));
+        ranks.filter(|it| *it < own).count()
+    }
+
+    fn zone_peers(&self) -> impl Iterator<Item = &NodeRecord> {
+        let records = self.others.values().map(|it| &it.record);
+        records.filter(|it| it.availability_zone == self.own.availability_zone)
+    }
+
+    /// Returns the position of this node's hash among all hashes, from 0 to 1.
+    fn hash_fraction(&self) -> f64 {
+        let own = NodeRank::new(&self.own, self.own_zone(), &self.own.region);
+        own.hash as f64 / u64::MAX as f64
+    }
+
+    fn own_zone(&self) -> &str {
+        self.own.availability_zone.as_str()
+    }
+
     fn advertised(&self) -> FastSet<SocketAddr> {
         let mut zones: FastSet<&str> = FastSet::default();
         zones.extend(self.records().map(|it| it.availability_zone.as_str()));
--- a/crates/placement/tests/node_registry.rs
+++ b/crates/placement/tests/node_registry.rs
@@ -1,6 +1,6 @@
 //! Selection of the nodes that are advertised to callers.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
 use mux_model::{FastSet, NodeId};
@@ -16,6 +16,7 @@
         region: "bayern".to_owned(),
         callers: address(idx),
         link_mbps,
+        relay: Some(SocketAddr::from(([10, 0, 0, 1], 9_000 + idx))),
     }
 }
 
@@ -131,3 +132,102 @@
     expect_that!(fast.is_advertised(), eq(true));
     expect_that!(slow.is_advertised(), eq(false));
 }
+
+/// Lets the nodes of a zone announce themselves in the order of their delays, each knowing all
+/// earlier ones, and returns the indexes of those that did.
+fn announce_in_turn(records: &[NodeRecord]) -> Vec<usize> {
+    let delay = |it: &NodeRecord| NodeRegistry::new(it.clone()).announcement_delay();
+    let mut order: Vec<usize> = (0..records.len()).collect();
+    order.sort_by_key(|it| delay(&records[*it]));
+    let mut announced = Vec::new();
+    for idx in order {
+        let mut registry = NodeRegistry::new(records[idx].clone());
+        for other in &announced {
+            registry.on_record(NodeRecord::clone(&records[*other]));
+        }
+        if registry.must_announce(false) {
+            announced.push(idx);
+        }
+    }
+    announced
+}
+
+/// Every entry is read by all nodes and costs lease renewals, so their number must not grow with
+/// the fleet.
+#[gtest]
+fn number_of_announced_nodes_does_not_grow_with_the_zone() {
+    for nodes in [3, 60, 300] {
+        let records: Vec<_> =
+            (0..nodes).map(|it| record(it, "a", if it < 3 { FAST } else { SLOW })).collect();
+
+        let announced = announce_in_turn(&records);
+
+        expect_that!(announced.len(), le(6), "{nodes} nodes");
+        for fast in 0..3 {
+            expect_that!(announced, contains(eq(&fast)), "{nodes} nodes");
+        }
+    }
+}
+
+#[gtest]
+fn announced_node_keeps_its_entry_until_clearly_outranked() {
+    let slow = record(0, "a", SLOW);
+    let mut registry = NodeRegistry::new(slow);
+    for idx in 1..=6 {
+        registry.on_record(record(idx, "a", FAST));
+    }
+    expect_that!(registry.must_announce(false), eq(false));
+    expect_that!(registry.must_announce(true), eq(true));
+
+    registry.on_record(record(7, "a", FAST));
+    registry.on_record(record(8, "a", FAST));
+
+    expect_that!(registry.must_announce(true), eq(false));
+}
+
+/// Replays the loss of all announced nodes of a zone with 55 others: the others must not announce
+/// themselves at the same moment.
+#[gtest]
+fn announcements_after_the_loss_of_a_zone_are_spread() {
+    let delays: Vec<Duration> = (0..55)
+        .map(|it| {
+            let mut registry = NodeRegistry::new(record(it, "a", SLOW));
+            registry.on_record(record(100, "a", SLOW));
+            registry.announcement_delay()
+        })
+        .collect();
+
+    let soon = delays.iter().filter(|it| **it < Duration::from_millis(700)).count();
+
+    expect_that!(soon, all![ge(3), le(25)]);
+    expect_that!(delays.iter().max().copied(), some(le(Duration::from_secs(4))));
+}
+
+#[gtest]
+fn node_with_a_fast_link_does_not_wait_for_others() {
+    let registry = NodeRegistry::new(record(0, "a", 1_000.0));
+
+    expect_that!(registry.startup_wait(), eq(Duration::ZERO));
+    expect_that!(registry.announcement_delay(), eq(Duration::ZERO));
+    let slow = NodeRegistry::new(record(1, "a", SLOW));
+    expect_that!(slow.startup_wait(), gt(Duration::from_secs(1)));
+}
+
+#[gtest]
+fn copies_of_the_own_zone_and_of_advertised_nodes_are_read_first() {
+    let mut registry = NodeRegistry::new(record(0, "a", SLOW));
+    for idx in 1..=4 {
+        registry.on_record(record(idx, "a", if idx == 4 { SLOW } else { FAST }));
+        registry.on_record(record(idx + 10, "b", FAST));
+    }
+    registry.on_record(NodeRecord { relay: None, ..record(20, "a", FAST) });
+
+    let peers = registry.relay_peers();
+
+    let names: Vec<&str> = peers.iter().map(|it| it.node.as_str()).collect();
+    let mut first = names[..3].to_vec();
+    first.sort_unstable();
+    expect_that!(first, eq(&vec!["node-1", "node-2", "node-3"]));
+    expect_that!(names[3], eq("node-4"));
+    expect_that!(names.len(), eq(8));
+}
--- a/crates/routing/src/balancer/upstream_record.rs
+++ b/crates/routing/src/balancer/upstream_record.rs
@@ -3,9 +3,10 @@
 use std::time::Duration;
 
 use mux_model::{AvailabilityZone, InstanceId, ServiceName, UpstreamId};
+use serde::{Deserialize, Serialize};
 
 /// Whether an upstream accepts new requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamPhase {
     /// Accepts new requests.
     Serving,
@@ -14,7 +15,7 @@
 }
 
 /// The record of one upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpstreamRecord {
     /// Identity of the upstream instance.
     pub instance: InstanceId,
