Let upstreams and relays of tests choose their ports

Cause of the known red dropped_call_is_cancelled_at_the_upstream ("Address already in use"): the fixture bound a port, released it, and passed it to the program, so that another process could take it in between. Now the settings name port 0, and the program prints the addresses that it has bound; the fixture reads them.

--- a/crates/standins/src/leaf/leaf_server.rs
+++ b/crates/standins/src/leaf/leaf_server.rs
@@ -3,7 +3,6 @@
 use std::{
     convert::Infallible,
     io,
-    net::SocketAddr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
 };
@@ -50,8 +49,7 @@
     }
 
     /// Serves calls and control requests until the listener fails.
-    pub(crate) async fn serve_calls(self: Arc<Self>, listen: SocketAddr) -> io::Result<()> {
-        let listener = TcpListener::bind(listen).await?;
+    pub(crate) async fn serve_calls(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
         loop {
             let (stream, _) = listener.accept().await?;
             if self.is_full() {
@@ -66,8 +64,7 @@
 
     /// Serves requests on the control address, without connection limit, connect delay or
     /// silencing, until the listener fails.
-    pub(crate) async fn serve_control(self: Arc<Self>, listen: SocketAddr) -> io::Result<()> {
-        let listener = TcpListener::bind(listen).await?;
+    pub(crate) async fn serve_control(self: Arc<Self>, listener: TcpListener) -> io::Result<()> {
         loop {
             let (stream, _) = listener.accept().await?;
             tokio::spawn(Arc::clone(&self).serve_http(TokioIo::new(stream)));
--- a/crates/standins/src/leaf/mod.rs
+++ b/crates/standins/src/leaf/mod.rs
@@ -12,6 +12,9 @@
 
 use futures::future::try_join_all;
 use mux_timer::TimerService;
+use tokio::net::TcpListener;
+
+use crate::bound_addresses::BoundAddresses;
 
 pub(crate) use leaf_settings::{LatencySettings, LeafControl, LeafFile, LeafSettings};
 
@@ -28,11 +31,17 @@
 }
 
 async fn serve(settings: LeafSettings, timer: TimerService) -> io::Result<()> {
-    let (listen, control_listen) = (settings.listen, settings.control_listen);
-    let server = LeafServer::new(LeafState::new(settings, timer));
-    let calls = server.clone().serve_calls(listen);
-    let Some(control_listen) = control_listen else {
-        return calls.await;
+    let calls = TcpListener::bind(settings.listen).await?;
+    let control = match settings.control_listen {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
     };
-    tokio::try_join!(calls, server.serve_control(control_listen)).map(drop)
+    let control_address = control.as_ref().map(TcpListener::local_addr).transpose()?;
+    BoundAddresses { listen: calls.local_addr()?, control: control_address }.print()?;
+    let server = LeafServer::new(LeafState::new(settings, timer));
+    let calls = server.clone().serve_calls(calls);
+    match control {
+        Some(control) => tokio::try_join!(calls, server.serve_control(control)).map(drop),
+        None => calls.await,
+    }
 }
--- a/crates/standins/src/main.rs
+++ b/crates/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! Test doubles of the systems around mustardmux, for tests, demos and benchmarks; not shipped.
 
+mod bound_addresses;
 mod experiment;
 mod fleet;
 mod kv;
--- a/crates/standins/src/relay/mod.rs
+++ b/crates/standins/src/relay/mod.rs
@@ -11,6 +11,8 @@
 use mux_timer::TimerService;
 use tokio::net::{TcpListener, UdpSocket};
 
+use crate::bound_addresses::BoundAddresses;
+
 pub(crate) use relay_settings::{RelayControl, RelayFile, RelayMode, RelayProtocol, RelaySettings};
 
 use link_control::LinkControl;
@@ -25,18 +27,21 @@
 }
 
 async fn serve(settings: RelaySettings, timer: TimerService) -> io::Result<()> {
-    let control = LinkControl::new();
+    let link_control = LinkControl::new();
     let control_listener = TcpListener::bind(settings.control_listen).await?;
-    let control_server = Arc::clone(&control).serve(control_listener);
+    let control = Some(control_listener.local_addr()?);
+    let control_server = Arc::clone(&link_control).serve(control_listener);
     match settings.protocol {
         RelayProtocol::Tcp => {
             let listener = TcpListener::bind(settings.listen).await?;
-            let relay = tcp_relay::run(listener, settings.target, control, timer);
+            BoundAddresses { listen: listener.local_addr()?, control }.print()?;
+            let relay = tcp_relay::run(listener, settings.target, link_control, timer);
             tokio::try_join!(control_server, relay).map(drop)
         }
         RelayProtocol::Udp => {
             let socket = UdpSocket::bind(settings.listen).await?;
-            let relay = udp_relay::run(socket, settings.target, control, timer);
+            BoundAddresses { listen: socket.local_addr()?, control }.print()?;
+            let relay = udp_relay::run(socket, settings.target, link_control, timer);
             tokio::try_join!(control_server, relay).map(drop)
         }
     }
--- a/crates/standins/tests/relay_modes.rs
+++ b/crates/standins/tests/relay_modes.rs
@@ -12,7 +12,7 @@
     net::{TcpListener, TcpStream, UdpSocket},
 };
 
-use support::{TestDoubleProcess, free_address};
+use support::{ANY_PORT, BoundAddresses, TestDoubleProcess};
 
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time after which a link without an echo counts as silent.
@@ -28,14 +28,14 @@
 
 impl RelayFixture {
     async fn start(protocol: &str, target: SocketAddr) -> Self {
-        let (listen, control) = (free_address(), free_address());
         let relay = json!({
-            "listen": listen,
+            "listen": ANY_PORT,
             "target": target,
             "protocol": protocol,
-            "control_listen": control,
+            "control_listen": ANY_PORT,
         });
         let process = TestDoubleProcess::start("relay", &json!({ "relays": [relay] }));
+        let BoundAddresses { listen, control } = process.addresses;
         let timer = TimerService::start(Duration::from_secs(1));
         let fixture = Self { timer, listen, control, _process: process };
         fixture.set_mode("pass").await;
--- a/crates/standins/tests/support/mod.rs
+++ b/crates/standins/tests/support/mod.rs
@@ -4,7 +4,8 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener},
+    io::{BufRead, BufReader},
+    net::SocketAddr,
     process::{Child, Command, Stdio},
     sync::atomic::{AtomicU32, Ordering},
     time::Duration,
@@ -20,9 +21,12 @@
 use mux_model::{CallFailure, CallId, RequestId, ServiceName, ShardIndex, SnapshotId, UpstreamId};
 use mux_timer::TimerService;
 use mux_upstream::{CallHeader, PoolSettings, UpstreamPool, UpstreamReply};
+use serde::Deserialize;
 use serde_json::{Value, json};
 use slog::{Discard, Logger, o};
 
+/// Loopback address with a port that the operating system chooses.
+pub(crate) const ANY_PORT: &str = "127.0.0.1:0";
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 const RETRY_PERIOD: Duration = Duration::from_millis(20);
 
@@ -39,10 +43,9 @@
 impl LeafFixture {
     /// Starts an upstream that holds shards 0 and 1 of snapshot 1, with the additional `settings`.
     pub(crate) async fn start(settings: Value) -> Self {
-        let (listen, control) = (free_address(), free_address());
         let mut leaf = json!({
-            "listen": listen,
-            "control_listen": control,
+            "listen": ANY_PORT,
+            "control_listen": ANY_PORT,
             "availability_zone": "muc-a",
             "record_calls": true,
             "snapshots": [{ "snapshot": 1, "shard_count": 2, "shards": [0, 1] }],
@@ -51,6 +54,7 @@
             leaf[key] = value.clone();
         }
         let process = TestDoubleProcess::start("leaf", &json!({ "leaves": [leaf] }));
+        let BoundAddresses { listen, control } = process.addresses;
         let timer = TimerService::start(Duration::from_secs(1));
         let log = Logger::root(Discard, o!());
         let pool = UpstreamPool::start(PoolSettings::default(), timer.clone(), log);
@@ -121,9 +125,17 @@
     }
 }
 
-/// Process of a test double; killed on drop.
+/// Addresses that a test double reports on its standard output.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub(crate) struct BoundAddresses {
+    pub(crate) listen: SocketAddr,
+    pub(crate) control: SocketAddr,
+}
+
+/// Process of a test double that serves one upstream or relay; killed on drop.
 pub(crate) struct TestDoubleProcess {
     child: Child,
+    pub(crate) addresses: BoundAddresses,
 }
 
 impl TestDoubleProcess {
@@ -135,12 +147,16 @@
         let name = format!("{command}-{}-{number}.json", std::process::id());
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::write(&path, settings.to_string()).expect("settings file");
-        let child = Command::new(env!("CARGO_BIN_EXE_standins"))
+        let mut child = Command::new(env!("CARGO_BIN_EXE_standins"))
             .args([command, "--settings", &path.to_string_lossy()])
-            .stdout(Stdio::null())
+            .stdout(Stdio::piped())
             .spawn()
             .expect("the test double starts");
-        Self { child }
+        let mut line = String::new();
+        let output = child.stdout.take().expect("piped output");
+        BufReader::new(output).read_line(&mut line).expect("the test double reports addresses");
+        let addresses = serde_json::from_str(&line).expect("a report of addresses");
+        Self { child, addresses }
     }
 }
 
@@ -151,9 +167,3 @@
         let _ = self.child.wait();
     }
 }
-
-/// Returns a loopback address whose port was free at the time of the call.
-pub(crate) fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback port");
-    listener.local_addr().expect("bound address")
-}
