Keep a removed member removed until it answers itself

A node whose probes nobody answers for four periods clears the suspicions that it raised meanwhile. Members that it had removed were among them, as their entries keep the mark of who suspected them, so that they were alive again at the same incarnation. The node's last refutation before it was killed reached only some members.

Change: only suspicions of live members are cleared, and a dead member returns only by its own message; claims of others make this node probe it.

--- a/crates/membership/src/gossip_machine/probing.rs
+++ b/crates/membership/src/gossip_machine/probing.rs
@@ -178,14 +178,20 @@
         let Some(claim) = self.unverified_claims.pop_front() else {
             return;
         };
-        let Some(entry) = self.table.live_entry(&claim.node) else {
+        let Some(entry) = self.table.get(&claim.node) else {
             return;
         };
         if claim.incarnation < entry.record.incarnation || self.probes.is_probing(&claim.node) {
             return;
         }
         let target = (claim.node.clone(), entry.record.identity.peer);
-        self.send_ping(now, ProbeKind::FailureDetection, target, Some(claim), actions);
+        match entry.record.state {
+            // The answer to a probe brings the member back; no answer changes nothing.
+            MemberState::Dead => {
+                self.send_ping(now, ProbeKind::Informational, target, None, actions)
+            }
+            _ => self.send_ping(now, ProbeKind::FailureDetection, target, Some(claim), actions),
+        }
     }
 
     fn on_probe_failed(&mut self, now: TimePoint, probe: &Probe, actions: &mut Vec<GossipAction>) {
@@ -208,10 +214,11 @@
         self.view_outdated = true;
     }
 
-    /// Clears the suspicions that this node raised while no member answered its probes.
+    /// Clears the suspicions that this node raised while no member answered its probes. Members
+    /// that it has removed stay removed until they answer a probe themselves.
     fn clear_own_suspicions(&mut self, now: TimePoint, actions: &mut Vec<GossipAction>) {
         let last_contact = self.last_contact;
-        let raised = self.table.iter().filter(|it| it.suspected_locally && last_contact < it.since);
+        let raised = self.table.live().filter(|it| it.suspected_locally && last_contact < it.since);
         let nodes: Vec<_> = raised.map(|it| it.record.node().clone()).collect();
         for node in nodes {
             let change = self.table.clear_suspicion(now, &node);
--- a/crates/membership/src/gossip_machine/receiving.rs
+++ b/crates/membership/src/gossip_machine/receiving.rs
@@ -328,7 +328,9 @@
 /// claim is not applied and the member is probed instead.
 ///
 /// A claim from another member does not make a member dead that did not announce its stop: the
-/// member becomes suspect and has the full suspicion timeout to refute that to this node.
+/// member becomes suspect and has the full suspicion timeout to refute that to this node. Likewise,
+/// a dead member returns only by its own message: others may have heard its last refutation before
+/// it failed, and hold it for alive until their own probes fail.
 fn accepted_state(
     current: MemberState,
     claimed: MemberState,
@@ -337,6 +339,7 @@
     let reports_failure = MemberState::Suspect <= claimed;
     match source {
         ClaimSource::Subject => Some(claimed),
+        _ if !reports_failure && current == MemberState::Dead => None,
         _ if !reports_failure => Some(claimed),
         ClaimSource::UntrustedPeer | ClaimSource::Sync => None,
         ClaimSource::Peer if current == MemberState::Dead => Some(MemberState::Dead),
