Answer gossip only once the listeners are open

The others probe a removed member every two seconds; a restarting node that answered one of these probes in between was a live member again, its address went out to callers, and a caller that connected at once was refused: the request without an answer at an address that had not expired.

Ruled out: addresses that outlive the stop (the node admits requests 3 s longer than any answer lives).

Change: the gossip task neither reads nor answers messages before the first join, which comes after the listeners. Test: node_answers_nobody_before_it_joins failed before (the member was up after the first datagram).

--- a/crates/membership/src/gossip_service.rs
+++ b/crates/membership/src/gossip_service.rs
@@ -10,7 +10,10 @@
 use mux_model::{NodeIncarnation, RevisionNumber, TimePoint, UpstreamId};
 use mux_timer::{TickStream, TimerService};
 use slog::{Logger, info, warn};
-use tokio::{net, sync::mpsc};
+use tokio::{
+    net,
+    sync::{mpsc, watch},
+};
 
 use crate::{
     CounterReading, GossipAction, GossipCounters, GossipError, GossipEvent, GossipMachine,
@@ -40,6 +43,8 @@
     counters: GossipCounters,
     socket: UdpSocket,
     local: SocketAddr,
+    /// Whether the node takes part in the membership.
+    joined: watch::Sender<bool>,
     events: mpsc::Sender<GossipEvent>,
     timer: TimerService,
     logger: Logger,
@@ -48,7 +53,8 @@
 }
 
 impl GossipService {
-    /// Binds the peer address of `identity` and starts the background task.
+    /// Binds the peer address of `identity` and starts the background task, which neither reads
+    /// nor answers messages before the first call of [`Self::join`].
     ///
     /// With a peer port of 0, the identity gets the port assigned by the system. The returned
     /// receiver yields the events for the rest of the node.
@@ -77,12 +83,15 @@
         let machine = GossipMachine::new(settings, identity, run, timer.now(), rng_seed);
         let (events, event_receiver) = mpsc::channel(EVENT_CAPACITY);
         let ticks = timer.subscribe(TICK_PERIOD);
+        let joined = watch::Sender::new(false);
+        let mut is_joined = joined.subscribe();
         let state = Arc::new(ServiceState {
             machine: Mutex::new(machine),
             view: RwLock::default(),
             counters: GossipCounters::default(),
             socket,
             local,
+            joined,
             events,
             timer,
             logger,
@@ -93,7 +102,13 @@
             )),
         });
         state.step(|_, _, _| ());
-        tokio::spawn(run_service(Arc::downgrade(&state), receiver, ticks));
+        let service = Arc::downgrade(&state);
+        tokio::spawn(async move {
+            // The sender is dropped with the last handle.
+            if is_joined.wait_for(|it| *it).await.is_ok() {
+                run_service(service, receiver, ticks).await;
+            }
+        });
         Ok((Self { state }, event_receiver))
     }
 
@@ -109,7 +124,11 @@
     }
 
     /// Replaces the seed addresses and starts a sync with some of those that are not live members.
+    ///
+    /// The first call makes this node a member, to which others direct callers, so the listeners
+    /// for callers have to be open by then.
     pub fn join(&self, seeds: &[SocketAddr]) {
+        self.state.joined.send_replace(true);
         self.state.step(|machine, now, actions| machine.join(now, seeds, actions));
     }
 
--- a/crates/membership/tests/gossip_service.rs
+++ b/crates/membership/tests/gossip_service.rs
@@ -101,6 +101,26 @@
     expect_that!(reading.malformed + reading.foreign + reading.send_failures, eq(0));
 }
 
+/// A restarting node that answered probes before its listeners were open was advertised again, and
+/// callers that connected at once were refused.
+#[gtest]
+#[tokio::test]
+async fn node_answers_nobody_before_it_joins() {
+    let timer = TimerService::start(Duration::from_secs(1));
+    let (member, _member_events) = start_service("a", &timer);
+    let (starting, _starting_events) = start_service("b", &timer);
+    let knows_both = || member.members().in_state(MemberState::Alive).count() == 2;
+
+    for _ in 0..20 {
+        member.join(&[starting.local_address()]);
+        timer.sleep(Duration::from_millis(50)).await;
+        expect_that!(knows_both(), eq(false));
+    }
+
+    starting.join(&[member.local_address()]);
+    expect_that!(becomes_true(&timer, knows_both).await, eq(true));
+}
+
 #[gtest]
 #[tokio::test]
 async fn socket_is_released_when_the_service_is_dropped() {
