Mend four faults in the accounting of the balancer

Noticed by reading, each with a test that failed before: - A withdrawn call freed its connection only if it was withdrawn at the very time of its reservation (withdrawn_call_releases_its_connection_at_any_time). The reservation made last is released now. - A hedge that yielded to urgent calls counted as waiting, so that calls of less urgent routes yielded to it, although its shard had another call in flight (hedge_that_yields_makes_no_other_call_yield). - The outcome of a call to an upstream that became active after the query had begun was dropped, as the query's router knew the upstreams of its start only (outcome_of_an_upstream_added_during_the_query_is_recorded). - Whether a failed dial was a refusal at the connection limit was judged by a test that is always true, as the failed dial itself is still counted; an upstream that was down for a moment came back with one connection allowed (failed_first_dial_does_not_reduce_the_connection_limit).

--- a/crates/routing/src/balancer/query_router.rs
+++ b/crates/routing/src/balancer/query_router.rs
@@ -43,6 +43,8 @@
     latency_estimate: LatencyEstimate,
     constraints: QueryConstraints,
     refusals: Mutex<Vec<(ShardIndex, AcquireError)>>,
+    /// Shard index of each upstream that became active after the start of the query and was called.
+    later_upstreams: Mutex<Vec<(UpstreamId, usize)>>,
 }
 
 impl QueryRouter {
@@ -68,6 +70,7 @@
             latency_estimate,
             constraints,
             refusals: Mutex::default(),
+            later_upstreams: Mutex::default(),
         }
     }
 
@@ -93,7 +96,7 @@
     /// Returns the shards and errors of the calls that got no upstream, in chronological order,
     /// except those that were told to wait.
     pub fn refusals(&self) -> Vec<(ShardIndex, AcquireError)> {
-        self.refusals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+        lock(&self.refusals).clone()
     }
 
     fn record_refusal(&self, candidates: &[UpstreamId], error: AcquireError) {
@@ -107,14 +110,21 @@
             .and_then(|it| self.shard_by_upstream.iter().find(|(id, _)| id == it));
         if let Some((_, idx)) = entry {
             let shard = ShardIndex(u32::try_from(*idx).unwrap_or(u32::MAX));
-            let mut refusals = self.refusals.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut refusals = lock(&self.refusals);
             refusals.push((shard, error));
         }
     }
 
+    /// Returns the shard of an upstream that was active at the start of the query or was called.
+    fn shard_of(&self, upstream: UpstreamId) -> Option<usize> {
+        let find = |known: &[(UpstreamId, usize)]| {
+            known.iter().find(|(it, _)| *it == upstream).map(|(_, idx)| *idx)
+        };
+        find(&self.shard_by_upstream).or_else(|| find(&lock(&self.later_upstreams)))
+    }
+
     fn balancer_of(&self, upstream: UpstreamId) -> Option<&ServiceBalancer> {
-        let (_, idx) = self.shard_by_upstream.iter().find(|(it, _)| *it == upstream)?;
-        Some(&self.balancers[*idx])
+        Some(&self.balancers[self.shard_of(upstream)?])
     }
 }
 
@@ -132,12 +142,12 @@
         excluded: &[UpstreamId],
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
-        let balancer = candidates.first().and_then(|it| self.balancer_of(*it));
+        let shard = candidates.first().and_then(|it| self.shard_of(*it));
         let QueryConstraints { rank, soft_deadline, deadline, .. } = self.constraints;
         let reply_by = if now < soft_deadline { soft_deadline } else { deadline };
         let max_latency = reply_by.since(now).mul_f64(MAX_LATENCY_SHARE);
-        let balancer = balancer.ok_or(AcquireError::NoReplica)?;
-        let acquired = balancer.acquire_by_rank(
+        let shard = shard.ok_or(AcquireError::NoReplica)?;
+        let acquired = self.balancers[shard].acquire_by_rank(
             now,
             excluded,
             kind,
@@ -148,6 +158,11 @@
         if let Err(error) = acquired {
             self.record_refusal(candidates, error);
         }
+        if let Ok(upstream) = acquired
+            && self.shard_of(upstream).is_none()
+        {
+            lock(&self.later_upstreams).push((upstream, shard));
+        }
         if acquired == Err(AcquireError::ReplyTooLate) {
             lock(&self.latency_estimator).record_too_late(now);
         }
@@ -176,6 +191,6 @@
     }
 }
 
-fn lock(latency_estimator: &Mutex<LatencyEstimator>) -> MutexGuard<'_, LatencyEstimator> {
-    latency_estimator.lock().unwrap_or_else(PoisonError::into_inner)
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -183,16 +183,19 @@
         rank: u32,
     ) -> Result<UpstreamId, AcquireError> {
         let mut state = self.lock();
+        // A hedge that finds no connection does not count as waiting, as another call to its shard is
+        // already in flight.
+        let is_waiting = kind != CallKind::Hedge;
         if state.arbiter.must_yield(now, rank) {
-            state.arbiter.on_refused(now, rank);
+            if is_waiting {
+                state.arbiter.on_refused(now, rank);
+            }
             return Err(AcquireError::Saturated { retry_after: SATURATED_RETRY_DELAY });
         }
         let acquired = state.reserve(now, &self.limits, excluded, kind, estimate, max_latency);
         match acquired {
             Ok(_) => state.arbiter.on_granted(now, rank),
-            // A hedge that finds no connection does not count as waiting, as another call to its
-            // shard is already in flight.
-            Err(AcquireError::Saturated { .. }) if kind != CallKind::Hedge => {
+            Err(AcquireError::Saturated { .. }) if is_waiting => {
                 state.arbiter.on_refused(now, rank);
             }
             Err(_) => {}
@@ -201,8 +204,8 @@
     }
 
     /// Records the outcome of a call from the query's point of view. The connection stays reserved
-    /// until [`Self::end_call`], except for a withdrawn call: its connection is released, and `now`
-    /// must be the time at which it was acquired.
+    /// until [`Self::end_call`], except for a withdrawn call: the connection that was reserved last is
+    /// released.
     ///
     /// For a reply, returns the latency normalized to an upstream of average speed without a queue.
     pub fn record_outcome(
@@ -214,7 +217,7 @@
     ) -> Option<Duration> {
         self.with_upstream(upstream, |it| {
             if outcome == CallOutcome::Withdrawn {
-                it.end_call(now);
+                it.withdraw_call();
             }
             it.on_outcome(now, outcome, estimate)
         })?
@@ -269,8 +272,9 @@
         if elapsed.is_none() {
             // An upstream at its connection limit may refuse the dial instead of resetting the
             // connection. `open_connections` still includes the failed dial;
-            // `on_connection_refused` subtracts it.
-            if known.has_connection() {
+            // `on_connection_refused` subtracts it. Without another connection, the upstream is
+            // more likely to be down.
+            if known.has_other_connection() {
                 known.on_connection_refused(now);
             }
             known.on_dial_failed(now);
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -162,6 +162,14 @@
         }
     }
 
+    /// Releases the connection that was reserved last; calls are withdrawn at once, before others
+    /// start.
+    pub(super) fn withdraw_call(&mut self) {
+        if let Some(latest) = self.call_starts.iter().max().copied() {
+            self.end_call(latest);
+        }
+    }
+
     pub(super) fn set_open_connections(&mut self, open: u32) {
         self.open_connections = open;
     }
@@ -171,6 +179,12 @@
         0 < self.open_connections
     }
 
+    /// Returns whether a connection is open or being set up besides the one that just failed, which
+    /// is still counted.
+    pub(super) fn has_other_connection(&self) -> bool {
+        1 < self.open_connections
+    }
+
     /// Returns whether a connection that is open or being set up is not reserved by a call.
     pub(super) fn has_free_connection(&self) -> bool {
         self.in_flight() < self.open_connections
--- a/crates/routing/tests/balancer/connections.rs
+++ b/crates/routing/tests/balancer/connections.rs
@@ -3,11 +3,13 @@
 use googletest::prelude::*;
 use mux_model::{TimePoint, UpstreamId};
 use mux_routing::{
-    AcquireError,
+    AcquireError, CallOutcome,
     balancer::{RetryBudget, ServiceBalancer},
 };
 
-use crate::fixtures::{OWN_ZONE, acquire_first, at, balancer, limits, ms, record, upstream};
+use crate::fixtures::{
+    OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits, ms, record, upstream,
+};
 
 /// Returns a balancer of a process that has just started.
 fn started_balancer() -> ServiceBalancer {
@@ -115,3 +117,37 @@
     expect_that!(served, eq(20));
     expect_that!(lost, le(4));
 }
+
+/// A dial that fails without any other connection shows an upstream that is down, not one at its
+/// connection limit; it must not reduce the number of connections after it is back.
+#[gtest]
+fn failed_first_dial_does_not_reduce_the_connection_limit() {
+    let balancer = balancer(&[record(0, OWN_ZONE)]);
+    let before = balancer.max_connections(upstream(0));
+    balancer.record_connections(upstream(0), 1);
+
+    balancer.record_connect(at(1), upstream(0), None);
+    balancer.record_connections(upstream(0), 0);
+
+    expect_that!(balancer.max_connections(upstream(0)), eq(before));
+}
+
+/// A call may be withdrawn some time after it was acquired.
+#[gtest]
+fn withdrawn_call_releases_its_connection_at_any_time() {
+    let balancer = balancer(&[record(0, OWN_ZONE)]);
+    let mut last = None;
+    for now in 0.. {
+        if acquire_first(&balancer, at(now)).is_err() {
+            break;
+        }
+        last = Some(now);
+    }
+    expect_that!(last, some(ge(1)));
+
+    let outcome = CallOutcome::Withdrawn;
+    balancer.record_outcome(at(50), upstream(0), outcome, &latency_estimate());
+
+    expect_that!(acquire_first(&balancer, at(51)), eq(Ok(upstream(0))));
+    expect_that!(acquire_first(&balancer, at(52)), eq(saturated()));
+}
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -6,6 +6,7 @@
 mod latency_estimator;
 mod overload;
 mod priority_arbiter;
+mod query_router;
 mod registry;
 mod retry_budget;
 mod spent_budget_markers;
--- a/crates/routing/tests/balancer/priority_arbiter.rs
+++ b/crates/routing/tests/balancer/priority_arbiter.rs
@@ -125,3 +125,28 @@
     arbiter.on_granted(at(13), 2);
     expect_that!(arbiter.must_yield(at(13), 2), eq(true));
 }
+
+/// A hedge that yields is not waiting: its shard has another call in flight. It must not make calls
+/// of less urgent routes yield.
+#[gtest]
+fn hedge_that_yields_makes_no_other_call_yield() {
+    let balancer = balancer(&[record(0, OWN_ZONE)]);
+    let acquire = |now: u64, kind, rank| {
+        let limit = NO_LATENCY_LIMIT;
+        balancer.acquire_by_rank(at(now), &[], kind, &latency_estimate(), limit, rank)
+    };
+    let mut started = 0;
+    while acquire(0, CallKind::First, URGENT).is_ok() {
+        started += 1;
+    }
+    // The urgent call that was refused last waits, so a hedge of the next rank has to yield.
+    expect_that!(acquire(1, CallKind::Hedge, URGENT + 1), err(anything()));
+    for _ in 0..started {
+        balancer.end_call(upstream(0), at(0));
+    }
+
+    // The urgent call has been given up by now; the hedge yielded a moment ago.
+    let later = acquire(6, CallKind::First, ORDINARY);
+
+    expect_that!(later, ok(eq(upstream(0))));
+}
--- /dev/null
+++ b/crates/routing/tests/balancer/query_router.rs
@@ -0,0 +1,37 @@
+//! Routing of one query while the upstreams of its shards change.
+
+use std::sync::{Arc, Mutex};
+
+use googletest::prelude::*;
+use mux_model::{SnapshotId, TimePoint};
+use mux_routing::{
+    CallKind, CallOutcome, ReplicaRouter,
+    balancer::{LatencyEstimator, QueryConstraints, QueryRouter},
+};
+
+use crate::fixtures::{NO_LATENCY_LIMIT, OWN_ZONE, at, balancer, ms, record, upstream};
+
+/// The upstream of a query is replaced while it runs, and its second call goes to the new one. Its
+/// outcome must reach the balancer.
+#[gtest]
+fn outcome_of_an_upstream_added_during_the_query_is_recorded() {
+    let balancer = Arc::new(balancer(&[record(0, OWN_ZONE)]));
+    let constraints = QueryConstraints {
+        rank: 0,
+        started: TimePoint::ZERO,
+        soft_deadline: TimePoint::ZERO + NO_LATENCY_LIMIT,
+        deadline: TimePoint::ZERO + NO_LATENCY_LIMIT,
+    };
+    let estimator = Arc::new(Mutex::new(LatencyEstimator::new(ms(80))));
+    let balancers = vec![Arc::clone(&balancer)];
+    let router = QueryRouter::new(SnapshotId(1), balancers, estimator, constraints);
+    balancer.set_upstreams(at(1), &[&record(1, OWN_ZONE)]);
+
+    let acquired = router.acquire(at(2), &[upstream(0)], &[], CallKind::First);
+    router.release(at(3), upstream(1), CallOutcome::Withdrawn);
+
+    expect_that!(acquired, ok(eq(upstream(1))));
+    // An upstream without calls is forgotten once it is not active any more.
+    balancer.set_upstreams(at(4), &[&record(0, OWN_ZONE)]);
+    expect_that!(balancer.max_connections(upstream(1)), eq(0));
+}
