Count each pause of the process once

Noticed by reading: the heartbeat raised the number of pauses before it stored its time, so that a reader in between counted the same pause twice, and a node listed the store or rejected queries a second time. Both now change under one lock. The existing test covers the count; the moment in between cannot be brought about from outside, so no test fails before.

--- a/crates/timer/src/timer_service.rs
+++ b/crates/timer/src/timer_service.rs
@@ -4,10 +4,7 @@
 
 use std::{
     fmt,
-    sync::{
-        Arc, Weak,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError, Weak},
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
 
@@ -42,12 +39,20 @@
 struct TimerState {
     origin: Instant,
     pause_limit: Duration,
-    /// Time of the last heartbeat since `origin`.
-    heartbeat_micros: AtomicU64,
-    /// Number of pauses that the heartbeat has detected.
+    heartbeat: Mutex<Heartbeat>,
+    /// Number of pauses that the heartbeat has detected, for subscribers.
     pauses: watch::Sender<u64>,
 }
 
+/// State of the heartbeat; both fields change together.
+#[derive(Debug, Clone, Copy)]
+struct Heartbeat {
+    /// Time of the last heartbeat.
+    at: TimePoint,
+    /// Number of pauses detected so far.
+    pauses: u64,
+}
+
 impl TimerService {
     /// Starts the clock and the heartbeat that reports pauses longer than `pause_limit`.
     ///
@@ -58,7 +63,7 @@
         let inner = Arc::new(TimerState {
             origin: Instant::now(),
             pause_limit,
-            heartbeat_micros: AtomicU64::new(0),
+            heartbeat: Mutex::new(Heartbeat { at: TimePoint::ZERO, pauses: 0 }),
             pauses: watch::Sender::new(0),
         });
         tokio::spawn(detect_pauses(Arc::downgrade(&inner)));
@@ -91,20 +96,20 @@
     ///
     /// True from the end of a pause until the heartbeat has run and counted it.
     pub fn is_stalled(&self) -> bool {
-        let heartbeat = TimePoint::from_micros(self.inner.heartbeat_micros.load(Ordering::Acquire));
-        self.inner.pause_limit < self.now().since(heartbeat)
+        self.is_late(self.inner.heartbeat())
     }
 
     /// Returns the number of pauses so far, including one that the heartbeat has not detected yet.
     ///
     /// A number that differs from an earlier one means that the process was paused in between,
-    /// whichever task runs first after the pause. A number read while the heartbeat counts a pause
-    /// may be 1 too high, so a pause may be reported twice.
+    /// whichever task runs first after the pause.
     pub fn pause_count(&self) -> u64 {
-        // The heartbeat increments `pauses` before it stores `heartbeat_micros`. They are read in
-        // the opposite order, so the number may be too high but is never too low.
-        let stalled = self.is_stalled();
-        *self.inner.pauses.borrow() + u64::from(stalled)
+        let heartbeat = self.inner.heartbeat();
+        heartbeat.pauses + u64::from(self.is_late(heartbeat))
+    }
+
+    fn is_late(&self, heartbeat: Heartbeat) -> bool {
+        self.inner.pause_limit < self.now().since(heartbeat.at)
     }
 
     /// Subscribes to the number of pauses that the heartbeat has detected.
@@ -140,6 +145,12 @@
     }
 }
 
+impl TimerState {
+    fn heartbeat(&self) -> Heartbeat {
+        *self.heartbeat.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Periodic ticks of a [`TimerService`].
 #[derive(Debug)]
 pub struct TickStream {
@@ -163,11 +174,15 @@
             return;
         };
         let now = Instant::now();
-        if state.pause_limit < now.duration_since(last) {
+        let is_pause = state.pause_limit < now.duration_since(last);
+        last = now;
+        {
+            let mut heartbeat = state.heartbeat.lock().unwrap_or_else(PoisonError::into_inner);
+            heartbeat.at = TimePoint::ZERO + now.duration_since(state.origin);
+            heartbeat.pauses += u64::from(is_pause);
+        }
+        if is_pause {
             state.pauses.send_modify(|count| *count += 1);
         }
-        last = now;
-        let heartbeat = TimePoint::ZERO + now.duration_since(state.origin);
-        state.heartbeat_micros.store(heartbeat.as_micros(), Ordering::Release);
     }
 }
