Keep the lease of an announcement that got no reply, and count all calls to the store

Noticed by reading, each with a test that failed before: - A node whose announcement failed requested a new lease for the next attempt, and the former one stayed until it expired (announcement_is_repeated_under_the_same_lease: five leases instead of one). The lease is kept until the entry is written, and revoked at a planned stop. - Failed calls other than renewals and watches were not counted (failed_announcement_is_counted). - The gauges of upstreams and nodes stayed high after missing entries had been dropped (gauges_fall_when_missing_entries_are_dropped). They are set where the balancers are refreshed.

New metrics: store_calls by call, relayed_updates by result.

Looked at and left as they are: readiness during a planned stop (a stopping node must not count as ready); idle connections that close before three address lifetimes (the process is killed before they have passed, and each answer of a stopping node asks its caller to close).

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -98,7 +98,9 @@
     pub(crate) latency: LatencyFamily,
     pub(crate) calls: Family<ResultLabel, Counter>,
     pub(crate) balancers: BalancerGauges,
+    pub(crate) store_calls: Family<StoreCallLabel, Counter>,
     pub(crate) store_failures: Family<StoreCallLabel, Counter>,
+    pub(crate) relayed_updates: Family<ResultLabel, Counter>,
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
@@ -114,7 +116,9 @@
             latency: Family::new_with_constructor(latency),
             calls: Family::default(),
             balancers: BalancerGauges::default(),
+            store_calls: Family::default(),
             store_failures: Family::default(),
+            relayed_updates: Family::default(),
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
@@ -135,6 +139,9 @@
         );
         registry.register("calls", "Calls to upstreams by result", self.calls.clone());
         self.balancers.register(registry);
+        registry.register("store_calls", "Calls to the store", self.store_calls.clone());
+        let updates = self.relayed_updates.clone();
+        registry.register("relayed_updates", "Reads of other nodes' copies by result", updates);
         let failures = self.store_failures.clone();
         registry.register("store_failures", "Calls to the store that failed", failures);
         let version = self.config_version.clone();
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -183,6 +183,23 @@
         }
     }
 
+    /// Records the result of a call to the store, and returns it.
+    pub(crate) fn record_store_call<T>(
+        &self,
+        call: &'static str,
+        result: Result<T, ClusterStoreError>,
+    ) -> Result<T, ClusterStoreError> {
+        self.metrics.store_calls.get_or_create(&StoreCallLabel { call }).inc();
+        match &result {
+            // These are replies too.
+            Ok(_) | Err(ClusterStoreError::LeaseExpired | ClusterStoreError::HistoryCompacted) => {
+                self.on_store_reply();
+            }
+            Err(error) => self.on_store_failure(call, error),
+        }
+        result
+    }
+
     /// Records a failed call to the store.
     pub(crate) fn on_store_failure(&self, call: &'static str, error: &ClusterStoreError) {
         self.metrics.store_failures.get_or_create(&StoreCallLabel { call }).inc();
@@ -244,10 +261,14 @@
         self.metrics.render()
     }
 
-    /// Updates all balancers with the registered upstreams, connection limits and number of nodes,
-    /// and closes the connection pools of instances that are no longer eligible for requests.
+    /// Updates all balancers and gauges with the registered upstreams, connection limits and number
+    /// of nodes, and closes the connection pools of instances that are no longer eligible for requests.
     pub(crate) fn refresh_balancers(&self, now: TimePoint) {
-        let nodes = self.nodes().advertised_count();
+        let nodes = {
+            let registry = self.nodes();
+            self.metrics.nodes.set(i64::from(registry.node_count()));
+            registry.advertised_count()
+        };
         let registry = self.upstreams();
         let services = registry.by_service();
         for service in services.keys() {
@@ -261,6 +282,7 @@
             balancer.set_upstreams(now, records);
             balancer.set_limits(connection_limits.get(service).copied(), nodes);
         }
+        self.metrics.upstreams.set(i64::try_from(registry.len()).unwrap_or(i64::MAX));
         let eligible = services.values().flatten().map(|it| &it.instance);
         self.connection_pools.keep_only(eligible);
     }
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -21,11 +21,19 @@
 /// Delay after a failed call, and between checks whether the node is ready to be announced.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// A lease of this node.
+#[derive(Debug, Clone, Copy)]
+struct HeldLease {
+    lease: StoreLease,
+    /// Whether the node's entry has been written under it.
+    is_announced: bool,
+}
+
 /// Announces the node once it is ready and needed, renews its lease, and withdraws the entry when
 /// the node stops.
 pub(crate) async fn maintain_announcement<S: ClusterStore>(edge: Arc<EdgeState>, store: S) {
     let mut stop_phase = edge.stop_phase.subscribe();
-    let mut lease: Option<StoreLease> = None;
+    let mut lease: Option<HeldLease> = None;
     loop {
         if StopPhase::Serving < edge.stop_phase() {
             withdraw(&edge, &store, lease.take()).await;
@@ -38,7 +46,7 @@
             edge.set_announced(false);
         }
         let result = announce_or_renew(&edge, &store, &mut lease).await;
-        edge.set_announced(lease.is_some());
+        edge.set_announced(lease.is_some_and(|it| it.is_announced));
         let delay = match result {
             Ok(()) => renew_period(&edge),
             Err(ClusterStoreError::LeaseExpired) => {
@@ -66,39 +74,53 @@
 async fn announce_or_renew<S: ClusterStore>(
     edge: &EdgeState,
     store: &S,
-    lease: &mut Option<StoreLease>,
+    held: &mut Option<HeldLease>,
 ) -> Result<(), ClusterStoreError> {
-    if let Some(held) = *lease {
-        let renewed = store.renew(held).await;
-        match &renewed {
-            Ok(()) | Err(ClusterStoreError::LeaseExpired) => edge.on_store_reply(),
-            Err(error) => edge.on_store_failure("renew", error),
-        }
-        return renewed;
+    if let Some(HeldLease { lease, is_announced: true }) = *held {
+        return edge.record_store_call("renew", store.renew(lease).await);
+    }
+    if held.is_none() {
+        wait_until_needed(edge).await?;
+        let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.settings.min_lease_lifetime);
+        let lease = edge.record_store_call("grant", store.grant(lifetime).await)?;
+        *held = Some(HeldLease { lease, is_announced: false });
+    }
+    // If the entry cannot be written, the lease is kept for the next attempt, or for its revocation
+    // when the node stops: the write may still take effect.
+    if let Some(granted) = held {
+        let written = store.announce(&edge.settings.node, granted.lease).await;
+        edge.record_store_call("announce", written)?;
+        info!(edge.logger, "node: announced"; "lease" => granted.lease.0);
+        granted.is_announced = true;
     }
+    Ok(())
+}
+
+/// Waits until it is this node's turn to announce itself.
+///
+/// # Errors
+///
+/// Returns [`ClusterStoreError::NotExecuted`] if the node is not ready or not needed.
+async fn wait_until_needed(edge: &EdgeState) -> Result<(), ClusterStoreError> {
     if !edge.is_ready() || !edge.nodes().must_announce(false) {
         return Err(ClusterStoreError::NotExecuted("not ready or not needed".to_owned()));
     }
     let delay = edge.nodes().announcement_delay();
-    if !delay.is_zero() {
-        edge.timer.sleep(delay).await;
-        if !edge.nodes().must_announce(false) {
-            return Err(ClusterStoreError::NotExecuted("not needed any more".to_owned()));
-        }
+    if delay.is_zero() {
+        return Ok(());
+    }
+    edge.timer.sleep(delay).await;
+    if !edge.nodes().must_announce(false) {
+        return Err(ClusterStoreError::NotExecuted("not needed any more".to_owned()));
     }
-    let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.settings.min_lease_lifetime);
-    let granted = store.grant(lifetime).await?;
-    store.announce(&edge.settings.node, granted).await?;
-    info!(edge.logger, "node: announced"; "lease" => granted.0);
-    *lease = Some(granted);
     Ok(())
 }
 
-async fn withdraw<S: ClusterStore>(edge: &EdgeState, store: &S, lease: Option<StoreLease>) {
-    let Some(lease) = lease else {
+async fn withdraw<S: ClusterStore>(edge: &EdgeState, store: &S, held: Option<HeldLease>) {
+    let Some(HeldLease { lease, .. }) = held else {
         return;
     };
-    match store.revoke(lease).await {
+    match edge.record_store_call("revoke", store.revoke(lease).await) {
         Ok(()) => info!(edge.logger, "node: announcement withdrawn"),
         Err(error) => {
             warn!(edge.logger, "node: announcement not withdrawn; the entry expires with its lease";
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -77,8 +77,6 @@
     }
     if is_changed {
         edge.refresh_balancers(now);
-        edge.metrics.upstreams.set(i64::try_from(edge.upstreams().len()).unwrap_or(i64::MAX));
-        edge.metrics.nodes.set(i64::from(edge.nodes().node_count()));
     }
     // Peers are told last, so that they do not compete with this node for its processor.
     edge.mirror_revision.send_replace(edge.store_mirror().revision());
--- a/crates/edge/src/sync/spent_budget_task.rs
+++ b/crates/edge/src/sync/spent_budget_task.rs
@@ -26,7 +26,8 @@
         let Some(services) = markers.pending_update(&edge.spent_fractions(edge.timer.now())) else {
             continue;
         };
-        match store.mark_spent(&edge.settings.node.node, &services).await {
+        let written = store.mark_spent(&edge.settings.node.node, &services).await;
+        match edge.record_store_call("mark_spent", written) {
             Ok(()) => {
                 let names: Vec<&str> = services.iter().map(ServiceName::as_str).collect();
                 info!(edge.logger, "budget: markers updated"; "services" => names.join(" "));
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -16,6 +16,7 @@
 };
 use crate::{
     ClusterStore, ClusterStoreError, PeerRotation, RelayedUpdate, StoreRevision,
+    edge_metrics::{ResultLabel, StoreCallLabel},
     edge_state::EdgeState,
     relay::{RelayConnection, RelayError},
 };
@@ -105,6 +106,8 @@
         }
         let end = self.edge.timer.now() + self.edge.nodes().startup_wait();
         while self.edge.timer.now() < end {
+            // The reply may be seconds old, so it does not show that the store is reachable now.
+            self.count_store_call("list_nodes");
             if let Ok(records) = self.store.list_nodes().await {
                 let mut nodes = self.edge.nodes();
                 for record in records {
@@ -191,6 +194,7 @@
         let relayed = match result {
             Ok(it) => it,
             Err(error) => {
+                self.count_relayed("no_reply");
                 info!(self.edge.logger, "relay: peer did not answer"; "peer" => peer.as_str(),
                     "cause" => error.to_string());
                 self.peers.on_silent(now, peer);
@@ -198,6 +202,7 @@
             }
         };
         let is_fresh = PeerRotation::is_fresh(&relayed, self.revision);
+        self.count_relayed(if is_fresh { "fresh" } else { "stale" });
         if is_fresh {
             let reachability = StoreReachability::from_report(&relayed.reachability, now);
             self.edge.set_relayed_reachability(Some(reachability));
@@ -217,6 +222,14 @@
         is_fresh
     }
 
+    fn count_store_call(&self, call: &'static str) {
+        self.edge.metrics.store_calls.get_or_create(&StoreCallLabel { call }).inc();
+    }
+
+    fn count_relayed(&self, result: &'static str) {
+        self.edge.metrics.relayed_updates.get_or_create(&ResultLabel { result }).inc();
+    }
+
     async fn read_from_store(&mut self) {
         let (kind, result) = match self.revision {
             Some(revision) => {
@@ -225,6 +238,11 @@
             }
             None => (UpdateKind::Listing, self.store.list().await),
         };
+        let call = match kind {
+            UpdateKind::Listing => "list",
+            UpdateKind::Changes => "watch",
+        };
+        self.count_store_call(call);
         match result {
             Ok(update) => {
                 self.failures = 0;
--- a/crates/standins/src/kv/fault_plan.rs
+++ b/crates/standins/src/kv/fault_plan.rs
@@ -15,6 +15,8 @@
     /// Number of further successful calls other than `GET` (transactions and lease calls) that are
     /// processed, but whose connection is then closed without a reply.
     pub(crate) lose_replies: u32,
+    /// Like `lose_replies`, for transactions only.
+    pub(crate) lose_txn_replies: u32,
     /// Accepts watches, but never replies to them.
     pub(crate) silent_watches: bool,
 }
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -293,13 +293,17 @@
 
     fn lose_reply(&self, call: &KvRequest, reply: &Reply) -> io::Result<()> {
         let mut state = self.state();
-        let lost = call.method != Method::GET
-            && reply.status().is_success()
-            && 0 < state.faults.lose_replies;
-        if !lost {
+        if call.method == Method::GET || !reply.status().is_success() {
+            return Ok(());
+        }
+        let faults = &mut state.faults;
+        if call.path == "/api/kv-txn" && 0 < faults.lose_txn_replies {
+            faults.lose_txn_replies -= 1;
+        } else if 0 < faults.lose_replies {
+            faults.lose_replies -= 1;
+        } else {
             return Ok(());
         }
-        state.faults.lose_replies -= 1;
         Err(io::Error::other("reply dropped by fault injection"))
     }
 
