--- a/crates/mustardmux/src/cli/platform_command.rs
+++ b/crates/mustardmux/src/cli/platform_command.rs
@@ -90,7 +90,9 @@
     let client = NodeClient::new();
     let listen = &settings.listen;
     let request = readiness_request(listen.readiness).map_err(invalid_request)?;
-    let readiness = client.send(listen.readiness, request, REQUEST_TIMEOUT).await?;
+    let readiness = client.send(listen.readiness, request, REQUEST_TIMEOUT).await;
+    // Reading the state of a node has no effect, so its failure needs no verdict.
+    let readiness = readiness.map_err(CommandError::Failed)?;
     let is_ready = readiness.status.is_success();
     let record = &settings.node;
     let state = if is_ready { "ready" } else { "not ready" };
@@ -122,7 +124,9 @@
         CallerQuery { node_address, host: &args.host, path: &args.path, id: &args.id, time_left };
     let started = client.timer.now();
     let request = query_request(query).map_err(invalid_request)?;
-    let response = client.send(node_address, request, time_left + RESPONSE_GRACE_TIME).await?;
+    let limit = time_left + RESPONSE_GRACE_TIME;
+    let response =
+        client.send(node_address, request, limit).await.map_err(CommandError::may_have_run)?;
     let took = client.timer.now().since(started);
     println!("{} from {node_address} in {} ms, id {}", response.status, took.as_millis(), args.id);
     if !response.status.is_success() {
@@ -159,7 +163,8 @@
 ) -> Result<Vec<SocketAddr>, CommandError> {
     let directory = settings.listen.directory;
     let request = address_request(directory, host, &settings.node).map_err(invalid_request)?;
-    let response = client.send(directory, request, REQUEST_TIMEOUT).await?;
+    let response =
+        client.send(directory, request, REQUEST_TIMEOUT).await.map_err(CommandError::Failed)?;
     read_addresses(&response.body).map_err(|error| {
         CommandError::not_run(format!(
             "{directory} returned no valid addresses ({}): {error}",
@@ -183,11 +188,9 @@
         node_address: SocketAddr,
         request: Request<Full<Bytes>>,
         limit: Duration,
-    ) -> Result<NodeResponse, CommandError> {
+    ) -> Result<NodeResponse, String> {
         let failed = |error: String| {
-            CommandError::may_have_run(format!(
-                "no response from {node_address}: {error}; is the node running?"
-            ))
+            format!("no response from {node_address}: {error}; is the node running?")
         };
         let exchange = async {
             let response = self.client.request(request).await.map_err(|it| it.to_string())?;
--- a/crates/mustardmux/src/cli/service_command.rs
+++ b/crates/mustardmux/src/cli/service_command.rs
@@ -63,7 +63,7 @@
     #[arg(long)]
     change_id: Option<String>,
     /// Revision of the service on which an update or removal is based, by default the node's
-    /// current one; a creation ignores it.
+    /// current one; a creation accepts only 0.
     #[arg(long)]
     expected_revision: Option<u64>,
     /// Shows the differences without applying them.
--- a/crates/node/src/operator/operator_server.rs
+++ b/crates/node/src/operator/operator_server.rs
@@ -157,7 +157,15 @@
         &self,
         request: Request<ChangeServiceRequest>,
     ) -> Result<Response<ChangeReply>, Status> {
-        self.put_service(request.into_inner(), RevisionNumber::default()).await
+        let request = request.into_inner();
+        if request.expected_revision != 0 {
+            return Err(Status::invalid_argument(format!(
+                "expected_revision is {}, but a new service has no revision; update the service, or \
+                 leave expected_revision at 0",
+                request.expected_revision
+            )));
+        }
+        self.put_service(request, RevisionNumber::default()).await
     }
 
     async fn update_service(
--- a/crates/proofs/src/operator_client.rs
+++ b/crates/proofs/src/operator_client.rs
@@ -46,6 +46,20 @@
         self.client.clone().create_service(request).await.map(Response::into_inner)
     }
 
+    /// Creates a service with an expected revision, which a new one cannot have.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the call fails.
+    pub async fn create_service_at(
+        &self,
+        definition: &Value,
+        expected_revision: u64,
+    ) -> Result<ChangeReply, Status> {
+        let request = change_request(definition, expected_revision);
+        self.client.clone().create_service(request).await.map(Response::into_inner)
+    }
+
     /// Replaces the definition of a service, expecting the revision that is in force at the node.
     ///
     /// # Errors
--- a/crates/proofs/tests/refusals.rs
+++ b/crates/proofs/tests/refusals.rs
@@ -239,3 +239,18 @@
 async fn set_latency(leaf: &LeafProcess, millis: u64) {
     leaf.set_behaviour(&json!({ "latency": fixed_latency(millis) })).await;
 }
+
+/// A creation that names the revision of an existing service must not be taken for one that names
+/// none, as its operator believes to change that service.
+#[gtest]
+#[tokio::test]
+async fn creation_with_an_expected_revision_is_rejected() {
+    let installation = Installation::start(1).await;
+    let definition = json!({ "name": "shopfront-01", "upstreams": [] });
+    let client = &installation.nodes[0].operator_client;
+
+    let reply = client.create_service_at(&definition, 7).await;
+
+    let message = reply.err().map(|it| it.message().to_owned());
+    expect_that!(message, some(contains_substring("expected_revision is 7")));
+}
