Apply changed settings in the running process

The five limits (retry budget, address lifetime, stop grace period, time limit of a configuration, lease lifetime) and the address of the store now take effect at once; node, listen addresses and logs are named in the log line as waiting for the next start; a malformed file changes nothing and is logged. SettingsChange decides which is which, with a table of cases.

--- a/crates/edge/src/caller/auxiliary_servers.rs
+++ b/crates/edge/src/caller/auxiliary_servers.rs
@@ -26,7 +26,7 @@
     if addresses.is_empty() {
         return text_response(StatusCode::SERVICE_UNAVAILABLE, "no node serves\n");
     }
-    let lifetime = ADDRESS_LIFETIME.min(edge.settings.max_address_lifetime);
+    let lifetime = ADDRESS_LIFETIME.min(edge.limits().max_address_lifetime);
     let body = W::write_address_answer(&addresses, lifetime);
     let mut response = Response::new(Full::new(body));
     let json = HeaderValue::from_static("application/json");
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -21,13 +21,9 @@
     pub metrics: Option<SocketAddr>,
 }
 
-/// Settings of a node.
-#[derive(Debug, Clone, PartialEq)]
-pub struct EdgeSettings {
-    /// The record that the node announces to the other nodes.
-    pub node: NodeRecord,
-    /// Addresses to listen on.
-    pub listen: ListenAddresses,
+/// Limits of a node, which may change while its process runs.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RuntimeLimits {
     /// Limits of the budget for hedges and retries.
     pub retry: RetryBudgetLimits,
     /// Longest lifetime of an address answer that callers accept.
@@ -38,6 +34,49 @@
     pub config_apply_limit: Duration,
     /// Minimum lifetime of a lease that the store grants.
     pub min_lease_lifetime: Duration,
+}
+
+/// Settings of a node.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EdgeSettings {
+    /// The record that the node announces to the other nodes.
+    pub node: NodeRecord,
+    /// Addresses to listen on.
+    pub listen: ListenAddresses,
+    /// Limits.
+    pub limits: RuntimeLimits,
     /// Log output.
     pub logs: LogSettings,
 }
+
+/// The names of the settings that differ between two versions of a settings file.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct SettingsChange {
+    /// Settings that take effect in the running process.
+    pub applied: Vec<&'static str>,
+    /// Settings that take effect at the next start.
+    pub deferred: Vec<&'static str>,
+}
+
+impl SettingsChange {
+    /// Compares the settings of the running process with those of the changed file.
+    pub fn between(current: &EdgeSettings, changed: &EdgeSettings) -> Self {
+        let (old, new) = (&current.limits, &changed.limits);
+        let limits = [
+            ("retry budget", old.retry != new.retry),
+            ("maximum address lifetime", old.max_address_lifetime != new.max_address_lifetime),
+            ("stop grace period", old.stop_grace_period != new.stop_grace_period),
+            ("time limit of a configuration", old.config_apply_limit != new.config_apply_limit),
+            ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
+        ];
+        let others = [
+            ("node", current.node != changed.node),
+            ("listen addresses", current.listen != changed.listen),
+            ("logs", current.logs != changed.logs),
+        ];
+        let changed_names = |rows: &[(&'static str, bool)]| {
+            rows.iter().filter(|(_, is_changed)| *is_changed).map(|(name, _)| *name).collect()
+        };
+        Self { applied: changed_names(&limits), deferred: changed_names(&others) }
+    }
+}
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    ClusterStoreError, EdgeSettings, StoreMirror, StoreRevision,
+    ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreMirror, StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     upstream::ConnectionPools,
 };
@@ -46,7 +46,9 @@
 /// The shared state of a node.
 #[derive(Debug)]
 pub(crate) struct EdgeState {
+    /// The settings of the start of the process; the limits in force are in `limits`.
     pub(crate) settings: EdgeSettings,
+    limits: RwLock<RuntimeLimits>,
     pub(crate) timer: TimerService,
     pub(crate) logger: Logger,
     pub(crate) metrics: EdgeMetrics,
@@ -84,6 +86,7 @@
         let nodes = NodeRegistry::new(settings.node.clone());
         let started_at = timer.now();
         Self {
+            limits: RwLock::new(settings.limits),
             settings,
             timer,
             logger,
@@ -111,6 +114,24 @@
         }
     }
 
+    /// Returns the limits in force.
+    pub(crate) fn limits(&self) -> RuntimeLimits {
+        *self.limits.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Puts the limits of a changed settings file into force, and logs which settings changed.
+    pub(crate) fn apply_settings(&self, changed: &EdgeSettings) {
+        let current = EdgeSettings { limits: self.limits(), ..self.settings.clone() };
+        let change = SettingsChange::between(&current, changed);
+        *self.limits.write().unwrap_or_else(PoisonError::into_inner) = changed.limits;
+        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
+        for balancer in balancers.values() {
+            balancer.set_retry_limits(changed.limits.retry);
+        }
+        info!(self.logger, "node: settings read again"; "applied" => change.applied.join(", "),
+            "from_next_start" => change.deferred.join(", "));
+    }
+
     /// Returns whether requests can be served: the node is not stopping, and the configuration and
     /// upstreams have been read.
     pub(crate) fn is_ready(&self) -> bool {
@@ -220,7 +241,7 @@
             let zone = self.settings.node.availability_zone.clone();
             let is_spent = self.inherited_spent_services().is_some_and(|it| it.contains(service));
             let retry_budget = RetryBudget::started(self.started_at, is_spent);
-            Arc::new(ServiceBalancer::with_retry_budget(self.settings.retry, zone, retry_budget))
+            Arc::new(ServiceBalancer::with_retry_budget(self.limits().retry, zone, retry_budget))
         });
         Arc::clone(balancer)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,7 +17,7 @@
 mod upstream;
 mod wire;
 
-pub use edge_settings::{EdgeSettings, ListenAddresses};
+pub use edge_settings::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
 pub use errors::EdgeError;
 pub use relay::{MirrorUpdate, PeerRotation, RelayedUpdate, StoreMirror};
 pub use run_edge::{run, serve};
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -5,7 +5,7 @@
 use mux_http::HttpListener;
 use mux_logs::build_logger;
 use mux_timer::TimerService;
-use slog::info;
+use slog::{info, warn};
 use tokio::{
     runtime::{Builder, Runtime},
     signal::unix::{Signal, SignalKind, signal},
@@ -30,7 +30,8 @@
 /// Period of the checks whether the connections of a stopping node are closed.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
-/// Runs a node until it has shut down after SIGTERM or SIGINT.
+/// Runs a node until it has shut down after SIGTERM or SIGINT. `reload` reads the settings again
+/// after SIGHUP.
 ///
 /// # Errors
 ///
@@ -38,9 +39,10 @@
 pub fn run<W: WireProtocol, S: ClusterStore>(
     settings: EdgeSettings,
     make_store: impl FnOnce(&TimerService) -> S,
+    reload: impl Fn() -> Result<EdgeSettings, String>,
 ) -> Result<(), EdgeError> {
     let runtime = build_runtime()?;
-    let result = runtime.block_on(serve::<W, S>(settings, make_store));
+    let result = runtime.block_on(serve::<W, S>(settings, make_store, reload));
     runtime.shutdown_background();
     result
 }
@@ -56,7 +58,8 @@
     builder.enable_all().build().map_err(EdgeError::Runtime)
 }
 
-/// Runs a node on the current runtime until it has shut down after SIGTERM or SIGINT.
+/// Runs a node on the current runtime until it has shut down after SIGTERM or SIGINT. `reload`
+/// reads the settings again after SIGHUP.
 ///
 /// # Errors
 ///
@@ -64,6 +67,7 @@
 pub async fn serve<W: WireProtocol, S: ClusterStore>(
     settings: EdgeSettings,
     make_store: impl FnOnce(&TimerService) -> S,
+    reload: impl Fn() -> Result<EdgeSettings, String>,
 ) -> Result<(), EdgeError> {
     let logger = build_logger(&settings.logs, settings.node.node.as_str());
     let listen = settings.listen;
@@ -91,7 +95,7 @@
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
-    signals.wait(&edge).await;
+    signals.wait(&edge, reload).await;
     stop(&edge).await;
     Ok(())
 }
@@ -117,15 +121,19 @@
         })
     }
 
-    /// Waits for SIGTERM or SIGINT, and logs that SIGHUP is ignored.
-    async fn wait(mut self, edge: &EdgeState) {
+    /// Waits for SIGTERM or SIGINT, and applies the settings that `reload` returns after SIGHUP.
+    async fn wait(mut self, edge: &EdgeState, reload: impl Fn() -> Result<EdgeSettings, String>) {
         loop {
             tokio::select! {
                 _ = self.terminate.recv() => return,
                 _ = self.interrupt.recv() => return,
-                _ = self.hangup.recv() => {
-                    info!(edge.logger, "node: SIGHUP ignored; settings are read at the start only");
-                }
+                _ = self.hangup.recv() => match reload() {
+                    Ok(changed) => edge.apply_settings(&changed),
+                    Err(error) => {
+                        warn!(edge.logger, "node: changed settings rejected, the former stay in force";
+                            "cause" => error);
+                    }
+                },
             }
         }
     }
@@ -134,7 +142,7 @@
 /// Removes the node from address answers, keeps serving requests during the stop grace period, and
 /// returns when all connections are closed or the grace period is nearly over.
 async fn stop(edge: &Arc<EdgeState>) {
-    let grace_period = edge.settings.stop_grace_period;
+    let grace_period = edge.limits().stop_grace_period;
     info!(edge.logger, "node: stopping"; "limit_ms" => grace_period.as_millis() as u64);
     edge.nodes().begin_stop();
     edge.stop_phase.send_replace(StopPhase::Stopping);
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -81,7 +81,7 @@
     }
     if held.is_none() {
         wait_until_needed(edge).await?;
-        let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.settings.min_lease_lifetime);
+        let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.limits().min_lease_lifetime);
         let lease = edge.record_store_call("grant", store.grant(lifetime).await)?;
         *held = Some(HeldLease { lease, is_announced: false });
     }
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -71,7 +71,6 @@
 struct StoreReader<S> {
     edge: Arc<EdgeState>,
     store: S,
-    pacing: ReadPacing,
     /// Position of this node's copy; `None` if all entries have to be read.
     revision: Option<StoreRevision>,
     /// Number of failed calls to the store in a row.
@@ -85,11 +84,9 @@
 
 impl<S: ClusterStore> StoreReader<S> {
     fn new(edge: Arc<EdgeState>, store: S) -> Self {
-        let pacing = ReadPacing { config_apply_limit: edge.settings.config_apply_limit };
         Self {
             edge,
             store,
-            pacing,
             revision: None,
             failures: 0,
             store_retry_at: TimePoint::ZERO,
@@ -233,7 +230,7 @@
     async fn read_from_store(&mut self) {
         let (kind, result) = match self.revision {
             Some(revision) => {
-                let wait = self.pacing.watch_wait(self.reads_for_others());
+                let wait = self.pacing().watch_wait(self.reads_for_others());
                 (UpdateKind::Changes, self.store.watch(revision, wait).await)
             }
             None => (UpdateKind::Listing, self.store.list().await),
@@ -280,7 +277,11 @@
 
     fn delay_after(&self, changes: usize) -> Duration {
         let reads_for_others = self.reads_for_others();
-        self.pacing.delay_after(changes, self.edge.nodes().node_count(), reads_for_others)
+        self.pacing().delay_after(changes, self.edge.nodes().node_count(), reads_for_others)
+    }
+
+    fn pacing(&self) -> ReadPacing {
+        ReadPacing { config_apply_limit: self.edge.limits().config_apply_limit }
     }
 
     /// Returns whether callers or other nodes may depend on this node's copy.
--- a/crates/mustardmux/src/cli/edge_command.rs
+++ b/crates/mustardmux/src/cli/edge_command.rs
@@ -1,9 +1,10 @@
 //! `mustardmux edge`: runs an edge node, which serves the platform's own protocol.
 
-use std::{net::SocketAddr, path::PathBuf, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, sync::OnceLock, time::Duration};
 
 use clap::Args;
 use mux_adapter::{KvClient, KvSettings, PlatformSettings, PlatformStore, PlatformWire};
+use mux_timer::TimerService;
 
 use super::errors::CommandError;
 
@@ -27,17 +28,33 @@
 
 /// Runs the command.
 pub(crate) fn run(args: &EdgeArgs) -> Result<(), CommandError> {
+    let PlatformSettings { edge, store } = load_settings(args).map_err(CommandError::Failed)?;
+    // Set when the store's client has been created.
+    let client: OnceLock<KvClient> = OnceLock::new();
+    let create_store = |timer: &TimerService| {
+        let settings = KvSettings { address: store, call_timeout: STORE_CALL_TIMEOUT };
+        let client = client.get_or_init(|| KvClient::new(timer.clone(), settings));
+        PlatformStore::new(client.clone())
+    };
+    let reload = || {
+        let changed = load_settings(args)?;
+        if let Some(client) = client.get() {
+            client.set_address(changed.store);
+        }
+        Ok(changed.edge)
+    };
+    mux_edge::run::<PlatformWire, _>(edge, create_store, reload)
+        .map_err(|error| CommandError::Failed(error.to_string()))
+}
+
+/// Reads the settings file, and adds the settings of the command line.
+fn load_settings(args: &EdgeArgs) -> Result<PlatformSettings, String> {
     let loaded = match &args.settings {
         Some(path) => PlatformSettings::load(path),
         None => PlatformSettings::from_environment(),
     };
-    let PlatformSettings { mut edge, store } =
-        loaded.map_err(|error| CommandError::Failed(error.to_string()))?;
-    let address = edge.listen.callers.ip();
-    edge.listen.metrics = args.metrics_port.map(|it| SocketAddr::new(address, it));
-    mux_edge::run::<PlatformWire, _>(edge, |timer| {
-        let settings = KvSettings { address: store, call_timeout: STORE_CALL_TIMEOUT };
-        PlatformStore::new(KvClient::new(timer.clone(), settings))
-    })
-    .map_err(|error| CommandError::Failed(error.to_string()))
+    let mut settings = loaded.map_err(|error| error.to_string())?;
+    let address = settings.edge.listen.callers.ip();
+    settings.edge.listen.metrics = args.metrics_port.map(|it| SocketAddr::new(address, it));
+    Ok(settings)
 }
--- a/crates/proofs/src/child_process.rs
+++ b/crates/proofs/src/child_process.rs
@@ -109,6 +109,11 @@
         self.signal("CONT");
     }
 
+    /// Sends SIGHUP, after which the process reads its settings again.
+    pub fn hang_up(&mut self) {
+        self.signal("HUP");
+    }
+
     /// Sends a signal unless the process has exited, as its ID may then have been reused.
     fn signal(&mut self, name: &str) {
         if self.exit_status().is_some() {
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -45,6 +45,7 @@
 
 #[derive(Debug)]
 struct BalancerState {
+    retry_limits: RetryBudgetLimits,
     upstreams: Vec<TrackedUpstream>,
     retry_budget: RetryBudget,
     arbiter: PriorityArbiter,
@@ -57,7 +58,6 @@
 /// Chooses upstreams for the calls to one service and enforces this node's share of its limits.
 #[derive(Debug)]
 pub struct ServiceBalancer {
-    limits: RetryBudgetLimits,
     zone: AvailabilityZone,
     state: Mutex<BalancerState>,
 }
@@ -76,6 +76,7 @@
         retry_budget: RetryBudget,
     ) -> Self {
         let state = BalancerState {
+            retry_limits: limits,
             upstreams: Vec::new(),
             retry_budget,
             arbiter: PriorityArbiter::default(),
@@ -84,7 +85,7 @@
             dial_us: INITIAL_DIAL_US,
             report: BalancerReport::default(),
         };
-        Self { limits, zone, state: Mutex::new(state) }
+        Self { zone, state: Mutex::new(state) }
     }
 
     /// Replaces the set of upstreams for new calls; calls in flight to removed upstreams continue.
@@ -101,7 +102,8 @@
                 }
                 _ => {
                     let same_zone = record.availability_zone == self.zone;
-                    let is_first_window = state.retry_budget.is_in_first_window(now, &self.limits);
+                    let limits = state.retry_limits;
+                    let is_first_window = state.retry_budget.is_in_first_window(now, &limits);
                     let upstream = TrackedUpstream::new(now, record, same_zone, is_first_window);
                     state.upstreams.push(upstream);
                 }
@@ -117,6 +119,11 @@
         state.nodes = nodes.max(1);
     }
 
+    /// Replaces the limits of the retry budget; what is spent already stays so.
+    pub fn set_retry_limits(&self, limits: RetryBudgetLimits) {
+        self.lock().retry_limits = limits;
+    }
+
     /// Returns the upstreams that are eligible for new calls.
     pub fn active_upstreams(&self) -> Vec<UpstreamId> {
         self.lock().upstreams.iter().filter(|it| it.is_active).map(|it| it.id).collect()
@@ -139,7 +146,7 @@
     /// Returns the fraction of this node's share of the retry budget that is spent.
     pub fn spent_fraction(&self, now: TimePoint) -> f64 {
         let state = self.lock();
-        state.retry_budget.spent_fraction(now, &self.limits, state.nodes)
+        state.retry_budget.spent_fraction(now, &state.retry_limits, state.nodes)
     }
 
     /// Returns the counts since the start of the process.
@@ -164,7 +171,7 @@
         estimate: &LatencyEstimate,
         max_latency: Duration,
     ) -> Result<UpstreamId, AcquireError> {
-        self.lock().reserve(now, &self.limits, excluded, kind, estimate, max_latency)
+        self.lock().reserve(now, excluded, kind, estimate, max_latency)
     }
 
     /// Reserves a connection like [`Self::acquire`], but yields to waiting calls of more urgent
@@ -192,7 +199,7 @@
             }
             return Err(AcquireError::Saturated { retry_after: SATURATED_RETRY_DELAY });
         }
-        let acquired = state.reserve(now, &self.limits, excluded, kind, estimate, max_latency);
+        let acquired = state.reserve(now, excluded, kind, estimate, max_latency);
         match acquired {
             Ok(_) => state.arbiter.on_granted(now, rank),
             Err(AcquireError::Saturated { .. }) if is_waiting => {
@@ -311,7 +318,6 @@
     fn reserve(
         &mut self,
         now: TimePoint,
-        limits: &RetryBudgetLimits,
         excluded: &[UpstreamId],
         kind: CallKind,
         estimate: &LatencyEstimate,
@@ -325,10 +331,11 @@
                 return Err(error);
             }
         };
+        let limits = self.retry_limits;
         if kind == CallKind::First {
-            self.retry_budget.record_first_call(now, limits);
+            self.retry_budget.record_first_call(now, &limits);
             self.report.first_calls += 1;
-        } else if self.retry_budget.try_extra_call(now, limits, self.nodes) {
+        } else if self.retry_budget.try_extra_call(now, &limits, self.nodes) {
             self.report.extra_calls += 1;
         } else {
             self.report.budget_refusals += 1;
