Leave distant peers for near ones

Cause: after a start of the whole fleet, a node reads the copy of the first peer that has announced itself, often in another availability zone, and stayed with it. Bytes between zones cost, those inside a zone do not. PeerRotation::has_nearer lets it leave for a peer of its own zone that answers; distant_peer_is_left_for_a_near_one failed before, as there was no such decision.

--- a/crates/edge/src/relay/peer_rotation.rs
+++ b/crates/edge/src/relay/peer_rotation.rs
@@ -38,6 +38,14 @@
         peers.iter().filter(is_due).take(PARALLEL_PEERS).cloned().collect()
     }
 
+    /// Returns whether a reader should leave its current peer for a nearer one, because bytes between
+    /// availability zones cost. After a start of the whole fleet, the first peers that offer a copy
+    /// may be far away.
+    pub fn has_nearer(&self, now: TimePoint, peers: &[RelayPeer], current: &NodeId) -> bool {
+        let is_near = peers.iter().any(|it| it.node == *current && it.is_near);
+        !is_near && self.next_batch(now, peers).first().is_some_and(|it| it.is_near)
+    }
+
     /// Returns whether a reader at `position` can serve from a peer's copy: the peer is not behind,
     /// and heard the store recently.
     pub fn is_fresh(relayed: &RelayedUpdate, position: Option<StoreRevision>) -> bool {
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -153,7 +153,12 @@
     /// Reads the copy of the current peer, or of the first other one that has a recent copy.
     async fn read_from_peers(&mut self) -> PeerRead {
         let mut outcome = PeerRead::NoPeer;
-        if let Some((node, connection)) = self.current_peer.take() {
+        let peers = self.edge.nodes().relay_peers();
+        let now = self.edge.timer.now();
+        let current = self.current_peer.take();
+        if let Some((node, connection)) =
+            current.filter(|(node, _)| !self.peers.has_nearer(now, &peers, node))
+        {
             let result = connection.read_changes(self.revision, PEER_WAIT).await;
             if self.apply_relayed(&node, result, &mut outcome) {
                 self.current_peer = Some((node, connection));
--- a/crates/edge/tests/peer_rotation.rs
+++ b/crates/edge/tests/peer_rotation.rs
@@ -12,6 +12,7 @@
     let peer = |idx| RelayPeer {
         node: NodeId::from(format!("node-{idx}")),
         address: SocketAddr::from(([10, 0, 0, 1], idx)),
+        is_near: idx < 3,
     };
     (0..count).map(peer).collect()
 }
@@ -73,3 +74,20 @@
     let later = now + Duration::from_secs(2);
     expect_that!(rotation.next_batch(later, &peers), eq(&peers));
 }
+
+/// A reader that started before the nodes of its zone had announced themselves must not stay with a
+/// distant peer, and must not leave it for peers that do not answer.
+#[gtest]
+fn distant_peer_is_left_for_a_near_one() {
+    let peers = peers(9);
+    let mut rotation = PeerRotation::default();
+    let now = TimePoint::from_millis(1_000);
+
+    expect_that!(rotation.has_nearer(now, &peers, &peers[5].node), eq(true));
+    expect_that!(rotation.has_nearer(now, &peers, &peers[1].node), eq(false));
+    expect_that!(rotation.has_nearer(now, &peers[3..], &peers[5].node), eq(false));
+    for peer in &peers[..3] {
+        rotation.on_silent(now, &peer.node);
+    }
+    expect_that!(rotation.has_nearer(now, &peers, &peers[5].node), eq(false));
+}
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -57,6 +57,8 @@
     pub node: NodeId,
     /// Address of its relay.
     pub address: SocketAddr,
+    /// Whether it is in the availability zone of the reader.
+    pub is_near: bool,
 }
 
 impl NodeRecord {
@@ -199,7 +201,8 @@
                 let own_name = self.own.node.as_str().as_bytes();
                 let hash = stable_hash(&[own_name, record.node.as_str().as_bytes()]);
                 let key = (rank.distance, !advertised.contains(&record.callers), hash);
-                (key, RelayPeer { node: record.node.clone(), address })
+                let is_near = rank.distance == 0;
+                (key, RelayPeer { node: record.node.clone(), address, is_near })
             })
             .collect();
         peers.sort_by_key(|(key, _)| *key);
