Explain a request from the log lines of hundreds of nodes

`mustardmux logs explain --id ID` reads any number of nodes' lines from standard input and prints each line of the request after the latest state of its node: version in force, reachability of the store, the peer whose copy it read. Tests run the program with a stream of two nodes, and with one that lacks the request.

--- a/crates/mustardmux/src/cli/mod.rs
+++ b/crates/mustardmux/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod drain_command;
 mod edge_command;
 mod errors;
+mod logs_command;
 mod node_command;
 mod operator_client;
 mod output;
--- a/crates/mustardmux/src/cli/program_args.rs
+++ b/crates/mustardmux/src/cli/program_args.rs
@@ -8,6 +8,7 @@
     audit_command::{self, AuditArgs},
     edge_command::{self, EdgeArgs},
     errors::CommandError,
+    logs_command::{self, LogsCommand},
     node_command::{self, NodeArgs},
     platform_command::{self, PlatformCommand},
     query_command::{self, QueryArgs},
@@ -37,6 +38,9 @@
     /// Inspects or queries a node that `mustardmux edge` runs.
     #[command(subcommand)]
     Platform(PlatformCommand),
+    /// Finds the cause of a failed request in log lines.
+    #[command(subcommand)]
+    Logs(LogsCommand),
     /// Validates a settings file, or prints an example.
     #[command(subcommand)]
     Settings(SettingsCommand),
@@ -57,6 +61,7 @@
         ProgramCommand::Node(args) => node_command::run(args),
         ProgramCommand::Edge(args) => edge_command::run(&args),
         ProgramCommand::Platform(command) => block_on(platform_command::run(command)),
+        ProgramCommand::Logs(command) => logs_command::run(command),
         ProgramCommand::Settings(command) => settings_command::run(command),
         ProgramCommand::Service(command) => block_on(service_command::run(command)),
         ProgramCommand::Status(args) => block_on(status_command::run(args)),
--- a/crates/mustardmux/tests/command_line.rs
+++ b/crates/mustardmux/tests/command_line.rs
@@ -4,7 +4,8 @@
 
 use std::{
     fs,
-    process::{Command, Output},
+    io::Write,
+    process::{Command, Output, Stdio},
 };
 
 use googletest::prelude::*;
@@ -23,7 +24,7 @@
 
 #[gtest]
 fn every_subcommand_has_help_with_an_example() {
-    let subcommands: [&[&str]; 14] = [
+    let subcommands: [&[&str]; 15] = [
         &["node"],
         &["node", "drain"],
         &["settings", "check"],
@@ -38,6 +39,7 @@
         &["query"],
         &["platform", "status"],
         &["platform", "query"],
+        &["logs", "explain"],
     ];
 
     for subcommand in subcommands {
@@ -83,3 +85,50 @@
     expect_that!(output.status.code(), some(eq(1)));
     expect_that!(stderr(&output), contains_substring("no-such-file.json"));
 }
+
+/// Runs `logs explain` for request 9c41 on these lines.
+fn explain(lines: &[&str]) -> Output {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mustardmux"))
+        .args(["logs", "explain", "--id", "9c41"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program runs");
+    let mut input = child.stdin.take().expect("piped input");
+    input.write_all(lines.join("\n").as_bytes()).expect("the lines are read");
+    drop(input);
+    child.wait_with_output().expect("the program ends")
+}
+
+/// From one stream of many nodes, the path of one request and what its node believed then.
+#[gtest]
+fn lines_of_a_request_are_printed_after_the_state_of_their_node() {
+    let output = explain(&[
+        r#"{"msg":"config: activated","ts":"1","node":"a-1","version":4}"#,
+        r#" 0.5 a-2 {"msg":"config: activated","ts":"2","node":"a-2","version":5}"#,
+        r#"{"msg":"store: unreachable","ts":"3","node":"a-1","cause":"timed out"}"#,
+        "not a log line {",
+        r#"{"msg":"request: answered","ts":"4","node":"a-1","id":"ffff","status":200}"#,
+        r#"{"msg":"request: answered","ts":"5","node":"a-1","id":"9c41","status":503,"missing":""}"#,
+        r#"{"msg":"config: activated","ts":"6","node":"a-1","version":7}"#,
+    ]);
+
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = vec![
+        "  before: 1 a-1 config: activated; version 4",
+        "  before: 3 a-1 store: unreachable; cause timed out",
+        "5 a-1 request: answered; id 9c41; status 503",
+    ];
+    expect_that!(lines, eq(&expected));
+    expect_that!(output.status.code(), some(eq(0)));
+}
+
+#[gtest]
+fn request_without_a_line_is_an_error_that_says_what_to_do() {
+    let output = explain(&[r#"{"msg":"request: answered","ts":"4","node":"a-1","id":"ffff"}"#]);
+
+    expect_that!(output.status.code(), some(eq(1)));
+    expect_that!(stderr(&output), contains_substring("no line of request 9c41"));
+}
