Name the shards without an upstream in the log line of a refused query

A query that finds no upstream for a shard never asks the balancer, so that no refusal was recorded. QueryRouter lists these shards from the start (shard_without_an_upstream_is_listed_as_refused failed before). Nothing but the log line changes.

--- a/crates/routing/src/balancer/query_router.rs
+++ b/crates/routing/src/balancer/query_router.rs
@@ -60,6 +60,9 @@
         for (idx, active_upstreams) in replicas.iter().enumerate() {
             shard_by_upstream.extend(active_upstreams.iter().map(|it| (*it, idx)));
         }
+        let without_upstream = replicas.iter().enumerate().filter(|(_, it)| it.is_empty());
+        let refusals =
+            without_upstream.map(|(idx, _)| (shard_index(idx), AcquireError::NoReplica)).collect();
         let latency_estimate = lock(&latency_estimator).current(constraints.started);
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
         Self {
@@ -69,7 +72,7 @@
             latency_estimator,
             latency_estimate,
             constraints,
-            refusals: Mutex::default(),
+            refusals: Mutex::new(refusals),
             later_upstreams: Mutex::default(),
         }
     }
@@ -94,7 +97,7 @@
     }
 
     /// Returns the shards and errors of the calls that got no upstream, in chronological order,
-    /// except those that were told to wait.
+    /// except those that were told to wait. The shards without an upstream come first.
     pub fn refusals(&self) -> Vec<(ShardIndex, AcquireError)> {
         lock(&self.refusals).clone()
     }
@@ -109,7 +112,7 @@
             .first()
             .and_then(|it| self.shard_by_upstream.iter().find(|(id, _)| id == it));
         if let Some((_, idx)) = entry {
-            let shard = ShardIndex(u32::try_from(*idx).unwrap_or(u32::MAX));
+            let shard = shard_index(*idx);
             let mut refusals = lock(&self.refusals);
             refusals.push((shard, error));
         }
@@ -191,6 +194,10 @@
     }
 }
 
+fn shard_index(idx: usize) -> ShardIndex {
+    ShardIndex(u32::try_from(idx).unwrap_or(u32::MAX))
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/routing/tests/balancer/query_router.rs
+++ b/crates/routing/tests/balancer/query_router.rs
@@ -3,19 +3,15 @@
 use std::sync::{Arc, Mutex};
 
 use googletest::prelude::*;
-use mux_model::{SnapshotId, TimePoint};
+use mux_model::{ShardIndex, SnapshotId, TimePoint};
 use mux_routing::{
-    CallKind, CallOutcome, ReplicaRouter,
-    balancer::{LatencyEstimator, QueryConstraints, QueryRouter},
+    AcquireError, CallKind, CallOutcome, ReplicaRouter,
+    balancer::{LatencyEstimator, QueryConstraints, QueryRouter, ServiceBalancer},
 };
 
 use crate::fixtures::{NO_LATENCY_LIMIT, OWN_ZONE, at, balancer, ms, record, upstream};
 
-/// The upstream of a query is replaced while it runs, and its second call goes to the new one. Its
-/// outcome must reach the balancer.
-#[gtest]
-fn outcome_of_an_upstream_added_during_the_query_is_recorded() {
-    let balancer = Arc::new(balancer(&[record(0, OWN_ZONE)]));
+fn router(balancers: Vec<Arc<ServiceBalancer>>) -> QueryRouter {
     let constraints = QueryConstraints {
         rank: 0,
         started: TimePoint::ZERO,
@@ -23,8 +19,25 @@
         deadline: TimePoint::ZERO + NO_LATENCY_LIMIT,
     };
     let estimator = Arc::new(Mutex::new(LatencyEstimator::new(ms(80))));
-    let balancers = vec![Arc::clone(&balancer)];
-    let router = QueryRouter::new(SnapshotId(1), balancers, estimator, constraints);
+    QueryRouter::new(SnapshotId(1), balancers, estimator, constraints)
+}
+
+/// Without an entry for a shard that has no upstream, the log line of the refused query named no
+/// cause.
+#[gtest]
+fn shard_without_an_upstream_is_listed_as_refused() {
+    let router = router(vec![Arc::new(balancer(&[record(0, OWN_ZONE)])), Arc::new(balancer(&[]))]);
+
+    let expected = vec![(ShardIndex(1), AcquireError::NoReplica)];
+    expect_that!(router.refusals(), eq(&expected));
+}
+
+/// The upstream of a query is replaced while it runs, and its second call goes to the new one. Its
+/// outcome must reach the balancer.
+#[gtest]
+fn outcome_of_an_upstream_added_during_the_query_is_recorded() {
+    let balancer = Arc::new(balancer(&[record(0, OWN_ZONE)]));
+    let router = router(vec![Arc::clone(&balancer)]);
     balancer.set_upstreams(at(1), &[&record(1, OWN_ZONE)]);
 
     let acquired = router.acquire(at(2), &[upstream(0)], &[], CallKind::First);
