Split what had grown, and give the reads of peers one outcome

Read as a newcomer would: the result of one peer and that of several were a flag and an out parameter; both are PeerRead now, of which the better one counts. No behaviour changes.

--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -57,15 +57,15 @@
     }
 }
 
-/// Result of an attempt to read a peer's copy.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// Result of an attempt to read the copies of one or more peers; a later variant is better.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum PeerRead {
+    /// No peer answered.
+    Silent,
+    /// Peers answered, and none has a recent copy.
+    Stale,
     /// A peer's copy was read, and is recent.
     Fresh,
-    /// Peers answered, and none has a recent copy.
-    AllStale,
-    /// No peer answered.
-    NoPeer,
 }
 
 struct StoreReader<S> {
@@ -128,14 +128,15 @@
         }
         match outcome {
             PeerRead::Fresh => {}
-            // The other nodes have an entry so that someone notices the return of the store.
-            PeerRead::AllStale if !self.edge.is_announced() => {
+            // The announced nodes ask the store all the time, so this one asks it rarely, and reads
+            // their copies again once the store is back.
+            PeerRead::Stale if !self.edge.is_announced() => {
                 self.edge.timer.sleep(STALE_PEERS_DELAY).await;
                 if self.store_retry_at <= self.edge.timer.now() {
                     self.read_from_store().await;
                 }
             }
-            PeerRead::AllStale | PeerRead::NoPeer => self.read_from_store().await,
+            PeerRead::Stale | PeerRead::Silent => self.read_from_store().await,
         }
     }
 
@@ -152,7 +153,7 @@
 
     /// Reads the copy of the current peer, or of the first other one that has a recent copy.
     async fn read_from_peers(&mut self) -> PeerRead {
-        let mut outcome = PeerRead::NoPeer;
+        let mut outcome = PeerRead::Silent;
         let peers = self.edge.nodes().relay_peers();
         let now = self.edge.timer.now();
         let current = self.current_peer.take();
@@ -160,9 +161,10 @@
             current.filter(|(node, _)| !self.peers.has_nearer(now, &peers, node))
         {
             let result = connection.read_changes(self.revision, PEER_WAIT).await;
-            if self.apply_relayed(&node, result, &mut outcome) {
+            outcome = self.apply_relayed(&node, result);
+            if outcome == PeerRead::Fresh {
                 self.current_peer = Some((node, connection));
-                return PeerRead::Fresh;
+                return outcome;
             }
         }
         loop {
@@ -175,23 +177,23 @@
             let mut reads: FuturesUnordered<_> =
                 batch.into_iter().map(|it| read_once(&timer, it, revision)).collect();
             while let Some((node, connection, result)) = reads.next().await {
-                if self.apply_relayed(&node, result, &mut outcome) {
+                outcome = outcome.max(self.apply_relayed(&node, result));
+                if outcome == PeerRead::Fresh {
                     info!(self.edge.logger, "relay: reading the copy of a peer";
                         "peer" => node.as_str());
                     self.current_peer = connection.map(|it| (node, it));
-                    return PeerRead::Fresh;
+                    return outcome;
                 }
             }
         }
     }
 
-    /// Applies what a peer answered; returns whether its copy is recent.
+    /// Applies what a peer answered, also if its copy is not recent but newer than this node's.
     fn apply_relayed(
         &mut self,
         peer: &NodeId,
         result: Result<RelayedUpdate, RelayError>,
-        outcome: &mut PeerRead,
-    ) -> bool {
+    ) -> PeerRead {
         let now = self.edge.timer.now();
         let relayed = match result {
             Ok(it) => it,
@@ -200,7 +202,7 @@
                 info!(self.edge.logger, "relay: peer did not answer"; "peer" => peer.as_str(),
                     "cause" => error.to_string());
                 self.peers.on_silent(now, peer);
-                return false;
+                return PeerRead::Silent;
             }
         };
         let is_fresh = PeerRotation::is_fresh(&relayed, self.revision);
@@ -209,7 +211,6 @@
             let reachability = StoreReachability::from_report(&relayed.reachability, now);
             self.edge.set_relayed_reachability(Some(reachability));
         } else {
-            *outcome = PeerRead::AllStale;
             self.peers.on_stale(now, peer);
         }
         // Replies of several peers may arrive for the same position.
@@ -221,7 +222,7 @@
             self.revision = Some(update.revision);
             apply_update(&self.edge, now, kind, update.changes, update.revision);
         }
-        is_fresh
+        if is_fresh { PeerRead::Fresh } else { PeerRead::Stale }
     }
 
     fn count_store_call(&self, call: &'static str) {
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -4,6 +4,7 @@
 //! Designed for upstreams that handle one request at a time per connection and are shared by many
 //! nodes.
 
+mod balancer_report;
 mod latency_estimator;
 mod priority_arbiter;
 mod query_router;
@@ -14,11 +15,12 @@
 mod upstream_record;
 mod upstream_registry;
 
+pub use balancer_report::BalancerReport;
 pub use latency_estimator::{LatencyEstimate, LatencyEstimator};
 pub use priority_arbiter::PriorityArbiter;
 pub use query_router::{QueryConstraints, QueryRouter};
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
-pub use service_balancer::{BalancerReport, ServiceBalancer};
+pub use service_balancer::ServiceBalancer;
 pub use spent_budget_markers::SpentBudgetMarkers;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -9,8 +9,8 @@
 use rand::RngExt;
 
 use super::{
-    LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits, UpstreamRecord,
-    tracked_upstream::HealthTier, tracked_upstream::TrackedUpstream,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits,
+    UpstreamRecord, tracked_upstream::HealthTier, tracked_upstream::TrackedUpstream,
 };
 use crate::{AcquireError, CallKind, CallOutcome};
 
@@ -33,20 +33,6 @@
 /// there delays no other one, so it is rejected only if it is almost certainly useless.
 const FREE_SLOT_ALLOWANCE: f64 = 4.0;
 
-/// Call counts of one balancer since the start of the process.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct BalancerReport {
-    /// First calls that reserved a connection.
-    pub first_calls: u64,
-    /// Hedges and retries that reserved a connection.
-    pub extra_calls: u64,
-    /// Hedges and retries rejected by the retry budget.
-    pub budget_refusals: u64,
-    /// Attempts to reserve a connection that failed with [`AcquireError::Saturated`]; a waiting
-    /// call counts once per attempt. Calls that yielded to more urgent ones are not counted.
-    pub saturated: u64,
-}
-
 #[derive(Debug)]
 struct BalancerState {
     retry_limits: RetryBudgetLimits,
