--- a/crates/config/src/store_reachability.rs
+++ b/crates/config/src/store_reachability.rs
@@ -20,6 +20,8 @@
     pub since_reply: Option<Duration>,
     /// Time since the latest reply that followed a failure; `None` if there was none.
     pub since_recovery: Option<Duration>,
+    /// Time since the store was found to be restored from an older copy; `None` if it was not.
+    pub since_restore: Option<Duration>,
     /// Whether the latest call got no reply, or no call has been made yet.
     pub is_unreachable: bool,
 }
@@ -31,6 +33,8 @@
     failed_at: Option<TimePoint>,
     /// Time of the latest reply that followed a failure, or of the first reply.
     recovered_at: Option<TimePoint>,
+    /// When the store was found to be restored from an older copy.
+    restored_at: Option<TimePoint>,
 }
 
 impl StoreReachability {
@@ -39,6 +43,7 @@
         ReachabilityReport {
             since_reply: self.time_since_reply(now),
             since_recovery: self.recovered_at.map(|it| now.since(it)),
+            since_restore: self.restored_at.map(|it| now.since(it)),
             is_unreachable: self.is_unreachable(),
         }
     }
@@ -53,6 +58,7 @@
             replied_at: at(report.since_reply),
             failed_at: report.is_unreachable.then_some(now),
             recovered_at: at(report.since_recovery),
+            restored_at: at(report.since_restore),
         }
     }
 
@@ -73,6 +79,18 @@
         was_reachable
     }
 
+    /// Records that the store was restored from an older copy; writers need time to write their
+    /// entries again.
+    pub fn on_restored(&mut self, now: TimePoint) {
+        self.restored_at = Some(now);
+        self.recovered_at = Some(now);
+    }
+
+    /// Returns whether the store may still hold older entries than before it was restored.
+    pub fn may_be_outdated(&self, now: TimePoint) -> bool {
+        self.restored_at.is_some_and(|it| now.since(it) < RECOVERY_GRACE)
+    }
+
     /// Returns whether the latest call got no reply, or no call has been made yet.
     pub fn is_unreachable(&self) -> bool {
         match (self.replied_at, self.failed_at) {
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -104,6 +104,10 @@
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
+    pub(crate) leaving_upstreams: Counter,
+    pub(crate) quiet_requests: Counter,
+    pub(crate) store_era: Gauge,
+    pub(crate) store_restores: Counter,
 }
 
 impl EdgeMetrics {
@@ -122,6 +126,10 @@
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
+            leaving_upstreams: Counter::default(),
+            quiet_requests: Counter::default(),
+            store_era: Gauge::default(),
+            store_restores: Counter::default(),
         };
         metrics.register();
         metrics
@@ -131,6 +139,22 @@
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let registry = registry.sub_registry_with_prefix("mustardmux");
         registry.register("answers", "Final answers by outcome", self.answers.clone());
+        registry.register(
+            "leaving_upstreams",
+            "Upstreams that announced their exit in a reply",
+            self.leaving_upstreams.clone(),
+        );
+        registry.register(
+            "quiet_requests",
+            "Requests of upstreams to receive no calls for a while",
+            self.quiet_requests.clone(),
+        );
+        registry.register("store_era", "Latest known era of the store", self.store_era.clone());
+        registry.register(
+            "store_restores",
+            "Times that the store was found to be restored from an older copy",
+            self.store_restores.clone(),
+        );
         registry.register_with_unit(
             "answer_latency",
             "Time from the request to its final answer",
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -32,6 +32,8 @@
     pub stop_grace_period: Duration,
     /// Time within which a stored configuration has to become active.
     pub config_apply_limit: Duration,
+    /// Time within which calls to an upstream that announced its exit have to end.
+    pub drain_limit: Duration,
     /// Minimum lifetime of a lease that the store grants.
     pub min_lease_lifetime: Duration,
 }
@@ -67,6 +69,7 @@
             ("maximum address lifetime", old.max_address_lifetime != new.max_address_lifetime),
             ("stop grace period", old.stop_grace_period != new.stop_grace_period),
             ("time limit of a configuration", old.config_apply_limit != new.config_apply_limit),
+            ("drain limit", old.drain_limit != new.drain_limit),
             ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
         ];
         let others = [
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -22,7 +22,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreMirror, StoreRevision,
+    ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
+    StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     upstream::ConnectionPools,
 };
@@ -63,6 +64,8 @@
     pub(crate) watch_restart: Notify,
     /// Position of the copy of the store that other nodes read.
     pub(crate) mirror_revision: watch::Sender<Option<StoreRevision>>,
+    /// The latest era of the store that this node knows; `None` before the first reply.
+    pub(crate) store_era: watch::Sender<Option<StoreEra>>,
     store_mirror: Mutex<StoreMirror>,
     active_routes: RwLock<ActiveRoutes>,
     upstreams: Mutex<UpstreamRegistry>,
@@ -99,6 +102,7 @@
             is_announced: AtomicBool::new(false),
             watch_restart: Notify::new(),
             mirror_revision: watch::Sender::new(None),
+            store_era: watch::Sender::new(None),
             store_mirror: Mutex::default(),
             active_routes: RwLock::default(),
             upstreams: Mutex::default(),
@@ -127,6 +131,7 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         for balancer in balancers.values() {
             balancer.set_retry_limits(changed.limits.retry);
+            balancer.set_drain_limit(changed.limits.drain_limit);
         }
         info!(self.logger, "node: settings read again"; "applied" => change.applied.join(", "),
             "from_next_start" => change.deferred.join(", "));
@@ -204,6 +209,42 @@
         }
     }
 
+    /// Records the era of the store that a reply or a peer's copy has shown. If the store was restored
+    /// from an older copy, all entries are read again, and this node writes its own ones again.
+    ///
+    /// To be called before entries of the era are applied: until writers have written them again,
+    /// missing entries may belong to live writers.
+    pub(crate) fn on_store_era(&self, era: StoreEra) {
+        let mut previous = None;
+        let is_later = self.store_era.send_if_modified(|latest| {
+            previous = *latest;
+            let is_later = *latest < Some(era);
+            if is_later {
+                *latest = Some(era);
+            }
+            is_later
+        });
+        if !is_later {
+            return;
+        }
+        self.metrics.store_era.set(i64::try_from(era.0).unwrap_or(i64::MAX));
+        let Some(previous) = previous else {
+            return;
+        };
+        let now = self.timer.now();
+        self.metrics.store_restores.inc();
+        warn!(self.logger, "store: restored from an older copy; listing again";
+            "era" => era.0, "previous_era" => previous.0,
+            "config_version" => self.route_table().map_or(0, |it| it.version().0));
+        lock(&self.store_reachability).on_restored(now);
+        if let Some(relayed) = lock(&self.relayed_reachability).as_mut() {
+            relayed.on_restored(now);
+        }
+        self.upstreams().on_store_restored();
+        self.watch_restart.notify_one();
+        self.announce_wakeup.notify_one();
+    }
+
     /// Records the result of a call to the store, and returns it.
     pub(crate) fn record_store_call<T>(
         &self,
@@ -213,9 +254,12 @@
         self.metrics.store_calls.get_or_create(&StoreCallLabel { call }).inc();
         match &result {
             // These are replies too.
-            Ok(_) | Err(ClusterStoreError::LeaseExpired | ClusterStoreError::HistoryCompacted) => {
-                self.on_store_reply();
-            }
+            Ok(_)
+            | Err(
+                ClusterStoreError::LeaseExpired
+                | ClusterStoreError::HistoryCompacted
+                | ClusterStoreError::StoreRestored,
+            ) => self.on_store_reply(),
             Err(error) => self.on_store_failure(call, error),
         }
         result
@@ -241,7 +285,10 @@
             let zone = self.settings.node.availability_zone.clone();
             let is_spent = self.inherited_spent_services().is_some_and(|it| it.contains(service));
             let retry_budget = RetryBudget::started(self.started_at, is_spent);
-            Arc::new(ServiceBalancer::with_retry_budget(self.limits().retry, zone, retry_budget))
+            let limits = self.limits();
+            let balancer = ServiceBalancer::with_retry_budget(limits.retry, zone, retry_budget);
+            balancer.set_drain_limit(limits.drain_limit);
+            Arc::new(balancer)
         });
         Arc::clone(balancer)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -22,11 +22,11 @@
 pub use relay::{MirrorUpdate, PeerRotation, RelayedUpdate, StoreMirror};
 pub use run_edge::{run, serve};
 pub use store::{
-    ClusterStore, ClusterStoreError, StoreChange, StoreEntry, StoreKey, StoreLease, StoreRevision,
-    StoreUpdate,
+    ClusterStore, ClusterStoreError, StoreChange, StoreEntry, StoreEra, StoreKey, StoreLease,
+    StoreRevision, StoreUpdate,
 };
 pub use sync::ReadPacing;
 pub use wire::{
-    AddressRequest, CallMetadata, ReplyKind, ReplyMetadata, RequestMetadata, RequestMetadataError,
-    WireProtocol,
+    AddressRequest, CallMetadata, QuietRequest, ReplyKind, ReplyMetadata, RequestMetadata,
+    RequestMetadataError, WireProtocol,
 };
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -234,8 +234,10 @@
         host: &str,
         uri: &Uri,
     ) -> FinalAnswer {
-        let time_since_reply = self.edge.store_reachability().time_since_reply(now);
-        if time_since_reply.is_none_or(|it| MAX_ROUTES_AGE < it) {
+        let reachability = self.edge.store_reachability();
+        let time_since_reply = reachability.time_since_reply(now);
+        let is_outdated = time_since_reply.is_none_or(|it| MAX_ROUTES_AGE < it);
+        if is_outdated || reachability.may_be_outdated(now) {
             let reason = "no such route is known, and the configuration may be outdated";
             let remaining = time_left.unwrap_or(NOT_READY_RETRY_AFTER * 4);
             return refusal_answer(reason, Some(NOT_READY_RETRY_AFTER), remaining);
--- a/crates/edge/src/relay/store_mirror.rs
+++ b/crates/edge/src/relay/store_mirror.rs
@@ -1,6 +1,6 @@
 //! A node's copy of the store, from which other nodes read.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, mem};
 
 use mux_model::FastMap;
 use serde::{Deserialize, Serialize};
@@ -26,6 +26,10 @@
 ///
 /// Positions are revisions of the store, so a reader can continue at another node: every node at a
 /// position has applied all changes up to it.
+///
+/// A store that was restored from an older copy begins a new era. Nothing of the copy is kept across
+/// eras, except the configuration if the restored store has an older one: operators write it again,
+/// and until then a node that starts has to learn it from its peers.
 #[derive(Debug, Clone, Default)]
 pub struct StoreMirror {
     revision: Option<StoreRevision>,
@@ -51,7 +55,7 @@
 
     /// Applies changes that lead to `revision`; an older revision than the current one is ignored.
     pub fn on_changes(&mut self, changes: &[StoreChange], revision: StoreRevision) {
-        if self.revision.is_none_or(|it| revision < it) {
+        if self.revision.is_none_or(|it| revision < it || revision.era != it.era) {
             return;
         }
         self.revision = Some(revision);
@@ -66,6 +70,9 @@
         if self.revision.is_some_and(|it| revision < it) {
             return;
         }
+        if self.revision.is_some_and(|it| it.era < revision.era) {
+            return self.begin_era(changes, revision);
+        }
         let listed: FastMap<StoreKey, &StoreChange> =
             changes.iter().map(|it| (change_key(it), it)).collect();
         let unlisted = self.latest.iter().filter(|(key, it)| {
@@ -89,6 +96,8 @@
         if after.is_some_and(|it| revision <= it) {
             return None;
         }
+        // Positions of another era say nothing about which entries the reader lacks.
+        let after = after.filter(|it| it.era == revision.era);
         let after = after.filter(|it| self.horizon.is_none_or(|horizon| horizon <= *it));
         let changes = match after {
             Some(after) => {
@@ -103,6 +112,26 @@
         Some(MirrorUpdate { is_listing: after.is_none(), changes, revision })
     }
 
+    fn begin_era(&mut self, changes: &[StoreChange], revision: StoreRevision) {
+        let previous = mem::take(self);
+        self.revision = Some(revision);
+        for change in changes {
+            self.record(change.clone(), revision);
+        }
+        let config_version = |mirror: &Self| {
+            let latest = mirror.latest.get(&StoreKey::Config).map(|it| &it.change);
+            latest.and_then(|it| match it {
+                StoreChange::Written(StoreEntry::Config(config)) => Some(config.version),
+                _ => None,
+            })
+        };
+        if config_version(self) < config_version(&previous)
+            && let Some(kept) = previous.latest.get(&StoreKey::Config)
+        {
+            self.record(kept.change.clone(), revision);
+        }
+    }
+
     fn record(&mut self, change: StoreChange, revision: StoreRevision) {
         let key = change_key(&change);
         if matches!(change, StoreChange::Removed(_)) {
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -91,6 +91,7 @@
         let result = RelayServer::new(Arc::clone(&edge)).listen(address).await;
         result.map_err(|source| EdgeError::Listen { purpose: "relay", address, source })?;
     }
+    tokio::spawn(sync::follow_store_era(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::read_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -7,6 +7,7 @@
 use mux_placement::NodeRecord;
 use mux_routing::balancer::UpstreamRecord;
 use serde::{Deserialize, Serialize};
+use tokio::sync::watch;
 
 /// Key of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -55,15 +56,35 @@
     },
 }
 
-/// A position in the store's history, from which a watch can resume.
+/// Number of times that the store was restored from an older copy.
+///
+/// Within an era, the store loses nothing that it has acknowledged. A restored store lacks the latest
+/// writes and leases of the era before, and assigns their revisions and lease ids again.
 #[derive(
     Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
 )]
-pub struct StoreRevision(pub u64);
+pub struct StoreEra(pub u64);
 
-/// Id of a lease granted by the store.
+/// A position in the store's history, from which a watch can resume. Every position of a later era
+/// is after all those of an earlier one.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct StoreRevision {
+    /// The era in which the revision was assigned.
+    pub era: StoreEra,
+    /// The revision within the era.
+    pub revision: u64,
+}
+
+/// A lease granted by the store; in a later era, its id may belong to another lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct StoreLease(pub u64);
+pub struct StoreLease {
+    /// The era in which the lease was granted.
+    pub era: StoreEra,
+    /// The id within the era.
+    pub id: u64,
+}
 
 /// The result of a listing or a watch.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -79,6 +100,9 @@
 pub enum ClusterStoreError {
     /// The store has compacted the history after the revision; all entries have to be listed again.
     HistoryCompacted,
+    /// The store was restored from an older copy; the position or lease of the call belongs to an
+    /// earlier era, and all entries have to be listed again.
+    StoreRestored,
     /// The lease has expired or was revoked.
     LeaseExpired,
     /// The call was rejected or could not be sent; it had no effect.
@@ -91,6 +115,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::HistoryCompacted => f.write_str("the store has compacted the requested history"),
+            Self::StoreRestored => f.write_str("the store was restored from an older copy"),
             Self::LeaseExpired => f.write_str("the lease has expired"),
             Self::NotExecuted(why) => write!(f, "the call was not executed: {why}"),
             Self::NoValidReply(why) => write!(f, "no valid reply from the store: {why}"),
@@ -102,6 +127,9 @@
 
 /// The operations of the platform's store that nodes use. Each call has a time-out.
 pub trait ClusterStore: Clone + Send + Sync + 'static {
+    /// Returns the latest era that a reply of the store has shown; `None` before the first reply.
+    fn subscribe_era(&self) -> watch::Receiver<Option<StoreEra>>;
+
     /// Reads all entries; a watch from the returned revision misses no later change.
     fn list(&self) -> impl Future<Output = Result<StoreUpdate, ClusterStoreError>> + Send;
 
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -49,7 +49,7 @@
         edge.set_announced(lease.is_some_and(|it| it.is_announced));
         let delay = match result {
             Ok(()) => renew_period(&edge),
-            Err(ClusterStoreError::LeaseExpired) => {
+            Err(ClusterStoreError::LeaseExpired | ClusterStoreError::StoreRestored) => {
                 info!(edge.logger, "node: lease expired, announcing again");
                 lease = None;
                 Duration::ZERO
@@ -90,7 +90,8 @@
     if let Some(granted) = held {
         let written = store.announce(&edge.settings.node, granted.lease).await;
         edge.record_store_call("announce", written)?;
-        info!(edge.logger, "node: announced"; "lease" => granted.lease.0);
+        info!(edge.logger, "node: announced"; "lease" => granted.lease.id,
+            "era" => granted.lease.era.0);
         granted.is_announced = true;
     }
     Ok(())
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -5,10 +5,12 @@
 mod missing_entries_task;
 mod read_pacing;
 mod spent_budget_task;
+mod store_era_task;
 mod store_reader;
 
 pub(crate) use announce_task::maintain_announcement;
 pub(crate) use missing_entries_task::drop_missing_entries;
 pub use read_pacing::ReadPacing;
 pub(crate) use spent_budget_task::maintain_spent_budget_markers;
+pub(crate) use store_era_task::follow_store_era;
 pub(crate) use store_reader::read_store;
--- a/crates/edge/src/sync/read_pacing.rs
+++ b/crates/edge/src/sync/read_pacing.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use rand::RngExt;
+
 /// Wait time of a watch as a fraction of the time in which a configuration has to become active.
 ///
 /// If the store compacts its history during a watch, the watch may miss earlier changes, and only
@@ -22,6 +24,10 @@
 /// Wait time of a watch of a node that has no entry in the store. Without lease renewals it does
 /// not learn that the store is back, and a watch that a silent store has received never ends.
 const UNANNOUNCED_WATCH_WAIT: Duration = Duration::from_millis(300);
+/// Spread per announced node of the listings after the store was restored.
+const LISTING_SPREAD_PER_NODE: Duration = Duration::from_millis(4);
+/// Maximum spread of the listings after the store was restored.
+const MAX_LISTING_SPREAD: Duration = Duration::from_millis(300);
 /// Number of changes from which a reply may be only the first page of what the node lacks.
 const PAGE_CHANGES: usize = 100;
 
@@ -46,6 +52,13 @@
         self.config_apply_limit.mul_f64(WATCH_WAIT_FRACTION)
     }
 
+    /// Returns a random delay before all entries are listed because the store was restored. `nodes` is
+    /// the number of announced nodes, which list them at the same time.
+    pub fn listing_delay(&self, nodes: u32) -> Duration {
+        let spread = (LISTING_SPREAD_PER_NODE * nodes).min(MAX_LISTING_SPREAD);
+        spread.mul_f64(rand::rng().random::<f64>())
+    }
+
     /// Returns the delay after a reply with `changes`.
     ///
     /// `nodes` is the number of announced nodes; `reads_for_others` tells whether callers or
--- a/crates/edge/src/sync/spent_budget_task.rs
+++ b/crates/edge/src/sync/spent_budget_task.rs
@@ -17,12 +17,18 @@
 /// until the process ends.
 pub(crate) async fn maintain_spent_budget_markers<S: ClusterStore>(edge: Arc<EdgeState>, store: S) {
     let mut markers: Option<SpentBudgetMarkers> = None;
+    let mut known_era = None;
     loop {
         edge.timer.sleep(edge.timer.until_wall_clock_multiple(CHECK_PERIOD)).await;
         let Some(inherited) = edge.inherited_spent_services() else {
             continue;
         };
         let markers = markers.get_or_insert_with(|| SpentBudgetMarkers::new(inherited.clone()));
+        let era = *edge.store_era.borrow();
+        if known_era.is_some() && known_era < era {
+            markers.on_store_restored();
+        }
+        known_era = era;
         let Some(services) = markers.pending_update(&edge.spent_fractions(edge.timer.now())) else {
             continue;
         };
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -215,6 +215,7 @@
         }
         // Replies of several peers may arrive for the same position.
         if let Some(update) = relayed.update.filter(|it| self.revision < Some(it.revision)) {
+            self.edge.on_store_era(update.revision.era);
             let kind = match update.is_listing {
                 true => UpdateKind::Listing,
                 false => UpdateKind::Changes,
@@ -249,6 +250,7 @@
         match result {
             Ok(update) => {
                 self.failures = 0;
+                self.edge.on_store_era(update.revision.era);
                 self.revision = Some(update.revision);
                 // The first update after an outage contains the entries that expired during it, so
                 // the reply has to be recorded before the update is applied.
@@ -263,6 +265,12 @@
                 info!(self.edge.logger, "store: history compacted, listing again");
                 self.revision = None;
             }
+            Err(ClusterStoreError::StoreRestored) => {
+                self.revision = None;
+                // Nodes that watch the store learn of the restore at the same moment.
+                let nodes = self.edge.nodes().node_count();
+                self.edge.timer.sleep(self.pacing().listing_delay(nodes)).await;
+            }
             Err(error) => self.on_store_error(&error).await,
         }
     }
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -139,7 +139,7 @@
         ExecutionSemantics::AtMostOnce => ReusePolicy::RecentlyUsed,
     };
     let id = &spec.template.request_id;
-    let result = pool.exchange::<W>(&edge.timer, &spec.balancer, request, id, reuse_policy).await;
+    let result = pool.exchange::<W>(edge, &spec.balancer, request, id, reuse_policy).await;
     if let Err(CallFailure::NotRun { reason: mux_model::NotRunReason::WrongInstance, .. }) = result
     {
         edge.on_misdirected(&instance);
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -9,12 +9,15 @@
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use mux_model::{CallFailure, NotRunReason, TimePoint, UpstreamId};
+use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
 use mux_routing::balancer::ServiceBalancer;
 use mux_timer::TimerService;
 
-use super::{UpstreamReply, open_connection::OpenConnection};
-use crate::{ReplyKind, ReplyMetadata, WireProtocol, caller::strip_hop_by_hop_headers};
+use super::{UpstreamReply, announcements::record_announcements, open_connection::OpenConnection};
+use crate::{
+    QuietRequest, ReplyKind, ReplyMetadata, WireProtocol, caller::strip_hop_by_hop_headers,
+    edge_state::EdgeState,
+};
 
 /// Time-out for opening a connection. A healthy upstream accepts within a few milliseconds, and
 /// after this time the request is better sent to another one.
@@ -52,6 +55,7 @@
 /// The connections to one upstream instance.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
+    instance: InstanceId,
     upstream: UpstreamId,
     state: Mutex<PoolState>,
 }
@@ -75,8 +79,8 @@
 }
 
 impl ConnectionPool {
-    pub(super) fn new(upstream: UpstreamId) -> Self {
-        Self { upstream, state: Mutex::default() }
+    pub(super) fn new(instance: InstanceId, upstream: UpstreamId) -> Self {
+        Self { instance, upstream, state: Mutex::default() }
     }
 
     /// Returns the upstream that the connections lead to.
@@ -94,12 +98,13 @@
     /// Sends a request and returns the complete reply to it.
     pub(super) async fn exchange<W: WireProtocol>(
         &self,
-        timer: &TimerService,
+        edge: &EdgeState,
         balancer: &ServiceBalancer,
         request: Request<Full<Bytes>>,
         request_id: &HeaderValue,
         reuse_policy: ReusePolicy,
     ) -> Result<UpstreamReply, CallFailure> {
+        let timer = &edge.timer;
         let (mut connection, count_guard, is_new) =
             self.acquire(timer, balancer, reuse_policy).await?;
         let response = match connection.send(request).await {
@@ -120,15 +125,16 @@
         if let Some(load) = metadata.load {
             balancer.record_load(timer.now(), self.upstream, load);
         }
+        record_announcements(edge, balancer, &self.instance, &metadata);
         if !metadata.is_for_request {
             return Err(CallFailure::BadReply);
         }
         let idle_limit = idle_limit(&head.headers);
-        let reply = read_body(Response::from_parts(head, body), &metadata).await?;
+        let reply = read_body::<W>(Response::from_parts(head, body), &metadata).await?;
         // A connection that is closing or has unread data does not become ready, so it is not
         // reused.
         self.put_back(timer, connection, count_guard, idle_limit);
-        classify(reply, metadata.kind)
+        classify(reply, &metadata)
     }
 
     /// Returns a connection for one request, and whether it is new.
@@ -225,13 +231,14 @@
     }
 }
 
-async fn read_body(
+async fn read_body<W: WireProtocol>(
     response: Response<Incoming>,
     metadata: &ReplyMetadata,
 ) -> Result<UpstreamReply, CallFailure> {
     let (mut head, body) = response.into_parts();
     let collected = body.collect().await.map_err(|_| CallFailure::ConnectionLost)?;
     strip_hop_by_hop_headers(&mut head.headers);
+    W::remove_private_headers(&mut head.headers);
     Ok(UpstreamReply {
         status: head.status,
         headers: head.headers,
@@ -240,14 +247,18 @@
     })
 }
 
-fn classify(reply: UpstreamReply, kind: ReplyKind) -> Result<UpstreamReply, CallFailure> {
-    let reason = match kind {
+fn classify(reply: UpstreamReply, metadata: &ReplyMetadata) -> Result<UpstreamReply, CallFailure> {
+    let reason = match metadata.kind {
         ReplyKind::Run => return Ok(reply),
         ReplyKind::Shed => NotRunReason::Shed,
         ReplyKind::Rejected => NotRunReason::Rejected,
         ReplyKind::WrongInstance => NotRunReason::WrongInstance,
     };
-    Err(CallFailure::NotRun { reason, retry_after: None })
+    let retry_after = match metadata.quiet_request {
+        Some(QuietRequest::Period(period)) => Some(period),
+        _ => None,
+    };
+    Err(CallFailure::NotRun { reason, retry_after })
 }
 
 /// Returns the time for which an idle connection may be reused: the upstream's keep-alive time-out
--- a/crates/edge/src/upstream/connection_pools.rs
+++ b/crates/edge/src/upstream/connection_pools.rs
@@ -24,7 +24,7 @@
         if let Some(pool) = pools.get(instance).filter(|it| it.upstream() == upstream) {
             return Arc::clone(pool);
         }
-        let pool = Arc::new(ConnectionPool::new(upstream));
+        let pool = Arc::new(ConnectionPool::new(instance.clone(), upstream));
         pools.insert(instance.clone(), Arc::clone(&pool));
         pool
     }
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -1,5 +1,6 @@
 //! Calls and connections to upstreams.
 
+mod announcements;
 mod call_task;
 mod connection_pool;
 mod connection_pools;
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -46,6 +46,15 @@
     WrongInstance,
 }
 
+/// Request of an upstream to receive no calls from this node for a while.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum QuietRequest {
+    /// No calls for this time.
+    Period(Duration),
+    /// The period cannot be decoded.
+    Malformed(String),
+}
+
 /// Metadata in the head of an upstream's reply.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReplyMetadata {
@@ -57,6 +66,10 @@
     pub signature: Option<HeaderValue>,
     /// Number of requests that are running or waiting at the upstream.
     pub load: Option<u32>,
+    /// Whether the upstream announced that it is about to exit.
+    pub is_leaving: bool,
+    /// Request of an upstream that rejected the call to receive no calls for a while.
+    pub quiet_request: Option<QuietRequest>,
 }
 
 /// A caller's request for the addresses of nodes.
@@ -87,6 +100,9 @@
         request_id: &HeaderValue,
     ) -> ReplyMetadata;
 
+    /// Removes the headers of an upstream's reply that concern only this node.
+    fn remove_private_headers(headers: &mut HeaderMap);
+
     /// Sets the headers of an answer that was merged from the signed replies of several shards.
     fn write_merged(headers: &mut HeaderMap, signatures: &[HeaderValue], missing_shards: u32);
 
--- a/crates/edge/tests/peer_rotation.rs
+++ b/crates/edge/tests/peer_rotation.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use mux_config::ReachabilityReport;
-use mux_edge::{PeerRotation, RelayedUpdate, StoreRevision};
+use mux_edge::{PeerRotation, RelayedUpdate, StoreEra, StoreRevision};
 use mux_model::{NodeId, TimePoint};
 use mux_placement::RelayPeer;
 
@@ -17,18 +17,23 @@
     (0..count).map(peer).collect()
 }
 
+fn at(revision: u64) -> StoreRevision {
+    StoreRevision { era: StoreEra(1), revision }
+}
+
 fn reply(since_reply_ms: Option<u64>, revision: Option<u64>) -> RelayedUpdate {
     let reachability = ReachabilityReport {
         since_reply: since_reply_ms.map(Duration::from_millis),
+        since_restore: None,
         since_recovery: None,
         is_unreachable: false,
     };
-    RelayedUpdate { update: None, revision: revision.map(StoreRevision), reachability }
+    RelayedUpdate { update: None, revision: revision.map(at), reachability }
 }
 
 #[gtest]
 fn copy_is_fresh_only_if_recent_and_not_behind() {
-    let position = Some(StoreRevision(10));
+    let position = Some(at(10));
     for (since_reply_ms, revision, expected) in [
         (Some(400), Some(10), true),
         (Some(400), Some(12), true),
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -31,6 +31,7 @@
             max_address_lifetime: Duration::from_secs(5),
             stop_grace_period: Duration::from_secs(6),
             config_apply_limit: Duration::from_secs(3),
+            drain_limit: Duration::from_secs(3),
             min_lease_lifetime: Duration::from_secs(1),
         },
         logs: LogSettings::default(),
--- a/crates/edge/tests/store_mirror.rs
+++ b/crates/edge/tests/store_mirror.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 
 use googletest::prelude::*;
-use mux_edge::{MirrorUpdate, StoreChange, StoreEntry, StoreKey, StoreMirror, StoreRevision};
+use mux_edge::{
+    MirrorUpdate, StoreChange, StoreEntry, StoreEra, StoreKey, StoreMirror, StoreRevision,
+};
 use mux_model::NodeId;
 use mux_placement::NodeRecord;
 
@@ -27,7 +29,7 @@
 }
 
 fn at(revision: u64) -> StoreRevision {
-    StoreRevision(revision)
+    StoreRevision { era: StoreEra(1), revision }
 }
 
 fn mirror_of(nodes: u16, revision: u64) -> StoreMirror {
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -39,6 +39,11 @@
                 self.wait_for_slot(now, shard, retry_after);
                 None
             }
+            Err(AcquireError::Quiet { retry_after }) => {
+                self.retry_after = self.retry_after.max(Some(retry_after));
+                self.mark_failed(shard);
+                None
+            }
             Err(
                 AcquireError::NoReplica
                 | AcquireError::BudgetExhausted
--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -71,7 +71,9 @@
                 let retry_after = self.hedge_delay.unwrap_or(Duration::MAX);
                 self.wait_for_hedge(now, shard, slow_call, retry_after);
             }
-            Err(AcquireError::NoReplica | AcquireError::ReplyTooLate) => {}
+            Err(
+                AcquireError::NoReplica | AcquireError::ReplyTooLate | AcquireError::Quiet { .. },
+            ) => {}
         }
     }
 }
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -22,5 +22,6 @@
 pub use retry_budget::{RetryBudget, RetryBudgetLimits};
 pub use service_balancer::ServiceBalancer;
 pub use spent_budget_markers::SpentBudgetMarkers;
+pub use tracked_upstream::QuietOutcome;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -10,7 +10,8 @@
 
 use super::{
     BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits,
-    UpstreamRecord, tracked_upstream::HealthTier, tracked_upstream::TrackedUpstream,
+    UpstreamRecord,
+    tracked_upstream::{HealthTier, QuietOutcome, TrackedUpstream},
 };
 use crate::{AcquireError, CallKind, CallOutcome};
 
@@ -41,6 +42,8 @@
     arbiter: PriorityArbiter,
     connection_limit: Option<u32>,
     nodes: u32,
+    /// Time within which calls to an upstream that announced its exit have to end.
+    drain_limit: Duration,
     dial_us: f64,
     report: BalancerReport,
 }
@@ -72,6 +75,7 @@
             arbiter: PriorityArbiter::default(),
             connection_limit: None,
             nodes: 1,
+            drain_limit: Duration::ZERO,
             dial_us: INITIAL_DIAL_US,
             report: BalancerReport::default(),
         };
@@ -85,21 +89,23 @@
             upstream.is_active = false;
         }
         for record in records {
-            let known = state.upstreams.iter_mut().find(|it| it.instance == record.instance);
-            match known {
-                Some(upstream) if upstream.id == record.upstream => {
-                    upstream.update_record(now, record)
-                }
-                _ => {
-                    let same_zone = record.availability_zone == self.zone;
-                    let limits = state.retry_limits;
-                    let is_first_window = state.retry_budget.is_in_first_window(now, &limits);
-                    let upstream = TrackedUpstream::new(now, record, same_zone, is_first_window);
-                    state.upstreams.push(upstream);
-                }
+            let mut known = state.upstreams.iter_mut().filter(|it| it.instance == record.instance);
+            let same_address = known.find(|it| it.id == record.upstream);
+            if let Some(upstream) = same_address {
+                upstream.update_record(now, record);
+                continue;
+            }
+            let same_zone = record.availability_zone == self.zone;
+            let limits = state.retry_limits;
+            let is_first_window = state.retry_budget.is_in_first_window(now, &limits);
+            let mut upstream = TrackedUpstream::new(now, record, same_zone, is_first_window);
+            let previous = state.upstreams.iter().rfind(|it| it.instance == record.instance);
+            if let Some(previous) = previous {
+                upstream.adopt_announcements(previous);
             }
+            state.upstreams.push(upstream);
         }
-        state.upstreams.retain(|it| it.is_active || !it.is_idle());
+        state.upstreams.retain(|it| it.is_active || !it.is_idle() || it.must_be_remembered(now));
     }
 
     /// Sets the number of connections that one upstream accepts from all nodes, and the node count.
@@ -114,6 +120,11 @@
         self.lock().retry_limits = limits;
     }
 
+    /// Sets the time within which calls to an upstream that announced its exit have to end.
+    pub fn set_drain_limit(&self, drain_limit: Duration) {
+        self.lock().drain_limit = drain_limit;
+    }
+
     /// Returns the upstreams that are eligible for new calls.
     pub fn active_upstreams(&self) -> Vec<UpstreamId> {
         self.lock().upstreams.iter().filter(|it| it.is_active).map(|it| it.id).collect()
@@ -241,6 +252,38 @@
         self.with_upstream(upstream, |it| it.on_load(now, in_flight));
     }
 
+    /// Records that a reply of `instance` announced its exit; returns whether this is new.
+    ///
+    /// Answers a rolling replacement of upstreams whose records lag behind: from the first such reply
+    /// on, the others get the calls. If the service has no other upstream, this one is called for a
+    /// part of the drain limit.
+    pub fn record_leaving(&self, now: TimePoint, instance: &InstanceId) -> bool {
+        self.with_instance(instance, |it| it.on_leaving(now)).unwrap_or_default()
+    }
+
+    /// Records the request of `instance` to receive no calls from this node for `period`; returns
+    /// `None` if the instance is not known.
+    ///
+    /// Answers upstreams that reject calls while they recover from an overload: without calls, their
+    /// queues drain.
+    pub fn record_quiet(
+        &self,
+        now: TimePoint,
+        instance: &InstanceId,
+        period: Duration,
+    ) -> Option<QuietOutcome> {
+        self.with_instance(instance, |it| it.on_quiet(now, period))
+    }
+
+    /// Returns the numbers of active upstreams that announced their exit, and that asked for no
+    /// calls at `now`.
+    pub fn announcement_counts(&self, now: TimePoint) -> (usize, usize) {
+        let state = self.lock();
+        let active = state.upstreams.iter().filter(|it| it.is_active);
+        let leaving = active.clone().filter(|it| it.is_leaving()).count();
+        (leaving, active.filter(|it| it.quiet_time_left(now).is_some()).count())
+    }
+
     /// Records the number of connections to an upstream that are open or being set up.
     pub fn record_connections(&self, upstream: UpstreamId, open: u32) {
         self.with_upstream(upstream, |it| it.set_open_connections(open));
@@ -288,6 +331,16 @@
         state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(update)
     }
 
+    fn with_instance<T>(
+        &self,
+        instance: &InstanceId,
+        update: impl FnOnce(&mut TrackedUpstream) -> T,
+    ) -> Option<T> {
+        let mut state = self.lock();
+        // If an instance has changed its address, the current one is later in the list.
+        state.upstreams.iter_mut().rev().find(|it| it.instance == *instance).map(update)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BalancerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -348,11 +401,19 @@
         let mut best: Option<(HealthTier, f64, usize)> = None;
         let mut any_saturated = false;
         let mut any_too_late = false;
+        let mut shortest_quiet: Option<Duration> = None;
         let max_latency_us = max_latency.as_secs_f64() * 1e6;
         for (idx, upstream) in self.upstreams.iter().enumerate() {
             if !upstream.is_active || excluded.contains(&upstream.id) {
                 continue;
             }
+            if upstream.has_left(now, self.drain_limit) {
+                continue;
+            }
+            if let Some(time_left) = upstream.quiet_time_left(now) {
+                shortest_quiet = Some(shortest_quiet.map_or(time_left, |it| it.min(time_left)));
+                continue;
+            }
             if upstream.is_in_dial_backoff(now) && !upstream.has_free_connection() {
                 // Connections in use will become free; new ones cannot be opened during the
                 // backoff.
@@ -391,7 +452,9 @@
             // The call can't be answered in time, and waiting would only delay it further.
             None if any_too_late && kind == CallKind::First => Err(AcquireError::ReplyTooLate),
             None if any_saturated || any_too_late => Err(saturated),
-            None => Err(AcquireError::NoReplica),
+            None => Err(shortest_quiet.map_or(AcquireError::NoReplica, |retry_after| {
+                AcquireError::Quiet { retry_after }
+            })),
         }
     }
 }
--- a/crates/routing/src/balancer/spent_budget_markers.rs
+++ b/crates/routing/src/balancer/spent_budget_markers.rs
@@ -18,12 +18,17 @@
 #[derive(Debug, Clone)]
 pub struct SpentBudgetMarkers {
     written: FastSet<ServiceName>,
+    /// Whether the store may hold other markers of this node than the written ones.
+    is_doubtful: bool,
+    /// Whether this node has ever had markers in the store.
+    has_marked: bool,
 }
 
 impl SpentBudgetMarkers {
     /// Creates the state for a store that holds markers for the services in `written`.
     pub fn new(written: FastSet<ServiceName>) -> Self {
-        Self { written }
+        let has_marked = !written.is_empty();
+        Self { written, is_doubtful: false, has_marked }
     }
 
     /// Returns the services to mark, given the spent fractions of all services, or `None` if the
@@ -38,15 +43,23 @@
         let near = spent_fractions.iter().filter(|(_, fraction)| NEAR_SPENT_THRESHOLD < *fraction);
         let mut near: Vec<_> = near.map(|(service, _)| service.clone()).collect();
         let is_cleared = near.is_empty() && !self.written.is_empty();
-        if !is_cleared && !spent_fractions.iter().any(is_missing) {
+        if !is_cleared && !self.is_doubtful && !spent_fractions.iter().any(is_missing) {
             return None;
         }
         near.sort_unstable();
         Some(near)
     }
 
+    /// Records that the store was restored from an older copy: it may lack written markers, and hold
+    /// some that were removed.
+    pub fn on_store_restored(&mut self) {
+        self.is_doubtful = self.has_marked;
+    }
+
     /// Records that the store holds markers for these services.
     pub fn on_written(&mut self, services: Vec<ServiceName>) {
+        self.is_doubtful = false;
+        self.has_marked |= !services.is_empty();
         self.written = services.into_iter().collect();
     }
 }
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -44,6 +44,15 @@
 const SLOT_USE_WEIGHT: f64 = 0.3;
 /// Cost added for an upstream at which all calls fail, as a multiple of the hedge delay.
 const FAILURE_COST: f64 = 6.0;
+/// Longest time for which an upstream may ask for no calls. A malformed period must not take an
+/// upstream out of service for the life of this process.
+const MAX_QUIET_PERIOD: Duration = Duration::from_secs(300);
+/// Time for which a leaving upstream is remembered after its record was removed, because an older
+/// copy of the record may reappear.
+const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+/// Part of the drain limit in which a leaving upstream may still be called if its service has no
+/// other one. The rest is for requests that are already on their way through this node.
+const LEAVING_USE_SHARE: f64 = 0.5;
 
 /// Health of an upstream as seen by this node; upstreams of a lower tier are chosen first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,6 +63,17 @@
     Stalled,
     /// A recent call ended without a reply after several hedge delays.
     Suspect,
+    /// It announced in a reply that it is about to exit.
+    Leaving,
+}
+
+/// Effect of a request of an upstream to receive no calls for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuietOutcome {
+    /// No calls are made for this time, which is at most the longest allowed one.
+    Started(Duration),
+    /// An earlier request lasts at least as long.
+    AlreadyQuiet,
 }
 
 /// Running and queued requests that an upstream reported.
@@ -93,6 +113,12 @@
     failed_dials: u32,
     dial_backoff_until: TimePoint,
     reported_load: Option<ReportedLoad>,
+    /// Start of the upstream's process in milliseconds of Unix time; 0 if unknown.
+    started_ms: u64,
+    /// When a reply first announced that the upstream is about to exit.
+    leaving_since: Option<TimePoint>,
+    /// End of the time for which the upstream asked for no calls.
+    quiet_until: TimePoint,
 }
 
 impl TrackedUpstream {
@@ -125,6 +151,17 @@
             failed_dials: 0,
             dial_backoff_until: TimePoint::ZERO,
             reported_load: None,
+            started_ms: record.started_ms,
+            leaving_since: None,
+            quiet_until: TimePoint::ZERO,
+        }
+    }
+
+    /// Adopts what the same process announced at its previous address.
+    pub(super) fn adopt_announcements(&mut self, previous: &Self) {
+        if previous.started_ms == self.started_ms {
+            self.leaving_since = previous.leaving_since;
+            self.quiet_until = previous.quiet_until;
         }
     }
 
@@ -133,6 +170,51 @@
         self.is_active = true;
         self.slots = record.slots.max(1);
         self.warmup_until = now + record.warmup_left;
+        if self.started_ms != record.started_ms {
+            self.started_ms = record.started_ms;
+            self.leaving_since = None;
+            self.quiet_until = TimePoint::ZERO;
+        }
+    }
+
+    /// Records the announcement that the upstream is about to exit; returns whether it is new.
+    pub(super) fn on_leaving(&mut self, now: TimePoint) -> bool {
+        let is_new = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
+        is_new
+    }
+
+    /// Records the upstream's request to receive no calls for `period`.
+    pub(super) fn on_quiet(&mut self, now: TimePoint, period: Duration) -> QuietOutcome {
+        let period = period.min(MAX_QUIET_PERIOD);
+        if now + period <= self.quiet_until {
+            return QuietOutcome::AlreadyQuiet;
+        }
+        self.quiet_until = now + period;
+        QuietOutcome::Started(period)
+    }
+
+    /// Returns the time for which the upstream wants no calls; `None` if it accepts them.
+    pub(super) fn quiet_time_left(&self, now: TimePoint) -> Option<Duration> {
+        (now < self.quiet_until).then(|| self.quiet_until.since(now))
+    }
+
+    pub(super) fn is_leaving(&self) -> bool {
+        self.leaving_since.is_some()
+    }
+
+    /// Returns whether the upstream announced its exit so long ago that it must not be called, even
+    /// if its service has no other one.
+    pub(super) fn has_left(&self, now: TimePoint, drain_limit: Duration) -> bool {
+        let limit = drain_limit.mul_f64(LEAVING_USE_SHARE);
+        self.leaving_since.is_some_and(|it| limit <= now.since(it))
+    }
+
+    /// Returns whether this state is needed although no record of the upstream is known: its record
+    /// may reappear, and what it announced in its replies still holds then.
+    pub(super) fn must_be_remembered(&self, now: TimePoint) -> bool {
+        let is_leaving = self.leaving_since.is_some_and(|it| now.since(it) < LEAVING_MEMORY);
+        is_leaving || now < self.quiet_until
     }
 
     pub(super) fn in_flight(&self) -> u32 {
@@ -348,6 +430,9 @@
 
     /// Returns the current health tier.
     pub(super) fn health_tier(&self, now: TimePoint, estimate: &LatencyEstimate) -> HealthTier {
+        if self.is_leaving() {
+            return HealthTier::Leaving;
+        }
         if now < self.suspect_until {
             return HealthTier::Suspect;
         }
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -1,9 +1,14 @@
 //! Registry of the upstreams known to this node.
 
+use std::collections::VecDeque;
+
 use mux_model::{FastMap, FastSet, InstanceId, ServiceName};
 
 use super::{UpstreamPhase, UpstreamRecord};
 
+/// Maximum number of dropped instances whose last record versions are remembered.
+const MAX_DROPPED_INSTANCES: usize = 4_096;
+
 /// Effect of a record on the registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RecordChange {
@@ -35,6 +40,49 @@
 #[derive(Debug, Clone, Default)]
 pub struct UpstreamRegistry {
     known: FastMap<InstanceId, KnownUpstream>,
+    dropped: DroppedVersions,
+}
+
+/// Record versions of dropped instances, in the order in which they were dropped.
+///
+/// A store that was restored from an older copy lists upstreams that have exited since. Such a record
+/// is not newer than the last one that was seen, whereas a live upstream writes newer ones.
+#[derive(Debug, Clone, Default)]
+struct DroppedVersions {
+    versions: FastMap<InstanceId, DroppedVersion>,
+    order: VecDeque<InstanceId>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct DroppedVersion {
+    version: (u64, u64),
+    /// Whether a record with this version comes from a copy of the store that is older than the
+    /// removal. Otherwise, the upstream itself may have written it again after its lease expired.
+    is_final: bool,
+}
+
+impl DroppedVersions {
+    fn remember(&mut self, record: &UpstreamRecord) {
+        // Without its start time, a restarted instance could not be told from the dropped one.
+        if record.started_ms == 0 {
+            return;
+        }
+        let dropped = DroppedVersion { version: record.version(), is_final: false };
+        if self.versions.insert(record.instance.clone(), dropped).is_none() {
+            self.order.push_back(record.instance.clone());
+        }
+        while MAX_DROPPED_INSTANCES < self.order.len() {
+            if let Some(oldest) = self.order.pop_front() {
+                self.versions.remove(&oldest);
+            }
+        }
+    }
+
+    fn is_outdated(&self, record: &UpstreamRecord) -> bool {
+        self.versions.get(&record.instance).is_some_and(|it| {
+            record.version() < it.version || it.is_final && record.version() == it.version
+        })
+    }
 }
 
 impl UpstreamRegistry {
@@ -42,6 +90,9 @@
     pub fn on_record(&mut self, record: UpstreamRecord) -> RecordChange {
         self.drop_replaced(&record);
         let Some(known) = self.known.get_mut(&record.instance) else {
+            if self.dropped.is_outdated(&record) {
+                return RecordChange::Outdated;
+            }
             let known = KnownUpstream { record, missing: false, misdirected: false };
             self.known.insert(known.record.instance.clone(), known);
             return RecordChange::Added;
@@ -70,7 +121,7 @@
             known.missing = true;
             return false;
         }
-        self.known.remove(instance);
+        self.drop_instance(instance);
         true
     }
 
@@ -87,10 +138,20 @@
         absent.into_iter().filter(|it| self.on_removed(it, may_be_alive)).collect()
     }
 
+    /// Records that the store was restored from an older copy, which may list upstreams that have
+    /// been dropped since.
+    pub fn on_store_restored(&mut self) {
+        self.dropped.versions.values_mut().for_each(|it| it.is_final = true);
+    }
+
     /// Drops the instances whose entries are still missing, and returns them.
     pub fn drop_missing(&mut self) -> Vec<InstanceId> {
-        let missing = self.known.extract_if(|_, it| it.missing);
-        missing.map(|(instance, _)| instance).collect()
+        let missing = self.known.iter().filter(|(_, it)| it.missing);
+        let missing: Vec<_> = missing.map(|(instance, _)| instance.clone()).collect();
+        for instance in &missing {
+            self.drop_instance(instance);
+        }
+        missing
     }
 
     /// Returns whether any instance whose entry is missing is still kept.
@@ -129,6 +190,12 @@
         self.known.is_empty()
     }
 
+    fn drop_instance(&mut self, instance: &InstanceId) {
+        if let Some(known) = self.known.remove(instance) {
+            self.dropped.remember(&known.record);
+        }
+    }
+
     /// Drops other instances with a missing entry at the address of `record`.
     fn drop_replaced(&mut self, record: &UpstreamRecord) {
         self.known.retain(|instance, known| {
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -63,6 +63,12 @@
     /// No candidate can accept the first call now, and at least one was rejected because its
     /// expected latency exceeds the limit for this call.
     ReplyTooLate,
+    /// Every candidate that is not excluded, removed or leaving asked this node to send nothing for
+    /// a while.
+    Quiet {
+        /// Time until the first of them accepts calls again.
+        retry_after: Duration,
+    },
 }
 
 impl fmt::Display for AcquireError {
@@ -74,6 +80,7 @@
                 "hedge or retry not allowed: budget exhausted or service overloaded"
             }
             Self::ReplyTooLate => "reply expected too late",
+            Self::Quiet { .. } => "upstreams asked for no calls for a while",
         })
     }
 }
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -6,7 +6,12 @@
     time::Duration,
 };
 
-use hyper::{Method, Request, StatusCode, body::Incoming};
+use hyper::{
+    Method, Request, StatusCode,
+    body::Incoming,
+    header::{HeaderName, HeaderValue},
+};
+use mux_model::TimePoint;
 use mux_store::{
     LeaseId, StoredValue, ValueVersion, VmList,
     memory::{KvState, KvWrite, WriteError},
@@ -18,7 +23,8 @@
 
 use super::{
     CallCounters, FaultPlan, KvSettings,
-    kv_request::{EntryBody, KvRequest, LeaseBody, TxnBody, decode_write},
+    kv_copies::KvCopies,
+    kv_request::{EntryBody, KvRequest, LeaseBody, RestoreBody, TxnBody, decode_write},
     replies::{Reply, bad_request, events, item, not_found, ok, reply, reply_while_down},
 };
 
@@ -28,6 +34,8 @@
 const LEASE_CHECK_PERIOD: Duration = Duration::from_millis(50);
 /// Key prefixes that only operators and upstreams may write.
 const READ_ONLY_PREFIXES: [&str; 2] = ["op/", "servers/"];
+/// Reply header with the number of times that the state was restored from an older copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
 /// Key of the VM list.
 const VM_LIST_KEY: &str = "vms";
 
@@ -45,6 +53,9 @@
     faults: FaultPlan,
     counters: CallCounters,
     history_drop_count: u64,
+    copies: KvCopies,
+    /// Number of times that the state was restored from an older copy.
+    era: u64,
 }
 
 impl HttpRoutes {
@@ -66,18 +77,31 @@
         if let Some(reply) = self.answer_control(&call) {
             return Ok(reply);
         }
+        let era = self.state().era;
+        let mut reply = self.answer_call(&call).await?;
+        // A reply to a watch that waited during a restore has the later era already.
+        if !reply.headers().contains_key(STORE_ERA) {
+            if self.state().era != era {
+                return Err(io::Error::other("the store was restored during the call"));
+            }
+            reply.headers_mut().insert(STORE_ERA, HeaderValue::from(era));
+        }
+        Ok(reply)
+    }
+
+    async fn answer_call(&self, call: &KvRequest) -> io::Result<Reply> {
         self.delay().await;
-        self.count(&call);
+        self.count(call);
         self.expire();
         let faults = self.state().faults.clone();
         if faults.down {
             return reply_while_down(&faults);
         }
         if call.path == "/api/kv-watch" {
-            return self.watch(&call).await;
+            return self.watch(call).await;
         }
-        let reply = self.answer_kv_call(&call);
-        self.lose_reply(&call, &reply)?;
+        let reply = self.answer_kv_call(call);
+        self.lose_reply(call, &reply)?;
         Ok(reply)
     }
 
@@ -101,6 +125,9 @@
                 self.notify();
                 Some(ok(&json!({})))
             }
+            (&Method::POST, "/v1/restore") => {
+                Some(self.apply_control(call, |routes, body: RestoreBody| routes.restore(body)))
+            }
             (&Method::GET, "/v1/counters") => Some(ok(&self.state().counters)),
             _ => None,
         }
@@ -119,6 +146,15 @@
         ok(&json!({}))
     }
 
+    fn restore(&self, body: RestoreBody) {
+        let now = self.timer.now();
+        let mut state = self.state();
+        if let Some(kv) = state.copies.restore(now, Duration::from_millis(body.age_ms)) {
+            state.kv = kv;
+        }
+        state.era += 1;
+    }
+
     fn set_vms(&self, vms: &VmList) {
         let value = serde_json::to_string(vms).unwrap_or_default();
         self.write_entry(EntryBody { key: VM_LIST_KEY.to_owned(), value: Some(value) });
@@ -128,6 +164,7 @@
         let now = self.timer.now();
         let EntryBody { key, value } = entry;
         let mut state = self.state();
+        state.keep_copy(now);
         // Without expected revisions and a lease, only an oversized value can be rejected.
         let _ = match value {
             Some(value) => state.kv.apply(now, &[], vec![KvWrite { key, value, lease: None }], &[]),
@@ -140,7 +177,11 @@
             return self.renew(LeaseId(lease));
         }
         if let Some(lease) = call.number_after_prefix("/api/kv-lease-end/") {
-            let is_known = self.state().kv.end_lease(LeaseId(lease));
+            let now = self.timer.now();
+            let mut state = self.state();
+            state.keep_copy(now);
+            let is_known = state.kv.end_lease(LeaseId(lease));
+            drop(state);
             self.notify();
             return if is_known { ok(&json!({})) } else { not_found() };
         }
@@ -192,6 +233,7 @@
         let expected: Vec<_> =
             body.expected_rev.into_iter().map(|it| (it.key, it.revision)).collect();
         let mut state = self.state();
+        state.keep_copy(self.timer.now());
         let result = state.kv.apply(self.timer.now(), &expected, writes, &body.deletes);
         state.counters.bytes_written += u64::try_from(size).unwrap_or(u64::MAX);
         drop(state);
@@ -215,7 +257,10 @@
             return bad_request();
         };
         let ttl = Duration::from_millis(body.ttl_ms);
-        let lease = self.state().kv.grant(self.timer.now(), ttl);
+        let now = self.timer.now();
+        let mut state = self.state();
+        state.keep_copy(now);
+        let lease = state.kv.grant(now, ttl);
         ok(&json!({ "LeaseId": lease, "TtlMs": body.ttl_ms }))
     }
 
@@ -270,11 +315,14 @@
         if state.faults.silent_watches {
             return None;
         }
-        match state.kv.changes(prefix, after) {
-            Ok(changes) if changes.is_empty() => None,
-            Ok(changes) => Some(Ok(events(&changes, state.kv.version()))),
-            Err(_) => Some(Ok(reply(StatusCode::GONE, &json!({})))),
-        }
+        let is_assigned = after <= state.kv.version();
+        let mut reply = match state.kv.changes(prefix, after) {
+            Ok(changes) if is_assigned && changes.is_empty() => return None,
+            Ok(changes) if is_assigned => events(&changes, state.kv.version()),
+            _ => reply(StatusCode::GONE, &json!({})),
+        };
+        reply.headers_mut().insert(STORE_ERA, HeaderValue::from(state.era));
+        Some(Ok(reply))
     }
 
     fn expire(&self) {
@@ -333,6 +381,10 @@
 }
 
 impl ServerState {
+    fn keep_copy(&mut self, now: TimePoint) {
+        self.copies.keep(now, &self.kv);
+    }
+
     fn count_read(&mut self, stored: &StoredValue) {
         let size = u64::try_from(stored.value.len()).unwrap_or(u64::MAX);
         self.counters.bytes_read += size;
--- a/crates/standins/src/kv/kv_request.rs
+++ b/crates/standins/src/kv/kv_request.rs
@@ -48,6 +48,12 @@
     pub(super) value: Option<String>,
 }
 
+#[derive(Debug, Deserialize)]
+pub(super) struct RestoreBody {
+    /// Age of the copy that is restored, in milliseconds.
+    pub(super) age_ms: u64,
+}
+
 /// Received request.
 #[derive(Debug)]
 pub(super) struct KvRequest {
--- a/crates/standins/src/kv/mod.rs
+++ b/crates/standins/src/kv/mod.rs
@@ -8,11 +8,13 @@
 //! | `PUT /v1/entries` `{key, value}` | writes a key as operators and upstreams do, or removes it if there is no value |
 //! | `PUT /v1/faults` [`FaultPlan`] | replaces the faults |
 //! | `POST /v1/forget` | drops the change history |
+//! | `POST /v1/restore` `{age_ms}` | goes back to the state of that time ago, and begins a new era |
 //! | `GET /v1/counters` | 200 [`CallCounters`]; a long poll counts as one call |
 
 mod call_counters;
 mod fault_plan;
 mod http_routes;
+mod kv_copies;
 mod kv_request;
 mod kv_settings;
 mod replies;
--- a/crates/store/src/memory/kv_state.rs
+++ b/crates/store/src/memory/kv_state.rs
@@ -50,7 +50,7 @@
 ///
 /// All keys share one version counter, so that a key that is deleted and written again never
 /// repeats an earlier version.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct KvState {
     values: BTreeMap<String, StoredValue>,
     lease_by_key: FastMap<String, LeaseId>,
@@ -61,7 +61,7 @@
     last_lease: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct LeaseState {
     ttl: Duration,
     expires_at: TimePoint,
