Notice connections that an upstream refuses before a call is sent on them

Queries failed with 502 although other replicas accepted connections.

Change: while an upstream may refuse (first window of a process, or after a refusal), a new connection is watched for 2 ms before anything is sent. A reset then proves that the call was not sent: the call that replaces it is the first to reach an upstream and is not charged (CallKind::Resend), and non-idempotent requests may go on. An upstream that refused the only connection is not dialed for 25 ms, doubled up to 400 ms; if all refuse, the call waits for the first, instead of failing.

Ruled out: a longer wait after each connect (no reset came later in the logs), more budget alone (the resets remain).

--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -22,6 +22,11 @@
 /// Time-out for opening a connection. A healthy upstream accepts within a few milliseconds, and
 /// after this time the request is better sent to another one.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a connection that was not reset counts as accepted. An upstream at its connection
+/// limit resets a new connection at once.
+const REFUSAL_CHECK_TIME: Duration = Duration::from_millis(2);
+/// Delay suggested to a caller whose call was refused a connection.
+const REFUSED_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum idle time of a reused connection if the upstream sends no keep-alive time-out.
 const DEFAULT_IDLE_LIMIT: Duration = Duration::from_secs(4);
 /// Maximum idle time of a reused connection, in percent of the upstream's keep-alive time-out.
@@ -149,10 +154,19 @@
         }
         let started = timer.now();
         let count_guard = self.count_connection(balancer);
-        let opened = timer.timeout(CONNECT_TIMEOUT, OpenConnection::open(self.upstream)).await;
+        let check = balancer.may_refuse_connection(self.upstream).then_some(REFUSAL_CHECK_TIME);
+        let open = OpenConnection::open(timer, self.upstream, check);
+        let opened = timer.timeout(CONNECT_TIMEOUT, open).await;
         let now = timer.now();
         match opened {
-            Ok(Ok(connection)) => {
+            Ok(Ok(None)) => {
+                balancer.record_new_connection_failed(now, self.upstream);
+                Err(CallFailure::NotRun {
+                    reason: NotRunReason::NotSent,
+                    retry_after: Some(REFUSED_RETRY_DELAY),
+                })
+            }
+            Ok(Ok(Some(connection))) => {
                 balancer.record_connect(now, self.upstream, Some(now.since(started)));
                 Ok((connection, count_guard, true))
             }
--- a/crates/edge/src/upstream/open_connection.rs
+++ b/crates/edge/src/upstream/open_connection.rs
@@ -11,6 +11,7 @@
 };
 use hyper_util::rt::TokioIo;
 use mux_model::{TimePoint, UpstreamId};
+use mux_timer::TimerService;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
@@ -28,16 +29,27 @@
 }
 
 impl OpenConnection {
-    /// Connects to `upstream`.
-    pub(super) async fn open(upstream: UpstreamId) -> io::Result<Self> {
+    /// Connects to `upstream`. With a `refusal_check`, waits for that time whether the upstream resets
+    /// the connection, and returns `None` if so: then nothing was sent on it.
+    pub(super) async fn open(
+        timer: &TimerService,
+        upstream: UpstreamId,
+        refusal_check: Option<Duration>,
+    ) -> io::Result<Option<Self>> {
         let stream = TcpStream::connect(upstream.0).await?;
         stream.set_nodelay(true)?;
         SockRef::from(&stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))?;
+        // An upstream sends nothing before a request, so that the stream is readable only if it ended.
+        if let Some(limit) = refusal_check
+            && timer.timeout(limit, stream.readable()).await.is_ok()
+        {
+            return Ok(None);
+        }
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // An error is returned to the request in flight; on an idle connection it has no receiver.
         tokio::spawn(async move { connection.await.ok() });
-        Ok(Self { sender, usable_until: TimePoint::MAX })
+        Ok(Some(Self { sender, usable_until: TimePoint::MAX }))
     }
 
     /// Returns whether the connection is open and has no request in flight.
--- a/crates/query/src/call_table.rs
+++ b/crates/query/src/call_table.rs
@@ -12,6 +12,8 @@
     pub(crate) upstream: UpstreamId,
     pub(crate) sent_at: TimePoint,
     pub(crate) open: bool,
+    /// Whether its upstream may be called again by the same query.
+    may_repeat: bool,
     previous: Option<usize>,
 }
 
@@ -42,12 +44,19 @@
     pub(crate) snapshot_missing: bool,
     /// Calls that provably did not run.
     pub(crate) not_run_calls: u32,
+    /// Calls that were not sent to their upstream.
+    pub(crate) unsent_calls: u32,
     calls: u32,
     last_call: Option<usize>,
 }
 
 impl ShardState {
-    /// Returns whether a call was ever made to the shard.
+    /// Returns whether an upstream of the shard may have received a call.
+    pub(crate) fn was_reached(&self) -> bool {
+        self.unsent_calls < self.calls
+    }
+
+    /// Returns whether a call was ever made to the shard, sent or not.
     pub(crate) fn was_called(&self) -> bool {
         self.last_call.is_some()
     }
@@ -128,13 +137,16 @@
         &mut self.shards
     }
 
-    /// Returns the replicas of `shard` that were already called.
+    /// Returns the replicas of `shard` that were already called, except those that may be called
+    /// again.
     pub(crate) fn tried_replicas(&mut self, shard: ShardIndex) -> &[UpstreamId] {
         self.tried_replicas.clear();
         let mut next = self.shards[to_index(shard.0)].last_call;
         while let Some(position) = next {
             let call = &self.calls[position];
-            self.tried_replicas.push(call.upstream);
+            if !call.may_repeat {
+                self.tried_replicas.push(call.upstream);
+            }
             next = call.previous;
         }
         &self.tried_replicas
@@ -159,7 +171,14 @@
         state.open_calls += 1;
         state.calls += 1;
         self.open_calls += 1;
-        self.calls.push(CallState { shard, upstream, sent_at: now, open: true, previous });
+        self.calls.push(CallState {
+            shard,
+            upstream,
+            sent_at: now,
+            open: true,
+            may_repeat: false,
+            previous,
+        });
         call
     }
 
@@ -173,6 +192,13 @@
         Some(call)
     }
 
+    /// Records that the upstream of an ended call may be called again.
+    pub(crate) fn allow_repeat(&mut self, call: CallId) {
+        if let Some(state) = self.position(call).and_then(|it| self.calls.get_mut(it)) {
+            state.may_repeat = true;
+        }
+    }
+
     /// Returns the newest open call to `shard`.
     pub(crate) fn newest_open_call(&self, shard: ShardIndex) -> Option<CallId> {
         let mut next = self.shards[to_index(shard.0)].last_call;
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -167,7 +167,7 @@
         let shard = state.shard;
         router.release(now, state.upstream, CallOutcome::Failed(failure, latency));
         self.verdict = self.verdict.combine(failure.verdict());
-        self.record_failure(shard, failure);
+        self.record_failure(call, shard, failure);
         if self.table.shard(shard).open_calls == 0 {
             self.retry_or_fail(now, router, shard, failure, actions);
         }
@@ -226,11 +226,19 @@
             && reply.shard == shard
     }
 
-    fn record_failure(&mut self, shard: ShardIndex, failure: CallFailure) {
+    fn record_failure(&mut self, call: CallId, shard: ShardIndex, failure: CallFailure) {
         let CallFailure::NotRun { reason, retry_after } = failure else {
             return;
         };
-        self.table.shard_mut(shard).not_run_calls += 1;
+        let state = self.table.shard_mut(shard);
+        state.not_run_calls += 1;
+        if reason == NotRunReason::NotSent {
+            state.unsent_calls += 1;
+            // The upstream accepts a connection soon, which other replicas may not do either.
+            if retry_after.is_some() {
+                self.table.allow_repeat(call);
+            }
+        }
         self.retry_after = self.retry_after.max(retry_after);
         if reason == NotRunReason::SnapshotMissing {
             self.table.shard_mut(shard).snapshot_missing = true;
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -31,8 +31,12 @@
         router: &R,
         shard: ShardIndex,
     ) -> Option<CallId> {
-        let was_called = self.table.shard(shard).was_called();
-        let kind = if was_called { CallKind::Retry } else { CallKind::First };
+        let state = self.table.shard(shard);
+        let kind = match (state.was_called(), state.was_reached()) {
+            (false, _) => CallKind::First,
+            (true, false) => CallKind::Resend,
+            (true, true) => CallKind::Retry,
+        };
         match self.acquire(now, router, shard, kind) {
             Ok(upstream) => Some(self.table.open(now, shard, upstream)),
             Err(AcquireError::Saturated { retry_after }) => {
--- a/crates/routing/src/balancer/balancer_report.rs
+++ b/crates/routing/src/balancer/balancer_report.rs
@@ -8,6 +8,8 @@
 pub struct BalancerReport {
     /// First calls that reserved a connection.
     pub first_calls: u64,
+    /// Calls that replace calls that were never sent.
+    pub resent_calls: u64,
     /// Hedges and retries that reserved a connection.
     pub extra_calls: u64,
     /// Hedges and retries rejected by the retry budget.
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -289,6 +289,12 @@
         self.with_upstream(upstream, |it| it.set_open_connections(open));
     }
 
+    /// Returns whether the upstream may reset a new connection because it accepts no more: it has done
+    /// so, or may still hold connections of this node's previous process.
+    pub fn may_refuse_connection(&self, upstream: UpstreamId) -> bool {
+        self.with_upstream(upstream, |it| it.may_refuse_connection()).unwrap_or_default()
+    }
+
     /// Records the first reply on a new connection, which shows that the upstream accepted it.
     pub fn record_connection_accepted(&self, now: TimePoint, upstream: UpstreamId) {
         self.with_upstream(upstream, |it| it.on_connection_accepted(now));
@@ -378,6 +384,8 @@
         if kind == CallKind::First {
             self.retry_budget.record_first_call(now, &limits);
             self.report.first_calls += 1;
+        } else if kind == CallKind::Resend {
+            self.report.resent_calls += 1;
         } else if self.retry_budget.try_extra_call(now, &limits, self.nodes) {
             self.report.extra_calls += 1;
         } else {
@@ -399,6 +407,7 @@
     ) -> Result<usize, AcquireError> {
         let mut rng = rand::rng();
         let mut best: Option<(HealthTier, f64, usize)> = None;
+        let mut shortest_refusal: Option<Duration> = None;
         let mut any_saturated = false;
         let mut any_too_late = false;
         let mut shortest_quiet: Option<Duration> = None;
@@ -420,6 +429,10 @@
                 any_saturated |= upstream.has_connection();
                 continue;
             }
+            if let Some(wait) = upstream.refusal_time_left(now) {
+                shortest_refusal = Some(shortest_refusal.map_or(wait, |it| it.min(wait)));
+                continue;
+            }
             if self.max_connections(upstream) <= upstream.in_flight() {
                 any_saturated = true;
                 continue;
@@ -450,8 +463,13 @@
             }
             Some((.., idx)) => Ok(idx),
             // The call can't be answered in time, and waiting would only delay it further.
-            None if any_too_late && kind == CallKind::First => Err(AcquireError::ReplyTooLate),
+            None if any_too_late && kind.is_first_arrival() => Err(AcquireError::ReplyTooLate),
+            // One of the connections in use becomes free sooner than a refusing upstream accepts a
+            // new one.
             None if any_saturated || any_too_late => Err(saturated),
+            None if let Some(retry_after) = shortest_refusal => {
+                Err(AcquireError::Saturated { retry_after })
+            }
             None => Err(shortest_quiet.map_or(AcquireError::NoReplica, |retry_after| {
                 AcquireError::Quiet { retry_after }
             })),
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -37,6 +37,11 @@
 const REFUSAL_BACKOFF: Duration = Duration::from_millis(250);
 /// Maximum backoff for additional connections after one was refused.
 const MAX_REFUSAL_BACKOFF: Duration = Duration::from_secs(2);
+/// Initial delay of a new connection after one was refused while no other is open; doubles with each
+/// refusal. Without a connection, calls can only wait.
+const REDIAL_DELAY: Duration = Duration::from_millis(25);
+/// Maximum delay of a new connection after one was refused while no other is open.
+const MAX_REDIAL_DELAY: Duration = Duration::from_millis(400);
 /// Time for which a reported load is valid.
 const REPORTED_LOAD_LIFETIME: Duration = Duration::from_millis(250);
 /// Cost added for an upstream whose slots are all in use, even without a queue, as a fraction of
@@ -105,6 +110,8 @@
     /// Open connections at the last refusal, including the refused one.
     open_at_refusal: u32,
     refusal_backoff_until: TimePoint,
+    /// Time until which no connection is tried after a refusal if none is open.
+    redial_at: TimePoint,
     measured_latency_factor: f64,
     last_reply_at: TimePoint,
     failure_rate: f64,
@@ -143,6 +150,7 @@
             refusals: 0,
             open_at_refusal: 0,
             refusal_backoff_until: TimePoint::ZERO,
+            redial_at: TimePoint::ZERO,
             measured_latency_factor: 1.0,
             last_reply_at: now,
             failure_rate: 0.0,
@@ -289,6 +297,8 @@
     /// Handles the refusal of a new connection: limits this node to the remaining open connections
     /// until one is accepted after a backoff.
     pub(super) fn on_connection_refused(&mut self, now: TimePoint) {
+        let redial_delay = REDIAL_DELAY * (1 << self.refusals.min(8));
+        self.redial_at = now + redial_delay.min(MAX_REDIAL_DELAY);
         let backoff = REFUSAL_BACKOFF * (1 << self.refusals.min(8));
         self.refusals += 1;
         self.refusal_backoff_until = now + backoff.min(MAX_REFUSAL_BACKOFF);
@@ -297,6 +307,18 @@
         self.assumed_connection_limit = others.max(MIN_CONNECTIONS);
     }
 
+    /// Returns whether a new connection may be reset.
+    pub(super) fn may_refuse_connection(&self) -> bool {
+        self.assumed_connection_limit != u32::MAX
+    }
+
+    /// Returns the time until a new connection is tried, if a call would need one and the upstream has
+    /// just refused one.
+    pub(super) fn refusal_time_left(&self, now: TimePoint) -> Option<Duration> {
+        let is_refused = self.open_connections == 0 && now < self.redial_at;
+        is_refused.then(|| self.redial_at.since(now))
+    }
+
     /// Returns the maximum number of connections that the upstream is assumed to accept from this
     /// node.
     pub(super) fn assumed_connection_limit(&self) -> u32 {
--- a/crates/routing/src/call_accounting.rs
+++ b/crates/routing/src/call_accounting.rs
@@ -59,7 +59,7 @@
         kind: CallKind,
         settings: &RouterSettings,
     ) -> bool {
-        if kind == CallKind::First || settings.budget_ratio.is_none() {
+        if kind.is_first_arrival() || settings.budget_ratio.is_none() {
             return true;
         }
         let is_charged = !self.is_overloaded(now) && self.budget.try_withdraw(kind);
@@ -84,7 +84,7 @@
             (CallKind::First, Err(AcquireError::Saturated { .. })) => {
                 self.counts.saturated_calls += 1;
             }
-            (CallKind::First, Err(_)) => {}
+            (CallKind::First, Err(_)) | (CallKind::Resend, _) => {}
             (CallKind::Hedge, Ok(_)) => self.counts.hedges += 1,
             (CallKind::Retry, Ok(_)) => self.counts.retries += 1,
             (CallKind::Hedge | CallKind::Retry, Err(_)) if settings.budget_ratio.is_some() => {
--- a/crates/routing/src/candidate_selector.rs
+++ b/crates/routing/src/candidate_selector.rs
@@ -82,7 +82,9 @@
             return Err(AcquireError::Saturated { retry_after });
         }
         match (self.kind, self.earliest_backoff_end) {
-            (CallKind::First | CallKind::Retry, Some((_, upstream))) => Ok(upstream),
+            (CallKind::First | CallKind::Retry | CallKind::Resend, Some((_, upstream))) => {
+                Ok(upstream)
+            }
             _ => Err(AcquireError::NoReplica),
         }
     }
--- a/crates/routing/src/extra_load_budget.rs
+++ b/crates/routing/src/extra_load_budget.rs
@@ -38,7 +38,7 @@
     /// Takes one token for a hedge or retry; returns whether the call is allowed.
     pub(crate) fn try_withdraw(&mut self, kind: CallKind) -> bool {
         let needed = match kind {
-            CallKind::First => return true,
+            CallKind::First | CallKind::Resend => return true,
             CallKind::Hedge => 1.0 + RETRY_RESERVE,
             CallKind::Retry => 1.0,
         };
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -42,6 +42,16 @@
     Hedge,
     /// A call after an earlier one failed.
     Retry,
+    /// A call that replaces only calls that were never sent, so that it is the first one to reach an
+    /// upstream.
+    Resend,
+}
+
+impl CallKind {
+    /// Returns whether the call is the first one of its query to reach an upstream of the shard.
+    pub fn is_first_arrival(self) -> bool {
+        matches!(self, Self::First | Self::Resend)
+    }
 }
 
 /// Reason why no slot at a replica was acquired.
--- a/crates/routing/tests/balancer/connections.rs
+++ b/crates/routing/tests/balancer/connections.rs
@@ -3,12 +3,13 @@
 use googletest::prelude::*;
 use mux_model::{TimePoint, UpstreamId};
 use mux_routing::{
-    AcquireError, CallOutcome,
+    AcquireError, CallKind, CallOutcome,
     balancer::{RetryBudget, ServiceBalancer},
 };
 
 use crate::fixtures::{
-    OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits, ms, record, upstream,
+    NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits,
+    ms, record, upstream,
 };
 
 /// Returns a balancer of a process that has just started.
@@ -151,3 +152,58 @@
     expect_that!(acquire_first(&balancer, at(51)), eq(Ok(upstream(0))));
     expect_that!(acquire_first(&balancer, at(52)), eq(saturated()));
 }
+
+/// Refuses the only connection to an upstream.
+fn refuse_connection(balancer: &ServiceBalancer, now: u64, idx: u16) {
+    balancer.record_connections(upstream(idx), 1);
+    balancer.record_new_connection_failed(at(now), upstream(idx));
+    balancer.record_connections(upstream(idx), 0);
+}
+
+/// After the loss of all nodes, upstreams hold the connections of the lost processes for seconds and
+/// refuse most new ones. Calls go where a connection is accepted, instead of to the upstream that
+/// costs least and refuses again.
+#[gtest]
+fn upstream_that_refused_its_only_connection_is_left_for_another() {
+    let balancer = balancer(&[record(0, OWN_ZONE), record(1, OTHER_ZONE)]);
+    refuse_connection(&balancer, 0, 0);
+
+    let chosen: Vec<_> = (1..20).map(|it| acquire_first(&balancer, at(it))).collect();
+
+    let is_refusing = |it: &&Result<UpstreamId, AcquireError>| **it == Ok(upstream(0));
+    expect_that!(chosen.iter().filter(is_refusing).count(), eq(0));
+    expect_that!(acquire_first(&balancer, at(60)), ok(eq(upstream(0))));
+}
+
+/// A call that every upstream refuses waits for the time of the next attempt, instead of failing or
+/// dialing all the time.
+#[gtest]
+fn call_waits_while_all_upstreams_refuse_connections() {
+    let balancer = balancer(&[record(0, OWN_ZONE), record(1, OTHER_ZONE)]);
+    refuse_connection(&balancer, 0, 0);
+    refuse_connection(&balancer, 10, 1);
+
+    let refused = acquire_first(&balancer, at(15));
+
+    expect_that!(refused, eq(Err(AcquireError::Saturated { retry_after: ms(10) })));
+    expect_that!(acquire_first(&balancer, at(25)), ok(eq(upstream(0))));
+}
+
+/// A call without a connection reaches no upstream, so the call that replaces it is the first one.
+#[gtest]
+fn call_that_replaces_an_unsent_one_needs_no_budget() {
+    let budget = RetryBudget::started(TimePoint::ZERO, true);
+    let balancer = ServiceBalancer::with_retry_budget(limits(), OWN_ZONE.into(), budget);
+    balancer.set_upstreams(TimePoint::ZERO, &[&record(0, OWN_ZONE), &record(1, OTHER_ZONE)]);
+    let acquire = |now, kind| {
+        let excluded = [upstream(0)];
+        balancer.acquire(at(now), &excluded, kind, &latency_estimate(), NO_LATENCY_LIMIT)
+    };
+    while acquire(1, CallKind::Retry).is_ok() {
+        balancer.end_call(upstream(1), at(1));
+    }
+
+    expect_that!(acquire(2, CallKind::Resend), ok(eq(upstream(1))));
+    balancer.end_call(upstream(1), at(2));
+    expect_that!(acquire(3, CallKind::Retry), eq(Err(AcquireError::BudgetExhausted)));
+}
