Remove the surcharge on upstreams that are warming up

The measured latency of an upstream shows the same after a few replies.

Change: the factor, its state and the field of the record go; the adapter still rejects an entry whose WarmupLeftMs is missing or malformed, and its test still checks that.

--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -92,7 +92,7 @@
             let mut known = state.upstreams.iter_mut().filter(|it| it.instance == record.instance);
             let same_address = known.find(|it| it.id == record.upstream);
             if let Some(upstream) = same_address {
-                upstream.update_record(now, record);
+                upstream.update_record(record);
                 continue;
             }
             let same_zone = record.availability_zone == self.zone;
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -16,8 +16,6 @@
 const LATENCY_FACTOR_HALF_LIFE: Duration = Duration::from_secs(5);
 /// Weight of a new sample in the failure rate.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
-/// Expected latency of an upstream that is still warming up, relative to a warm one.
-const WARMUP_FACTOR: f64 = 1.6;
 /// Number of hedge delays after which a call without a reply makes its upstream suspect.
 const SUSPECT_AFTER_HEDGE_DELAYS: u32 = 3;
 /// Initial time for which a suspect upstream is avoided; doubles with each further period until a
@@ -97,7 +95,6 @@
     pub(super) is_active: bool,
     same_zone: bool,
     slots: u32,
-    warmup_until: TimePoint,
     /// Start times of the calls that hold a reserved connection.
     call_starts: Vec<TimePoint>,
     /// Connections that are open or being set up.
@@ -143,7 +140,6 @@
             is_active: true,
             same_zone,
             slots: record.slots.max(1),
-            warmup_until: now + record.warmup_left,
             call_starts: Vec::new(),
             open_connections: 0,
             assumed_connection_limit: if is_first_window { MIN_CONNECTIONS } else { u32::MAX },
@@ -174,10 +170,9 @@
     }
 
     /// Applies a newer registry record and makes the upstream eligible for new calls.
-    pub(super) fn update_record(&mut self, now: TimePoint, record: &UpstreamRecord) {
+    pub(super) fn update_record(&mut self, record: &UpstreamRecord) {
         self.is_active = true;
         self.slots = record.slots.max(1);
-        self.warmup_until = now + record.warmup_left;
         if self.started_ms != record.started_ms {
             self.started_ms = record.started_ms;
             self.leaving_since = None;
@@ -446,8 +441,7 @@
 
     /// Returns the expected latency of a call that starts now, in microseconds.
     pub(super) fn expected_latency_us(&self, now: TimePoint, estimate: &LatencyEstimate) -> f64 {
-        let warmup_factor = if now < self.warmup_until { WARMUP_FACTOR } else { 1.0 };
-        micros(estimate.typical) * self.latency_factor(now) * warmup_factor * self.queue_factor(now)
+        micros(estimate.typical) * self.latency_factor(now) * self.queue_factor(now)
     }
 
     /// Returns the current health tier.
--- a/crates/routing/src/balancer/upstream_record.rs
+++ b/crates/routing/src/balancer/upstream_record.rs
@@ -1,7 +1,5 @@
 //! Records that upstreams publish about themselves in the key-value store.
 
-use std::time::Duration;
-
 use mux_model::{AvailabilityZone, InstanceId, ServiceName, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -29,8 +27,6 @@
     pub slots: u32,
     /// Whether the instance accepts new requests.
     pub phase: UpstreamPhase,
-    /// Warm-up time left when the record was read; until its end, the instance is slower.
-    pub warmup_left: Duration,
     /// Start of the process in milliseconds of Unix time; 0 if unknown.
     pub started_ms: u64,
     /// Sequence number of the record since the start of the process.
