--- a/crates/edge/tests/store_mirror.rs
+++ b/crates/edge/tests/store_mirror.rs
@@ -121,3 +121,30 @@
     expect_that!(update_after(&mirror, 100).changes.len(), eq(1));
     expect_that!(update_after(&mirror, 6_000).is_listing, eq(false));
 }
+
+/// A reader whose position belongs to an earlier era may lack entries that the copy shows as
+/// unchanged.
+#[gtest]
+fn reader_of_an_earlier_era_receives_all_entries() {
+    let mut mirror = mirror_of(3, 10);
+    let restored = StoreRevision { era: StoreEra(2), revision: 6 };
+    mirror.on_listing(&[written(0, 1.0), written(1, 1.0)], restored);
+
+    let update = update_after(&mirror, 40);
+
+    expect_that!(update.is_listing, eq(true));
+    expect_that!(update.changes.len(), eq(2));
+    expect_that!(update.revision, eq(restored));
+    expect_that!(mirror.changes_after(Some(restored)), none());
+}
+
+#[gtest]
+fn changes_of_another_era_are_ignored() {
+    let mut mirror = mirror_of(3, 10);
+
+    mirror.on_changes(&[removed(1)], StoreRevision { era: StoreEra(2), revision: 20 });
+    mirror.on_listing(&[], StoreRevision { era: StoreEra(0), revision: 99 });
+
+    expect_that!(mirror.revision(), some(eq(at(10))));
+    expect_that!(mirror.changes_after(None).map(|it| it.changes.len()), some(eq(3)));
+}
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -275,15 +275,6 @@
         self.with_instance(instance, |it| it.on_quiet(now, period))
     }
 
-    /// Returns the numbers of active upstreams that announced their exit, and that asked for no
-    /// calls at `now`.
-    pub fn announcement_counts(&self, now: TimePoint) -> (usize, usize) {
-        let state = self.lock();
-        let active = state.upstreams.iter().filter(|it| it.is_active);
-        let leaving = active.clone().filter(|it| it.is_leaving()).count();
-        (leaving, active.filter(|it| it.quiet_time_left(now).is_some()).count())
-    }
-
     /// Records the number of connections to an upstream that are open or being set up.
     pub fn record_connections(&self, upstream: UpstreamId, open: u32) {
         self.with_upstream(upstream, |it| it.set_open_connections(open));
