Tell a refused connection from other calls that were not sent

Cause, found when reading the diff: a call that was not sent and has a retry delay allowed the same query to call the same upstream again. The pool of the own interface (mux-upstream) reports its dial backoff in that form, at once and without a wait, so that a query with one replica could repeat the call in a loop until its deadline.

Change: a connection that an upstream resets at once has a reason of its own, ConnectionRefused, which only the platform's front reports; only after it may the same upstream be called again. The front decides as before.

--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -245,6 +245,7 @@
 fn failure_label(failure: CallFailure) -> &'static str {
     match failure {
         CallFailure::NotRun { reason: NotRunReason::NotSent, .. } => "not_sent",
+        CallFailure::NotRun { reason: NotRunReason::ConnectionRefused, .. } => "connection_refused",
         CallFailure::NotRun { reason: NotRunReason::Shed, .. } => "shed",
         CallFailure::NotRun { .. } => "not_run",
         CallFailure::ConnectionLost => "connection_lost",
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -162,7 +162,7 @@
             Ok(Ok(None)) => {
                 balancer.record_new_connection_failed(now, self.upstream);
                 Err(CallFailure::NotRun {
-                    reason: NotRunReason::NotSent,
+                    reason: NotRunReason::ConnectionRefused,
                     retry_after: Some(REFUSED_RETRY_DELAY),
                 })
             }
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -25,6 +25,9 @@
     Rejected,
     /// The address belongs to another instance than the expected one.
     WrongInstance,
+    /// The upstream reset a new connection at once, as it accepts no more now; nothing was written.
+    /// Unlike after [`Self::NotSent`], the same upstream may accept a connection a moment later.
+    ConnectionRefused,
 }
 
 /// Failure of one upstream call.
@@ -71,6 +74,7 @@
             }
             Self::NotRun { reason: NotRunReason::Rejected, .. } => "rejected by the upstream",
             Self::NotRun { reason: NotRunReason::WrongInstance, .. } => "another instance answered",
+            Self::NotRun { reason: NotRunReason::ConnectionRefused, .. } => "connection refused",
             Self::ConnectionLost => "connection lost",
             Self::Silent => "connection silent",
             Self::UpstreamError => "upstream error",
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -232,12 +232,14 @@
         };
         let state = self.table.shard_mut(shard);
         state.not_run_calls += 1;
-        if reason == NotRunReason::NotSent {
-            state.unsent_calls += 1;
-            // The upstream accepts a connection soon, which other replicas may not do either.
-            if retry_after.is_some() {
+        match reason {
+            NotRunReason::NotSent => state.unsent_calls += 1,
+            NotRunReason::ConnectionRefused => {
+                state.unsent_calls += 1;
+                // The other replicas may refuse connections for as long.
                 self.table.allow_repeat(call);
             }
+            _ => {}
         }
         self.retry_after = self.retry_after.max(retry_after);
         if reason == NotRunReason::SnapshotMissing {
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -391,7 +391,10 @@
     ) {
         match failure {
             // The connection pool reports failed dials separately.
-            CallFailure::NotRun { reason: NotRunReason::NotSent, .. } => {}
+            CallFailure::NotRun {
+                reason: NotRunReason::NotSent | NotRunReason::ConnectionRefused,
+                ..
+            } => {}
             CallFailure::Silent | CallFailure::DeadlinePassed => {
                 self.on_unanswered(now, elapsed, estimate);
             }
--- a/crates/routing/src/upstream_health.rs
+++ b/crates/routing/src/upstream_health.rs
@@ -158,7 +158,10 @@
 
 fn failures_to_eject(failure: CallFailure) -> u32 {
     match failure {
-        CallFailure::NotRun { reason: NotRunReason::NotSent, .. }
+        CallFailure::NotRun {
+            reason: NotRunReason::NotSent | NotRunReason::ConnectionRefused,
+            ..
+        }
         | CallFailure::ConnectionLost
         | CallFailure::Silent => CONNECTION_FAILURES_TO_EJECT,
         _ => FAULTY_REPLIES_TO_EJECT,
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -314,7 +314,7 @@
         jitter: f64,
     ) {
         match reason {
-            NotRunReason::NotSent => {
+            NotRunReason::NotSent | NotRunReason::ConnectionRefused => {
                 let failure = CallFailure::NotRun { reason, retry_after };
                 self.health.on_failure(now, failure, jitter);
                 self.pause(now, retry_after.unwrap_or_default());
