--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -50,8 +50,8 @@
 /// Longest time for which an upstream may ask for no calls. A malformed period must not take an
 /// upstream out of service for the life of this process.
 const MAX_QUIET_PERIOD: Duration = Duration::from_secs(300);
-/// Time for which a leaving upstream is remembered after its record was removed, because an older
-/// copy of the record may reappear.
+/// Time from its announcement for which a leaving upstream is remembered without a record, because an
+/// older copy of the record may reappear.
 const LEAVING_MEMORY: Duration = Duration::from_secs(600);
 /// Part of the drain limit in which a leaving upstream may still be called if its service has no
 /// other one. The rest is for requests that are already on their way through this node.
