Show rate limits of upstreams in logs and metrics

Cause: nothing in the logs or metrics of a node told whether it knew of an upstream's rate limit, or which calls it made under it, so that the hypotheses on the exceeded limits could not be told apart.

Change: the header is decoded; one line for each start, change and end of a limit, with its rate, age and the first and extra calls of this node; three metrics. Calls are chosen as before.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -49,6 +49,12 @@
     pub(crate) result: &'static str,
 }
 
+/// Label of metrics by kind of change.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ChangeLabel {
+    pub(crate) change: &'static str,
+}
+
 type LatencyFamily = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Sums of the counters of all balancers since the start; updated before each export.
@@ -58,6 +64,7 @@
     extra_calls: Gauge,
     budget_refusals: Gauge,
     saturated: Gauge,
+    rate_limited_calls: Gauge,
 }
 
 impl BalancerGauges {
@@ -69,12 +76,14 @@
             sum.extra_calls += report.extra_calls;
             sum.budget_refusals += report.budget_refusals;
             sum.saturated += report.saturated;
+            sum.rate_limited_calls += report.rate_limited_calls;
         }
         let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.first_calls.set(to_gauge(sum.first_calls));
         self.extra_calls.set(to_gauge(sum.extra_calls));
         self.budget_refusals.set(to_gauge(sum.budget_refusals));
         self.saturated.set(to_gauge(sum.saturated));
+        self.rate_limited_calls.set(to_gauge(sum.rate_limited_calls));
     }
 
     fn register(&self, registry: &mut Registry) {
@@ -83,6 +92,11 @@
             ("extra_calls", "Hedges and retries", &self.extra_calls),
             ("budget_refusals", "Further calls without budget", &self.budget_refusals),
             ("saturated_calls", "Calls that found all upstreams at their limits", &self.saturated),
+            (
+                "rate_limited_calls",
+                "Calls to upstreams that stated a rate limit",
+                &self.rate_limited_calls,
+            ),
         ];
         for (name, help, gauge) in rows {
             registry.register(name, help, gauge.clone());
@@ -106,6 +120,8 @@
     pub(crate) nodes: Gauge,
     pub(crate) leaving_upstreams: Counter,
     pub(crate) quiet_requests: Counter,
+    pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
+    pub(crate) rate_limited_upstreams: Gauge,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
 }
@@ -128,6 +144,8 @@
             nodes: Gauge::default(),
             leaving_upstreams: Counter::default(),
             quiet_requests: Counter::default(),
+            rate_limit_changes: Family::default(),
+            rate_limited_upstreams: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
         };
@@ -149,6 +167,16 @@
             "Requests of upstreams to receive no calls for a while",
             self.quiet_requests.clone(),
         );
+        registry.register(
+            "rate_limit_changes",
+            "Rate limits that upstreams started, changed or ended",
+            self.rate_limit_changes.clone(),
+        );
+        registry.register(
+            "rate_limited_upstreams",
+            "Upstreams that state a rate limit",
+            self.rate_limited_upstreams.clone(),
+        );
         registry.register("store_era", "Latest known era of the store", self.store_era.clone());
         registry.register(
             "store_restores",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -325,6 +325,8 @@
     pub(crate) fn render_metrics(&self) -> String {
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         self.metrics.balancers.set(balancers.values().map(|it| it.report()));
+        let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
+        self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
         drop(balancers);
         self.metrics.render()
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,6 @@
 };
 pub use sync::ReadPacing;
 pub use wire::{
-    AddressRequest, CallMetadata, QuietRequest, ReplyKind, ReplyMetadata, RequestMetadata,
-    RequestMetadataError, WireProtocol,
+    AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyKind, ReplyMetadata,
+    RequestMetadata, RequestMetadataError, WireProtocol,
 };
--- a/crates/edge/src/upstream/announcements.rs
+++ b/crates/edge/src/upstream/announcements.rs
@@ -1,12 +1,18 @@
 //! What upstreams announce about themselves in their replies.
 
-use mux_model::InstanceId;
-use mux_routing::balancer::{QuietOutcome, ServiceBalancer};
+use std::time::Duration;
+
+use mux_model::{InstanceId, TimePoint};
+use mux_routing::balancer::{QuietOutcome, RateLimitChange, RateLimitReport, ServiceBalancer};
 use slog::{info, warn};
 
-use crate::{QuietRequest, ReplyKind, ReplyMetadata, edge_state::EdgeState};
+use crate::{
+    QuietRequest, RateLimitStatement, ReplyKind, ReplyMetadata, edge_metrics::ChangeLabel,
+    edge_state::EdgeState,
+};
 
-/// Records that `instance` is about to exit or asked for no calls, according to one of its replies.
+/// Records what `instance` announces in a reply to a call sent at `sent_at`: that it is about to exit,
+/// wants no calls, or limits the rate of calls.
 ///
 /// The reply may answer a call that its query no longer needs, or carry another request's id; it
 /// shows the state of the upstream all the same.
@@ -15,6 +21,7 @@
     balancer: &ServiceBalancer,
     instance: &InstanceId,
     metadata: &ReplyMetadata,
+    sent_at: TimePoint,
 ) {
     // The announcements of another instance at the address do not concern the expected one.
     if metadata.kind == ReplyKind::WrongInstance {
@@ -26,6 +33,7 @@
         info!(edge.logger, "upstream: announced its exit in a reply, no further calls";
             "instance" => instance.as_str());
     }
+    record_rate_limit(edge, balancer, instance, metadata, sent_at);
     match &metadata.quiet_request {
         None => {}
         Some(QuietRequest::Malformed(text)) => {
@@ -51,6 +59,48 @@
     }
 }
 
-fn millis(duration: std::time::Duration) -> u64 {
+fn record_rate_limit(
+    edge: &EdgeState,
+    balancer: &ServiceBalancer,
+    instance: &InstanceId,
+    metadata: &ReplyMetadata,
+    sent_at: TimePoint,
+) {
+    let now = edge.timer.now();
+    let rate = match &metadata.rate_limit {
+        Some(RateLimitStatement::Rate(rate)) => Some(*rate),
+        Some(RateLimitStatement::Malformed(text)) => {
+            if let Some(suppressed) = edge.request_log.allow(now) {
+                warn!(edge.logger, "upstream: malformed rate limit ignored";
+                    "instance" => instance.as_str(), "value" => text,
+                    "suppressed_lines" => suppressed);
+            }
+            return;
+        }
+        // A copy of an older reply does not show that the upstream no longer states a limit.
+        None if !metadata.is_for_request => return,
+        None => None,
+    };
+    let Some(change) = balancer.record_rate_limit(now, instance, sent_at, rate) else {
+        return;
+    };
+    let (event, report) = match change {
+        RateLimitChange::Started(_) => ("started", None),
+        RateLimitChange::Changed(report) => ("changed", Some(report)),
+        RateLimitChange::Ended(report) => ("ended", Some(report)),
+    };
+    edge.metrics.rate_limit_changes.get_or_create(&ChangeLabel { change: event }).inc();
+    let Some(suppressed) = edge.request_log.allow(now) else {
+        return;
+    };
+    let none = RateLimitReport { rate: 0.0, age: Duration::ZERO, first_calls: 0, extra_calls: 0 };
+    let report = report.unwrap_or(none);
+    info!(edge.logger, "upstream: rate limit"; "instance" => instance.as_str(), "change" => event,
+        "per_s" => rate.unwrap_or(0.0), "previous_per_s" => report.rate,
+        "age_ms" => millis(report.age), "first_calls" => report.first_calls,
+        "extra_calls" => report.extra_calls, "suppressed_lines" => suppressed);
+}
+
+fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -112,6 +112,7 @@
         let timer = &edge.timer;
         let (mut connection, count_guard, is_new) =
             self.acquire(timer, balancer, reuse_policy).await?;
+        let sent_at = timer.now();
         let response = match connection.send(request).await {
             Ok(response) => response,
             Err(mut error) => {
@@ -130,7 +131,7 @@
         if let Some(load) = metadata.load {
             balancer.record_load(timer.now(), self.upstream, load);
         }
-        record_announcements(edge, balancer, &self.instance, &metadata);
+        record_announcements(edge, balancer, &self.instance, &metadata, sent_at);
         if !metadata.is_for_request {
             return Err(CallFailure::BadReply);
         }
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -55,8 +55,17 @@
     Malformed(String),
 }
 
+/// Rate limit in an upstream's reply.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RateLimitStatement {
+    /// Requests per second that the upstream accepts from all nodes together; not negative.
+    Rate(f64),
+    /// The rate cannot be decoded.
+    Malformed(String),
+}
+
 /// Metadata in the head of an upstream's reply.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ReplyMetadata {
     /// Whether the reply belongs to the request that was sent.
     pub is_for_request: bool,
@@ -70,6 +79,8 @@
     pub is_leaving: bool,
     /// Request of an upstream that rejected the call to receive no calls for a while.
     pub quiet_request: Option<QuietRequest>,
+    /// Rate limit of the upstream; `None` if it states none.
+    pub rate_limit: Option<RateLimitStatement>,
 }
 
 /// A caller's request for the addresses of nodes.
--- a/crates/routing/src/balancer/balancer_report.rs
+++ b/crates/routing/src/balancer/balancer_report.rs
@@ -17,4 +17,6 @@
     /// Attempts to reserve a connection that failed with [`AcquireError::Saturated`]; a waiting
     /// call counts once per attempt. Calls that yielded to more urgent ones are not counted.
     pub saturated: u64,
+    /// Calls to upstreams that stated a rate limit.
+    pub rate_limited_calls: u64,
 }
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -9,8 +9,8 @@
 use rand::RngExt;
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits,
-    UpstreamRecord,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RetryBudget,
+    RetryBudgetLimits, UpstreamRecord,
     tracked_upstream::{HealthTier, QuietOutcome, TrackedUpstream},
 };
 use crate::{AcquireError, CallKind, CallOutcome};
@@ -275,6 +275,23 @@
         self.with_instance(instance, |it| it.on_quiet(now, period))
     }
 
+    /// Records the rate limit that a reply of `instance` to a call sent at `sent_at` states, in requests
+    /// per second for all nodes together; returns how it changes what is known.
+    pub fn record_rate_limit(
+        &self,
+        now: TimePoint,
+        instance: &InstanceId,
+        sent_at: TimePoint,
+        rate: Option<f64>,
+    ) -> Option<RateLimitChange> {
+        self.with_instance(instance, |it| it.on_rate_limit(now, sent_at, rate))?
+    }
+
+    /// Returns the number of upstreams that state a rate limit.
+    pub fn rate_limited_upstreams(&self) -> usize {
+        self.lock().upstreams.iter().filter(|it| it.is_active && it.is_rate_limited()).count()
+    }
+
     /// Records the number of connections to an upstream that are open or being set up.
     pub fn record_connections(&self, upstream: UpstreamId, open: u32) {
         self.with_upstream(upstream, |it| it.set_open_connections(open));
@@ -384,7 +401,8 @@
             return Err(AcquireError::BudgetExhausted);
         }
         let upstream = &mut self.upstreams[chosen];
-        upstream.start_call(now);
+        self.report.rate_limited_calls += u64::from(upstream.is_rate_limited());
+        upstream.start_call(now, kind);
         Ok(upstream.id)
     }
 
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -4,8 +4,12 @@
 
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
 
-use super::{LatencyEstimate, UpstreamRecord, latency_estimator::micros};
-use crate::CallOutcome;
+use super::{
+    LatencyEstimate, RateLimitChange, UpstreamRecord,
+    latency_estimator::micros,
+    rate_limit::{RateLimit, update_rate_limit},
+};
+use crate::{CallKind, CallOutcome};
 
 /// Weight of a new sample in the latency factor.
 const LATENCY_FACTOR_WEIGHT: f64 = 0.15;
@@ -123,6 +127,7 @@
     leaving_since: Option<TimePoint>,
     /// End of the time for which the upstream asked for no calls.
     quiet_until: TimePoint,
+    rate_limit: Option<RateLimit>,
 }
 
 impl TrackedUpstream {
@@ -158,6 +163,7 @@
             started_ms: record.started_ms,
             leaving_since: None,
             quiet_until: TimePoint::ZERO,
+            rate_limit: None,
         }
     }
 
@@ -166,6 +172,7 @@
         if previous.started_ms == self.started_ms {
             self.leaving_since = previous.leaving_since;
             self.quiet_until = previous.quiet_until;
+            self.rate_limit = previous.rate_limit;
         }
     }
 
@@ -177,6 +184,7 @@
             self.started_ms = record.started_ms;
             self.leaving_since = None;
             self.quiet_until = TimePoint::ZERO;
+            self.rate_limit = None;
         }
     }
 
@@ -197,6 +205,20 @@
         QuietOutcome::Started(period)
     }
 
+    /// Records the rate limit that a reply to a call sent at `sent_at` states, if any.
+    pub(super) fn on_rate_limit(
+        &mut self,
+        now: TimePoint,
+        sent_at: TimePoint,
+        rate: Option<f64>,
+    ) -> Option<RateLimitChange> {
+        update_rate_limit(&mut self.rate_limit, now, sent_at, rate)
+    }
+
+    pub(super) fn is_rate_limited(&self) -> bool {
+        self.rate_limit.is_some()
+    }
+
     /// Returns the time for which the upstream wants no calls; `None` if it accepts them.
     pub(super) fn quiet_time_left(&self, now: TimePoint) -> Option<Duration> {
         (now < self.quiet_until).then(|| self.quiet_until.since(now))
@@ -236,8 +258,11 @@
         self.slots
     }
 
-    pub(super) fn start_call(&mut self, now: TimePoint) {
+    pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind) {
         self.call_starts.push(now);
+        if let Some(limit) = &mut self.rate_limit {
+            limit.record_call(kind);
+        }
     }
 
     /// Releases the connection of the call that started at `started`.
