Keep the calls of all nodes within the rate limits that upstreams state

What callers saw: nothing. What upstreams saw: two to three times the requests that they had stated.

A limit that holds for all nodes together also cannot be kept by a node that counts only its own calls: the nodes in the zone of an upstream make three quarters of them.

Change: each node has a share of an upstream's rate, derived from the list of nodes that callers may use, weighted by zone, such that the shares of all nodes add up to 1. It gets grants at that rate, which expire after 1 s; their phases are random, so that nodes with few grants do not use them together after a quiet time. Nodes that are no longer advertised keep their share as long as callers may keep their address; a node that the others may not count uses a quarter of one. Calls without a grant go to other upstreams, or are refused at once with the time of the next grant; a query refused because of one shard returns the grants of the others. A limit lasts until a reply to a later call states none, is remembered while the record is away, and ends with the process of the upstream.

Why it works: the sum of the rates is the stated one for equal lists of nodes, and the margin of the rule, half the rate, covers lists that differ for a while.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -1,7 +1,7 @@
 //! Counters and latency histograms of a node.
 
 use std::{
-    sync::{Mutex, PoisonError},
+    sync::{Mutex, PoisonError, atomic::AtomicU64},
     time::Duration,
 };
 
@@ -122,6 +122,7 @@
     pub(crate) quiet_requests: Counter,
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
     pub(crate) rate_limited_upstreams: Gauge,
+    pub(crate) rate_share: Gauge<f64, AtomicU64>,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
 }
@@ -146,6 +147,7 @@
             quiet_requests: Counter::default(),
             rate_limit_changes: Family::default(),
             rate_limited_upstreams: Gauge::default(),
+            rate_share: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
         };
@@ -177,6 +179,11 @@
             "Upstreams that state a rate limit",
             self.rate_limited_upstreams.clone(),
         );
+        registry.register(
+            "rate_share",
+            "Fraction of the rate limits of upstreams in its own zone that this node may use",
+            self.rate_share.clone(),
+        );
         registry.register("store_era", "Latest known era of the store", self.store_era.clone());
         registry.register(
             "store_restores",
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -94,6 +94,7 @@
     tokio::spawn(sync::follow_store_era(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::read_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
+    tokio::spawn(sync::maintain_rate_shares(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
     signals.wait(&edge, reload).await;
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -25,6 +25,7 @@
 #[derive(Debug, Clone, Copy)]
 struct HeldLease {
     lease: StoreLease,
+    lifetime: Duration,
     /// Whether the node's entry has been written under it.
     is_announced: bool,
 }
@@ -76,14 +77,19 @@
     store: &S,
     held: &mut Option<HeldLease>,
 ) -> Result<(), ClusterStoreError> {
-    if let Some(HeldLease { lease, is_announced: true }) = *held {
-        return edge.record_store_call("renew", store.renew(lease).await);
+    if let Some(HeldLease { lease, lifetime, is_announced: true }) = *held {
+        let started = edge.timer.now();
+        edge.record_store_call("renew", store.renew(lease).await)?;
+        edge.set_announced_until(started + lifetime);
+        return Ok(());
     }
     if held.is_none() {
         wait_until_needed(edge).await?;
+        let started = edge.timer.now();
         let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.limits().min_lease_lifetime);
         let lease = edge.record_store_call("grant", store.grant(lifetime).await)?;
-        *held = Some(HeldLease { lease, is_announced: false });
+        edge.set_announced_until(started + lifetime);
+        *held = Some(HeldLease { lease, lifetime, is_announced: false });
     }
     // If the entry cannot be written, the lease is kept for the next attempt, or for its revocation
     // when the node stops: the write may still take effect.
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -3,6 +3,7 @@
 mod announce_task;
 mod apply_update;
 mod missing_entries_task;
+mod rate_share_task;
 mod read_pacing;
 mod spent_budget_task;
 mod store_era_task;
@@ -10,6 +11,7 @@
 
 pub(crate) use announce_task::maintain_announcement;
 pub(crate) use missing_entries_task::drop_missing_entries;
+pub(crate) use rate_share_task::maintain_rate_shares;
 pub use read_pacing::ReadPacing;
 pub(crate) use spent_budget_task::maintain_spent_budget_markers;
 pub(crate) use store_era_task::follow_store_era;
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -153,6 +153,13 @@
         u32::try_from(self.advertised().len()).unwrap_or(u32::MAX).max(1)
     }
 
+    /// Returns the records of the nodes advertised to callers in at least one availability zone,
+    /// ignoring regions.
+    pub fn advertised_nodes(&self) -> impl Iterator<Item = &NodeRecord> {
+        let advertised = self.advertised();
+        self.records().filter(move |it| advertised.contains(&it.callers))
+    }
+
     /// Returns whether this node is advertised to callers in at least one availability zone,
     /// ignoring regions.
     pub fn is_advertised(&self) -> bool {
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -43,7 +43,9 @@
                 self.wait_for_slot(now, shard, retry_after);
                 None
             }
-            Err(AcquireError::Quiet { retry_after }) => {
+            Err(
+                AcquireError::Quiet { retry_after } | AcquireError::RateLimited { retry_after },
+            ) => {
                 self.retry_after = self.retry_after.max(Some(retry_after));
                 self.mark_failed(shard);
                 None
--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -64,7 +64,9 @@
                 let call = self.table.open(now, shard, upstream);
                 self.send(call, actions);
             }
-            Err(AcquireError::Saturated { retry_after }) => {
+            Err(
+                AcquireError::Saturated { retry_after } | AcquireError::RateLimited { retry_after },
+            ) => {
                 self.wait_for_hedge(now, shard, slow_call, retry_after);
             }
             Err(AcquireError::BudgetExhausted) => {
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -9,7 +9,7 @@
 use rand::RngExt;
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RetryBudget,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RateShares, RetryBudget,
     RetryBudgetLimits, UpstreamRecord,
     tracked_upstream::{HealthTier, QuietOutcome, TrackedUpstream},
 };
@@ -44,6 +44,7 @@
     nodes: u32,
     /// Time within which calls to an upstream that announced its exit have to end.
     drain_limit: Duration,
+    rate_shares: RateShares,
     dial_us: f64,
     report: BalancerReport,
 }
@@ -76,6 +77,7 @@
             connection_limit: None,
             nodes: 1,
             drain_limit: Duration::ZERO,
+            rate_shares: RateShares::sole_node(),
             dial_us: INITIAL_DIAL_US,
             report: BalancerReport::default(),
         };
@@ -103,6 +105,7 @@
             if let Some(previous) = previous {
                 upstream.adopt_announcements(previous);
             }
+            upstream.rate_share = state.rate_shares.share(&upstream.availability_zone);
             state.upstreams.push(upstream);
         }
         state.upstreams.retain(|it| it.is_active || !it.is_idle() || it.must_be_remembered(now));
@@ -125,6 +128,15 @@
         self.lock().drain_limit = drain_limit;
     }
 
+    /// Sets the fractions of upstreams' rate limits that this node may use.
+    pub fn set_rate_shares(&self, rate_shares: &RateShares) {
+        let mut state = self.lock();
+        for upstream in &mut state.upstreams {
+            upstream.rate_share = rate_shares.share(&upstream.availability_zone);
+        }
+        state.rate_shares = rate_shares.clone();
+    }
+
     /// Returns the upstreams that are eligible for new calls.
     pub fn active_upstreams(&self) -> Vec<UpstreamId> {
         self.lock().upstreams.iter().filter(|it| it.is_active).map(|it| it.id).collect()
@@ -420,6 +432,7 @@
         let mut any_saturated = false;
         let mut any_too_late = false;
         let mut shortest_quiet: Option<Duration> = None;
+        let mut shortest_rate_wait: Option<Duration> = None;
         let max_latency_us = max_latency.as_secs_f64() * 1e6;
         for (idx, upstream) in self.upstreams.iter().enumerate() {
             if !upstream.is_active || excluded.contains(&upstream.id) {
@@ -432,6 +445,10 @@
                 shortest_quiet = Some(shortest_quiet.map_or(time_left, |it| it.min(time_left)));
                 continue;
             }
+            if let Some(wait) = upstream.time_to_grant(now) {
+                shortest_rate_wait = Some(shortest_rate_wait.map_or(wait, |it| it.min(wait)));
+                continue;
+            }
             if upstream.is_in_dial_backoff(now) && !upstream.has_free_connection() {
                 // Connections in use will become free; new ones cannot be opened during the
                 // backoff.
@@ -479,9 +496,13 @@
             None if let Some(retry_after) = shortest_refusal => {
                 Err(AcquireError::Saturated { retry_after })
             }
-            None => Err(shortest_quiet.map_or(AcquireError::NoReplica, |retry_after| {
-                AcquireError::Quiet { retry_after }
-            })),
+            None => Err(match (shortest_rate_wait, shortest_quiet) {
+                (Some(wait), quiet) if quiet.is_none_or(|it| wait <= it) => {
+                    AcquireError::RateLimited { retry_after: wait }
+                }
+                (_, Some(retry_after)) => AcquireError::Quiet { retry_after },
+                _ => AcquireError::NoReplica,
+            }),
         }
     }
 }
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
+use mux_model::{AvailabilityZone, CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
 
 use super::{
     LatencyEstimate, RateLimitChange, UpstreamRecord,
@@ -54,9 +54,9 @@
 /// Longest time for which an upstream may ask for no calls. A malformed period must not take an
 /// upstream out of service for the life of this process.
 const MAX_QUIET_PERIOD: Duration = Duration::from_secs(300);
-/// Time from its announcement for which a leaving upstream is remembered without a record, because an
-/// older copy of the record may reappear.
-const LEAVING_MEMORY: Duration = Duration::from_secs(600);
+/// Time for which the announcement of an exit or of a rate limit is remembered without a record of the
+/// upstream, because an older copy of the record may reappear.
+const ANNOUNCEMENT_MEMORY: Duration = Duration::from_secs(600);
 /// Part of the drain limit in which a leaving upstream may still be called if its service has no
 /// other one. The rest is for requests that are already on their way through this node.
 const LEAVING_USE_SHARE: f64 = 0.5;
@@ -128,6 +128,9 @@
     /// End of the time for which the upstream asked for no calls.
     quiet_until: TimePoint,
     rate_limit: Option<RateLimit>,
+    pub(super) availability_zone: AvailabilityZone,
+    /// Fraction of the upstream's rate limit that this node may use.
+    pub(super) rate_share: f64,
 }
 
 impl TrackedUpstream {
@@ -164,6 +167,8 @@
             leaving_since: None,
             quiet_until: TimePoint::ZERO,
             rate_limit: None,
+            availability_zone: record.availability_zone.clone(),
+            rate_share: 1.0,
         }
     }
 
@@ -212,7 +217,13 @@
         sent_at: TimePoint,
         rate: Option<f64>,
     ) -> Option<RateLimitChange> {
-        update_rate_limit(&mut self.rate_limit, now, sent_at, rate)
+        update_rate_limit(&mut self.rate_limit, now, sent_at, rate, self.rate_share)
+    }
+
+    /// Returns the time until the rate limit allows a call of this node; `None` if it allows one now.
+    pub(super) fn time_to_grant(&self, now: TimePoint) -> Option<Duration> {
+        let time = self.rate_limit.as_ref()?.time_to_grant(now, self.rate_share);
+        (!time.is_zero()).then_some(time)
     }
 
     pub(super) fn is_rate_limited(&self) -> bool {
@@ -238,8 +249,9 @@
     /// Returns whether this state is needed although no record of the upstream is known: its record
     /// may reappear, and what it announced in its replies still holds then.
     pub(super) fn must_be_remembered(&self, now: TimePoint) -> bool {
-        let is_leaving = self.leaving_since.is_some_and(|it| now.since(it) < LEAVING_MEMORY);
-        is_leaving || now < self.quiet_until
+        let is_recent = |it: TimePoint| now.since(it) < ANNOUNCEMENT_MEMORY;
+        let is_rate_limited = self.rate_limit.is_some_and(|it| is_recent(it.confirmed_at()));
+        self.leaving_since.is_some_and(is_recent) || is_rate_limited || now < self.quiet_until
     }
 
     pub(super) fn in_flight(&self) -> u32 {
@@ -261,7 +273,7 @@
     pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind) {
         self.call_starts.push(now);
         if let Some(limit) = &mut self.rate_limit {
-            limit.record_call(kind);
+            limit.use_grant(now, self.rate_share, kind);
         }
     }
 
@@ -278,6 +290,9 @@
         if let Some(latest) = self.call_starts.iter().max().copied() {
             self.end_call(latest);
         }
+        if let Some(limit) = &mut self.rate_limit {
+            limit.return_grant();
+        }
     }
 
     pub(super) fn set_open_connections(&mut self, open: u32) {
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -7,6 +7,7 @@
 mod overload;
 mod priority_arbiter;
 mod query_router;
+mod rate_limit;
 mod registry;
 mod retry_budget;
 mod spent_budget_markers;
