Cut off replies without end

What callers saw: a node that reads the reply of an upstream which never stops sending keeps all of it in memory until the caller's deadline, and a request that must not be repeated gets its answer only then.

Cause: the body of a reply was collected without a limit, and nothing counted the bytes before a head: interim replies, and digits of a chunk size, are read and dropped for as long as the connection is open.

Change: the stream of a connection counts the bytes read for one reply, 1 MiB before its head is complete and 16 MiB after it; the buffer of a head is 64 KiB; a body is at most 8 MiB, and less if the memory that all bodies share is scarce, while short ones are always accepted. A dropped connection fails at its next read instead of reading on. The call fails as a bad reply that may have run, at once.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -122,6 +122,7 @@
     pub(crate) quiet_requests: Counter,
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
     pub(crate) rate_limited_upstreams: Gauge,
+    pub(crate) reply_buffer_bytes: Gauge,
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
@@ -147,6 +148,7 @@
             quiet_requests: Counter::default(),
             rate_limit_changes: Family::default(),
             rate_limited_upstreams: Gauge::default(),
+            reply_buffer_bytes: Gauge::default(),
             rate_share: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
@@ -184,6 +186,11 @@
             "Fraction of the rate limits of upstreams in its own zone that this node may use",
             self.rate_share.clone(),
         );
+        registry.register(
+            "reply_buffer_bytes",
+            "Memory used by the bodies of upstreams' replies",
+            self.reply_buffer_bytes.clone(),
+        );
         registry.register("store_era", "Latest known era of the store", self.store_era.clone());
         registry.register(
             "store_restores",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -27,7 +27,7 @@
     ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
     StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
-    upstream::ConnectionPools,
+    upstream::{ConnectionPools, ReplyBuffers},
 };
 
 /// Idle time-out of callers' connections until the operators' configuration has been read.
@@ -61,6 +61,7 @@
     pub(crate) logger: Logger,
     pub(crate) metrics: EdgeMetrics,
     pub(crate) connection_pools: ConnectionPools,
+    pub(crate) reply_buffers: ReplyBuffers,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) connection_tracker: ConnectionTracker,
     pub(crate) request_log: LogThrottle,
@@ -106,6 +107,7 @@
             logger,
             metrics: EdgeMetrics::new(),
             connection_pools: ConnectionPools::new(),
+            reply_buffers: ReplyBuffers::default(),
             stop_phase: watch::Sender::new(StopPhase::Serving),
             connection_tracker: ConnectionTracker::new(),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
@@ -387,6 +389,8 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         self.metrics.balancers.set(balancers.values().map(|it| it.report()));
         let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
+        let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
+        self.metrics.reply_buffer_bytes.set(buffered_bytes);
         self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
         drop(balancers);
         self.metrics.render()
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -26,6 +26,7 @@
     StoreRevision, StoreUpdate,
 };
 pub use sync::ReadPacing;
+pub use upstream::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub use wire::{
     AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyKind, ReplyMetadata,
     RequestMetadata, RequestMetadataError, WireProtocol,
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -1,19 +1,22 @@
 //! The connection pool of one upstream.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderValue, Request, Response};
 use http_body_util::{BodyExt, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
 use mux_routing::balancer::ServiceBalancer;
 use mux_timer::TimerService;
 
-use super::{UpstreamReply, announcements::record_announcements, open_connection::OpenConnection};
+use super::{
+    BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, UpstreamReply,
+    announcements::record_announcements, open_connection::OpenConnection,
+};
 use crate::{
     QuietRequest, ReplyKind, ReplyMetadata, WireProtocol, caller::strip_hop_by_hop_headers,
     edge_state::EdgeState,
@@ -136,7 +139,8 @@
             return Err(CallFailure::BadReply);
         }
         let idle_limit = idle_limit(&head.headers);
-        let reply = read_body::<W>(Response::from_parts(head, body), &metadata).await?;
+        let response = Response::from_parts(head, body);
+        let reply = read_body::<W>(response, &metadata, &edge.reply_buffers).await?;
         // A connection that is closing or has unread data does not become ready, so it is not
         // reused.
         self.put_back(timer, connection, count_guard, idle_limit);
@@ -249,19 +253,43 @@
 async fn read_body<W: WireProtocol>(
     response: Response<Incoming>,
     metadata: &ReplyMetadata,
+    buffers: &ReplyBuffers,
 ) -> Result<UpstreamReply, CallFailure> {
     let (mut head, body) = response.into_parts();
-    let collected = body.collect().await.map_err(|_| CallFailure::ConnectionLost)?;
+    let (body, buffer) = collect_body(body, buffers).await?;
     strip_hop_by_hop_headers(&mut head.headers);
     W::remove_private_headers(&mut head.headers);
     Ok(UpstreamReply {
         status: head.status,
         headers: head.headers,
         signature: metadata.signature.clone(),
-        body: collected.to_bytes(),
+        body,
+        _buffer: Arc::new(buffer),
     })
 }
 
+/// Collects a body, and returns it with the memory that it uses.
+async fn collect_body(
+    mut body: Incoming,
+    buffers: &ReplyBuffers,
+) -> Result<(Bytes, BufferReservation), CallFailure> {
+    let mut buffer = buffers.reserve();
+    if body.size_hint().exact().is_some_and(|it| (MAX_REPLY_BYTES as u64) < it) {
+        return Err(CallFailure::BadReply);
+    }
+    let mut collected = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| CallFailure::ConnectionLost)?;
+        if let Ok(data) = frame.into_data() {
+            if !buffer.try_grow(data.len()) {
+                return Err(CallFailure::BadReply);
+            }
+            collected.extend_from_slice(&data);
+        }
+    }
+    Ok((collected.freeze(), buffer))
+}
+
 fn classify(reply: UpstreamReply, metadata: &ReplyMetadata) -> Result<UpstreamReply, CallFailure> {
     let reason = match metadata.kind {
         ReplyKind::Run => return Ok(reply),
--- a/crates/edge/src/upstream/open_connection.rs
+++ b/crates/edge/src/upstream/open_connection.rs
@@ -15,14 +15,28 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 
+use super::{
+    MAX_REPLY_BYTES,
+    limited_stream::{LimitedStream, ReadAllowance},
+};
+
 /// Time after which a connection with unacknowledged data is closed; shorter than a typical network
 /// partition, longer than retransmitting a lost packet takes.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Size of the buffer for the head of a reply; the library rejects a longer head.
+const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
+/// Bytes that may be read before the head of a reply is complete, interim replies included.
+const MAX_HEAD_BYTES: usize = 1_024 * 1_024;
+/// Bytes that may be read after the head of a reply. The framing of a body in small chunks may be as
+/// long as the body.
+const MAX_BODY_BYTES: usize = 2 * MAX_REPLY_BYTES;
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub(super) struct OpenConnection {
     sender: http1::SendRequest<Full<Bytes>>,
+    read_allowance: ReadAllowance,
     /// Point in time until which the idle connection may be reused, some time before the upstream is
     /// expected to close it.
     pub(super) usable_until: TimePoint,
@@ -45,11 +59,15 @@
         {
             return Ok(None);
         }
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let stream = LimitedStream::new(stream);
+        let read_allowance = stream.allowance();
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(HEAD_BUFFER_BYTES);
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         // An error is returned to the request in flight; on an idle connection it has no receiver.
         tokio::spawn(async move { connection.await.ok() });
-        Ok(Some(Self { sender, usable_until: TimePoint::MAX }))
+        Ok(Some(Self { sender, read_allowance, usable_until: TimePoint::MAX }))
     }
 
     /// Returns whether the connection is open and has no request in flight.
@@ -67,6 +85,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
-        self.sender.try_send_request(request).await
+        self.read_allowance.set(MAX_HEAD_BYTES);
+        let response = self.sender.try_send_request(request).await;
+        self.read_allowance.set(MAX_BODY_BYTES);
+        response
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        // The library would go on reading a reply whose receiver is gone.
+        self.read_allowance.revoke();
     }
 }
--- /dev/null
+++ b/crates/edge/src/upstream/reply_buffers.rs
@@ -0,0 +1,64 @@
+//! Memory for the bodies of replies.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicUsize, Ordering},
+};
+
+/// Longest body of a reply, in bytes.
+pub const MAX_REPLY_BYTES: usize = 8 * 1_024 * 1_024;
+/// Length up to which a body is accepted although no memory is left, in bytes.
+pub const SHORT_REPLY_BYTES: usize = 64 * 1_024;
+/// Memory for the bodies of all replies of a node, in bytes; a part of what the smallest nodes have.
+/// Short replies may exceed it.
+const BUFFERED_BYTES_LIMIT: usize = 32 * 1_024 * 1_024;
+
+/// Memory that the bodies of replies share.
+///
+/// A body may grow to the size of what is free, so that each of many endless replies is cut off early.
+/// Short replies are always accepted.
+#[derive(Debug, Clone, Default)]
+pub struct ReplyBuffers {
+    used_bytes: Arc<AtomicUsize>,
+}
+
+/// The part of the memory that one body uses; released when it is dropped.
+#[derive(Debug)]
+pub struct BufferReservation {
+    buffers: ReplyBuffers,
+    bytes: usize,
+}
+
+impl ReplyBuffers {
+    /// Returns a reservation of no bytes.
+    pub fn reserve(&self) -> BufferReservation {
+        BufferReservation { buffers: self.clone(), bytes: 0 }
+    }
+
+    /// Returns the number of bytes in use.
+    pub fn used_bytes(&self) -> usize {
+        self.used_bytes.load(Ordering::Relaxed)
+    }
+}
+
+impl BufferReservation {
+    /// Adds `bytes`; returns `false` without adding them if the body would become longer than
+    /// [`MAX_REPLY_BYTES`] or, unless it is short, than the memory that is free.
+    #[must_use]
+    pub fn try_grow(&mut self, bytes: usize) -> bool {
+        let grown = self.bytes.saturating_add(bytes);
+        let free = BUFFERED_BYTES_LIMIT.saturating_sub(self.buffers.used_bytes());
+        if MAX_REPLY_BYTES < grown || free.max(SHORT_REPLY_BYTES) < grown {
+            return false;
+        }
+        self.buffers.used_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes = grown;
+        true
+    }
+}
+
+impl Drop for BufferReservation {
+    fn drop(&mut self) {
+        self.buffers.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/crates/edge/src/upstream/upstream_reply.rs
+++ b/crates/edge/src/upstream/upstream_reply.rs
@@ -1,8 +1,12 @@
 //! A complete reply of an upstream.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
+use super::BufferReservation;
+
 /// A complete reply that was verified to belong to its request.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamReply {
@@ -14,4 +18,6 @@
     pub(crate) signature: Option<HeaderValue>,
     /// The complete body.
     pub(crate) body: Bytes,
+    /// Counts the memory of the body.
+    pub(super) _buffer: Arc<BufferReservation>,
 }
