Do not take a late copy of a rejection for the next reply

What callers saw: an upstream that sends a rejection without an id twice, late, on a connection that carries the next request by then: the caller of that request is told that it has not run, while the upstream runs it; a request that must not be repeated could be sent to another upstream as well.

Cause: a reply that states that the request was not run was accepted without an id, as upstreams may omit it there. Nothing else ties such a reply to a request.

Change: a reply without an id is accepted only as the first one on a connection. Otherwise the call fails as one that may have run, and the connection is closed.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -28,6 +28,6 @@
 pub use sync::ReadPacing;
 pub use upstream::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub use wire::{
-    AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyKind, ReplyMetadata,
-    RequestMetadata, RequestMetadataError, WireProtocol,
+    AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind,
+    ReplyMetadata, RequestMetadata, RequestMetadataError, WireProtocol,
 };
--- a/crates/edge/src/upstream/announcements.rs
+++ b/crates/edge/src/upstream/announcements.rs
@@ -7,8 +7,8 @@
 use slog::{info, warn};
 
 use crate::{
-    QuietRequest, RateLimitStatement, ReplyKind, ReplyMetadata, edge_metrics::ChangeLabel,
-    edge_state::EdgeState,
+    QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind, ReplyMetadata,
+    edge_metrics::ChangeLabel, edge_state::EdgeState,
 };
 
 /// Records what `instance` announces in a reply to a call sent at `sent_at`: that it is about to exit,
@@ -78,7 +78,7 @@
             return;
         }
         // A copy of an older reply does not show that the upstream no longer states a limit.
-        None if !metadata.is_for_request => return,
+        None if metadata.identity != ReplyIdentity::OwnRequest => return,
         None => None,
     };
     let Some(change) = balancer.record_rate_limit(now, instance, sent_at, rate) else {
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -18,8 +18,8 @@
     announcements::record_announcements, open_connection::OpenConnection,
 };
 use crate::{
-    QuietRequest, ReplyKind, ReplyMetadata, WireProtocol, caller::strip_hop_by_hop_headers,
-    edge_state::EdgeState,
+    QuietRequest, ReplyIdentity, ReplyKind, ReplyMetadata, WireProtocol,
+    caller::strip_hop_by_hop_headers, edge_state::EdgeState,
 };
 
 /// Time-out for opening a connection. A healthy upstream accepts within a few milliseconds, and
@@ -135,7 +135,7 @@
             balancer.record_load(timer.now(), self.upstream, load);
         }
         record_announcements(edge, balancer, &self.instance, &metadata, sent_at);
-        if !metadata.is_for_request {
+        if !is_reply_to_request(&metadata, is_new) {
             return Err(CallFailure::BadReply);
         }
         let idle_limit = idle_limit(&head.headers);
@@ -250,6 +250,18 @@
     }
 }
 
+/// Returns whether a reply belongs to the request that was just sent on its connection.
+///
+/// A rejection may lack the id of the request, but on a connection that had a request before, it may
+/// as well be a late copy of an earlier rejection, while the upstream runs the request.
+fn is_reply_to_request(metadata: &ReplyMetadata, is_first_request: bool) -> bool {
+    match metadata.identity {
+        ReplyIdentity::OwnRequest => true,
+        ReplyIdentity::OtherRequest => false,
+        ReplyIdentity::Unknown => is_first_request && metadata.kind != ReplyKind::Run,
+    }
+}
+
 async fn read_body<W: WireProtocol>(
     response: Response<Incoming>,
     metadata: &ReplyMetadata,
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -64,11 +64,22 @@
     Malformed(String),
 }
 
+/// The request that a reply belongs to, according to its head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReplyIdentity {
+    /// The request that was sent.
+    OwnRequest,
+    /// Another request.
+    OtherRequest,
+    /// The reply has no id.
+    Unknown,
+}
+
 /// Metadata in the head of an upstream's reply.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ReplyMetadata {
-    /// Whether the reply belongs to the request that was sent.
-    pub is_for_request: bool,
+    /// The request that the reply belongs to.
+    pub identity: ReplyIdentity,
     /// Whether the upstream ran the request; if not, the reason.
     pub kind: ReplyKind,
     /// The upstream's signature of the reply.
