Answer the requests that a stopping node has just accepted

What callers saw: from six tenths of the grace period on, a stopping node closed each new connection without reading its request; at the exit, the connections in the queue of the listening socket were reset.

Cause: a connection that was opened after the shutdown of connections had begun was closed at once, as idle; the listening socket stayed open until the process ended; and a connection was counted only from the first poll of its task on, so that the process could exit under it.

Change: the shutdown closes the listening sockets after the connections in their queues were accepted; a connection without a request so far waits 0.5 s for its first one; connections and listeners are counted before their tasks start. New callers are refused at once, and use other nodes.

--- a/crates/http/src/connection_tracker.rs
+++ b/crates/http/src/connection_tracker.rs
@@ -20,18 +20,18 @@
         Self { shutdown_started: watch::Sender::new(false) }
     }
 
-    /// Starts the graceful shutdown of all connections; each first completes its current request,
-    /// if any.
+    /// Starts the graceful shutdown of all listeners and connections. Each connection first completes
+    /// its current request, or the first one if it had none yet.
     pub fn start_shutdown(&self) {
         self.shutdown_started.send_replace(true);
     }
 
-    /// Returns the number of open connections.
+    /// Returns the number of open connections and listeners.
     pub fn open_count(&self) -> usize {
         self.shutdown_started.receiver_count()
     }
 
-    /// Counts a new connection until the returned guard is dropped.
+    /// Counts a connection or a listener until the returned guard is dropped.
     pub(crate) fn track(&self) -> ConnectionGuard {
         ConnectionGuard { shutdown_started: self.shutdown_started.subscribe() }
     }
--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -10,14 +10,20 @@
 use mux_timer::TimerService;
 use slog::{Logger, warn};
 use socket2::{Domain, Protocol, Socket, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::Notify,
+};
 
-use crate::ConnectionTracker;
+use crate::{ConnectionTracker, connection_tracker::ConnectionGuard};
 
 /// Length of the queue of connections to accept; callers' retries arrive in bursts.
 const BACKLOG: i32 = 1_024;
 /// Delay after a failed accept, whose usual cause is a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
+/// Time for which a connection without a request so far is kept open during the shutdown: its first
+/// request may be on its way.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
 /// Size of the buffer for the head of a request; the library rejects a longer head.
 const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
 
@@ -69,35 +75,66 @@
         self.listener.local_addr()
     }
 
-    /// Accepts connections until the process ends and calls `handler` for each request.
+    /// Accepts connections until [`ConnectionTracker::start_shutdown`] is called, and calls `handler`
+    /// for each request. Connections that are open then are served until their requests are complete.
     pub async fn serve<H, F, R>(self, context: Arc<H>, handler: F)
     where
         H: ListenerContext,
         F: Fn(Arc<H>, SocketAddr, Request<Incoming>) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
+        // The listener counts as open until the last connection in its queue is accepted.
+        let mut guard = context.connection_tracker().track();
+        let spawn = |stream: TcpStream, caller: SocketAddr| {
+            let guard = context.connection_tracker().track();
+            let context = Arc::clone(&context);
+            tokio::spawn(serve_connection(context, stream, caller, handler.clone(), guard));
+        };
         loop {
-            match self.listener.accept().await {
-                Ok((stream, caller)) => {
-                    let context = Arc::clone(&context);
-                    tokio::spawn(serve_connection(context, stream, caller, handler.clone()));
-                }
+            let accepted = tokio::select! {
+                accepted = self.listener.accept() => accepted,
+                () = guard.wait_for_shutdown() => break,
+            };
+            match accepted {
+                Ok((stream, caller)) => spawn(stream, caller),
                 Err(error) => {
-                    warn!(
-                        context.logger(), "listener: accept failed"; "error" => error.to_string()
-                    );
+                    log_accept_error(&*context, &error);
                     context.timer().sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
         }
+        // Closing the socket resets the connections in its queue.
+        if let Err(error) = accept_queued(self.listener, spawn) {
+            log_accept_error(&*context, &error);
+        }
+    }
+}
+
+/// Accepts the connections that are in the queue of `listener`, and closes it.
+fn accept_queued(listener: TcpListener, spawn: impl Fn(TcpStream, SocketAddr)) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, caller)) => {
+                stream.set_nonblocking(true)?;
+                spawn(TcpStream::from_std(stream)?, caller);
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
     }
 }
 
+fn log_accept_error(context: &impl ListenerContext, error: &io::Error) {
+    warn!(context.logger(), "listener: accept failed"; "error" => error.to_string());
+}
+
 async fn serve_connection<H, F, R>(
     context: Arc<H>,
     stream: TcpStream,
     caller: SocketAddr,
     handler: F,
+    mut guard: ConnectionGuard,
 ) where
     H: ListenerContext,
     F: Fn(Arc<H>, SocketAddr, Request<Incoming>) -> R + Clone + Send + Sync + 'static,
@@ -106,8 +143,11 @@
     // If the option cannot be set because the socket is already closed, the first read fails.
     let _ = stream.set_nodelay(true);
     let header_timeout = context.header_timeout();
-    let mut guard = context.connection_tracker().track();
+    let timer = context.timer().clone();
+    let first_request = Arc::new(Notify::new());
+    let received = Arc::clone(&first_request);
     let service = service_fn(move |request| {
+        received.notify_one();
         let response = handler(Arc::clone(&context), caller, request);
         async move { Ok::<_, Infallible>(response.await) }
     });
@@ -122,6 +162,12 @@
         _ = connection.as_mut() => return,
         () = guard.wait_for_shutdown() => {}
     }
+    // Without a request so far, the connection would be closed at once.
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        () = first_request.notified() => {}
+        () = timer.sleep(FIRST_REQUEST_TIME) => {}
+    }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
 }
