--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -5,6 +5,7 @@
 //! nodes.
 
 mod balancer_report;
+mod balancer_state;
 mod latency_estimator;
 mod priority_arbiter;
 mod query_router;
