Give the sharing of rate limits a state of its own

The nodes that share limits, the shares and the end of the own lease move from the state of the node to a part with its own locks, next to the decision that reads them. Nothing else changes.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -15,10 +15,8 @@
 use mux_http::{ConnectionTracker, ListenerContext};
 use mux_logs::LogThrottle;
 use mux_model::{FastMap, FastSet, InstanceId, ServiceName, TimePoint};
-use mux_placement::{NodeRegistry, SharingNodes};
-use mux_routing::balancer::{
-    LatencyEstimator, NodeStanding, RateShares, RetryBudget, ServiceBalancer, UpstreamRegistry,
-};
+use mux_placement::NodeRegistry;
+use mux_routing::balancer::{LatencyEstimator, RetryBudget, ServiceBalancer, UpstreamRegistry};
 use mux_timer::TimerService;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
@@ -27,6 +25,7 @@
     ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
     StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
+    rate_sharing::{RateSharing, refresh_rate_shares},
     upstream::{ConnectionPools, ReplyBuffers},
 };
 
@@ -37,11 +36,6 @@
 /// Period to which [`REQUEST_LOG_LINES`] applies.
 const REQUEST_LOG_PERIOD: Duration = Duration::from_secs(1);
 
-/// Number of lifetimes of an address answer for which callers may use it.
-const MAX_ANSWER_LIFETIMES: u32 = 3;
-/// Time since the last reply of the store above which it may be unreachable for all nodes.
-const MAX_STORE_REPLY_AGE: Duration = Duration::from_secs(3);
-
 /// Whether a node serves normally or is stopping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -68,8 +62,6 @@
     /// Makes the announcement task write this node's entry to the store again.
     pub(crate) announce_wakeup: Notify,
     is_announced: AtomicBool,
-    /// When the lease of this node's entry in the store ends unless it is renewed.
-    announced_until: Mutex<TimePoint>,
     /// Interrupts a pending watch of the store, so that a new one is sent.
     pub(crate) watch_restart: Notify,
     /// Position of the copy of the store that other nodes read.
@@ -80,8 +72,7 @@
     active_routes: RwLock<ActiveRoutes>,
     upstreams: Mutex<UpstreamRegistry>,
     nodes: Mutex<NodeRegistry>,
-    sharing_nodes: Mutex<SharingNodes>,
-    rate_shares: RwLock<RateShares>,
+    pub(crate) rate_sharing: RateSharing,
     store_reachability: Mutex<StoreReachability>,
     /// Reachability of the store as reported by the node whose copy this node reads; `None` while
     /// this node reads the store itself.
@@ -113,7 +104,6 @@
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
             announce_wakeup: Notify::new(),
             is_announced: AtomicBool::new(false),
-            announced_until: Mutex::new(TimePoint::ZERO),
             watch_restart: Notify::new(),
             mirror_revision: watch::Sender::new(None),
             store_era: watch::Sender::new(None),
@@ -121,8 +111,7 @@
             active_routes: RwLock::default(),
             upstreams: Mutex::default(),
             nodes: Mutex::new(nodes),
-            sharing_nodes: Mutex::default(),
-            rate_shares: RwLock::new(RateShares::sole_node()),
+            rate_sharing: RateSharing::new(),
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
             balancers: RwLock::default(),
@@ -190,49 +179,10 @@
         self.is_announced.store(is_announced, Ordering::Relaxed);
     }
 
-    /// Records that the lease of this node's entry in the store ends at `until` unless it is renewed.
-    pub(crate) fn set_announced_until(&self, until: TimePoint) {
-        *lock(&self.announced_until) = until;
-    }
-
-    /// Returns whether the other nodes count this one among those that share limits.
-    fn node_standing(&self, now: TimePoint) -> NodeStanding {
-        let has_entry = self.is_announced() && now < *lock(&self.announced_until);
-        let reply_age = self.store_reachability().time_since_reply(now);
-        // While the store answers no node, no node sees that entries have expired.
-        let is_store_reachable = reply_age.is_some_and(|it| it < MAX_STORE_REPLY_AGE);
-        match self.nodes().is_advertised() && (has_entry || !is_store_reachable) {
-            true => NodeStanding::Counted,
-            false => NodeStanding::Uncounted,
-        }
-    }
-
-    /// Updates the fractions of upstreams' rate limits that this node may use; to be called
-    /// periodically, and when the known nodes have changed.
-    pub(crate) fn refresh_rate_shares(&self, now: TimePoint) {
-        let standing = self.node_standing(now);
-        let hold_time = self.limits().max_address_lifetime * MAX_ANSWER_LIFETIMES;
-        let own = &self.settings.node;
-        let counts = {
-            let mut sharing_nodes = lock(&self.sharing_nodes);
-            sharing_nodes.update(now, self.nodes().advertised_nodes(), hold_time);
-            sharing_nodes.count_by_zone(own)
-        };
-        let rate_shares = RateShares::new(&own.availability_zone, &counts, standing);
+    /// Calls `update` for each balancer.
+    pub(crate) fn for_each_balancer(&self, update: impl FnMut(&Arc<ServiceBalancer>)) {
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        let mut current = self.rate_shares.write().unwrap_or_else(PoisonError::into_inner);
-        if *current == rate_shares {
-            return;
-        }
-        *current = rate_shares;
-        for balancer in balancers.values() {
-            balancer.set_rate_shares(&current);
-        }
-        let own_zone_share = current.share(&own.availability_zone);
-        self.metrics.rate_share.set(own_zone_share);
-        info!(self.logger, "node: share of upstreams' rate limits changed";
-            "own_zone_percent" => (own_zone_share * 100.0).round() as u64,
-            "nodes" => counts.values().sum::<u32>(), "standing" => format!("{standing:?}"));
+        balancers.values().for_each(update);
     }
 
     pub(crate) fn upstreams(&self) -> MutexGuard<'_, UpstreamRegistry> {
@@ -349,8 +299,7 @@
             let limits = self.limits();
             let balancer = ServiceBalancer::with_retry_budget(limits.retry, zone, retry_budget);
             balancer.set_drain_limit(limits.drain_limit);
-            let rate_shares = self.rate_shares.read().unwrap_or_else(PoisonError::into_inner);
-            balancer.set_rate_shares(&rate_shares);
+            balancer.set_rate_shares(&self.rate_sharing.shares());
             Arc::new(balancer)
         });
         Arc::clone(balancer)
@@ -399,7 +348,7 @@
     /// Updates all balancers and gauges with the registered upstreams, connection limits and number
     /// of nodes, and closes the connection pools of instances that are no longer eligible for requests.
     pub(crate) fn refresh_balancers(&self, now: TimePoint) {
-        self.refresh_rate_shares(now);
+        refresh_rate_shares(self, now);
         let nodes = {
             let registry = self.nodes();
             self.metrics.nodes.set(i64::from(registry.node_count()));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod edge_state;
 mod errors;
 mod query;
+mod rate_sharing;
 mod relay;
 mod run_edge;
 mod store;
--- a/crates/edge/src/sync/rate_share_task.rs
+++ b/crates/edge/src/sync/rate_share_task.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use crate::edge_state::EdgeState;
+use crate::{edge_state::EdgeState, rate_sharing::refresh_rate_shares};
 
 /// Period of the updates. The shares also depend on how long ago nodes were advertised, and on this
 /// node's own lease.
@@ -13,6 +13,6 @@
     let mut ticks = edge.timer.subscribe(SHARE_UPDATE_PERIOD);
     loop {
         let now = ticks.next().await;
-        edge.refresh_rate_shares(now);
+        refresh_rate_shares(&edge, now);
     }
 }
