Apply a changed rate limit or share at once, and spare grants from hedges

What callers saw: after an upstream raised its limit, or a node regained its full share, calls went without a grant until the next one under the former rate, which could be minutes away.

Cause: the wait for the next grant was scaled by the change relative to the current time, at each attempt again, so that it approached the former time without reaching an earlier one.

Change: the next grant is one period of the rate in force after the last one. The test tries both cases, and one more changes the share. In the same place: a hedge needs a second grant, so that it leaves one for the next first call. The test on hedges is replaced by one that checks this as well.

--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -114,7 +114,7 @@
                 shortest_quiet = Some(shortest_quiet.map_or(time_left, |it| it.min(time_left)));
                 continue;
             }
-            if let Some(wait) = upstream.time_to_grant(now) {
+            if let Some(wait) = upstream.time_to_grant(now, kind) {
                 shortest_rate_wait = Some(shortest_rate_wait.map_or(wait, |it| it.min(wait)));
                 continue;
             }
--- a/crates/routing/src/balancer/rate_limit.rs
+++ b/crates/routing/src/balancer/rate_limit.rs
@@ -81,8 +81,15 @@
 
     /// Returns the time until a call is granted to a node with this share of the rate; zero if one is
     /// granted now.
-    pub(super) fn time_to_grant(&self, now: TimePoint, share: f64) -> Duration {
-        self.earliest_grant(now, share).0.since(now)
+    ///
+    /// A hedge must leave a grant for the next first call, which an upstream in need should serve
+    /// rather than load that may turn out to be unnecessary.
+    pub(super) fn time_to_grant(&self, now: TimePoint, share: f64, kind: CallKind) -> Duration {
+        let (granted_at, period) = self.earliest_grant(now, share);
+        match kind {
+            CallKind::Hedge => (granted_at + period).since(now),
+            CallKind::First | CallKind::Retry | CallKind::Resend => granted_at.since(now),
+        }
     }
 
     /// Uses the earliest valid grant for a call.
@@ -104,14 +111,11 @@
     /// Returns when the earliest grant that has not expired becomes valid, and the period of grants.
     fn earliest_grant(&self, now: TimePoint, share: f64) -> (TimePoint, Duration) {
         let period = grant_period(self.rate, share);
-        if now < self.next_grant_at {
-            // The rate or the share may have changed since the last grant.
-            let stretch = period.as_secs_f64() / self.grant_period.as_secs_f64();
-            return (now + self.next_grant_at.since(now).mul_f64(stretch), period);
-        }
-        let expired_time = now.since(self.next_grant_at).saturating_sub(GRANT_LIFETIME);
+        // The rate or the share may have changed since the last grant.
+        let next_grant_at = self.next_grant_at + period - self.grant_period;
+        let expired_time = now.since(next_grant_at).saturating_sub(GRANT_LIFETIME);
         let expired_grants = (expired_time.as_secs_f64() / period.as_secs_f64()).ceil();
-        (self.next_grant_at + period.mul_f64(expired_grants), period)
+        (next_grant_at + period.mul_f64(expired_grants), period)
     }
 
     fn report(&self, now: TimePoint) -> RateLimitReport {
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -221,8 +221,8 @@
     }
 
     /// Returns the time until the rate limit allows a call of this node; `None` if it allows one now.
-    pub(super) fn time_to_grant(&self, now: TimePoint) -> Option<Duration> {
-        let time = self.rate_limit.as_ref()?.time_to_grant(now, self.rate_share);
+    pub(super) fn time_to_grant(&self, now: TimePoint, kind: CallKind) -> Option<Duration> {
+        let time = self.rate_limit.as_ref()?.time_to_grant(now, self.rate_share, kind);
         (!time.is_zero()).then_some(time)
     }
 
--- a/crates/routing/tests/balancer/rate_limit.rs
+++ b/crates/routing/tests/balancer/rate_limit.rs
@@ -146,15 +146,18 @@
     expect_that!(by_upstream[&upstream(1)], ge(190));
 }
 
-/// Hedges reach the upstream as well.
+/// Hedges reach the upstream as well, and must not use up what first calls need.
 #[gtest]
-fn rate_limit_counts_hedges() {
+fn rate_limit_counts_hedges_and_leaves_a_grant_for_a_first_call() {
     let balancer = balancer(&[record(0, OWN_ZONE)]);
-    state_limit(&balancer, 0, 0, 0.5);
+    state_limit(&balancer, 0, 0, 5.0);
     let acquire =
         |kind| balancer.acquire(at(10_000), &[], kind, &latency_estimate(), NO_LATENCY_LIMIT);
-    while acquire(CallKind::Hedge).is_ok() {}
 
+    let hedges = (0..100).take_while(|_| acquire(CallKind::Hedge).is_ok()).count();
+
+    expect_that!(hedges, all![ge(3), le(5)]);
+    expect_that!(acquire(CallKind::First), ok(eq(upstream(0))));
     expect_that!(acquire(CallKind::First), err(pat!(AcquireError::RateLimited { .. })));
 }
 
@@ -186,16 +189,33 @@
     expect_that!((0..100).filter(|it| try_call(&balancer, 1_200 + it)).count(), eq(100));
 }
 
+/// The next grant under the former rate or share may be seconds away.
 #[gtest]
 fn rate_limit_change_takes_effect_at_once() {
+    for calls_before in [0, 1] {
+        let balancer = balancer(&[record(0, OWN_ZONE)]);
+        state_limit(&balancer, 0, 0, 0.5);
+        let now = (10_000..12_000).find(|it| calls_before == 0 || try_call(&balancer, *it));
+        let now = now.expect("a grant within one period");
+        state_limit(&balancer, 0, now, 100.0);
+
+        let calls = press(&[balancer], &[(now, now + 1_000)]);
+
+        expect_that!(calls.len(), ge(90), "{calls_before} calls before");
+    }
+}
+
+#[gtest]
+fn rate_share_change_takes_effect_at_once() {
     let balancer = balancer(&[record(0, OWN_ZONE)]);
-    state_limit(&balancer, 0, 0, 0.5);
-    while try_call(&balancer, 10_000) {}
-    state_limit(&balancer, 0, 10_000, 100.0);
+    balancer.set_rate_shares(&shares(OWN_ZONE, &[(OWN_ZONE, 200)], NodeStanding::Counted));
+    state_limit(&balancer, 0, 0, 100.0);
+    let now = (10_000..12_000).find(|it| try_call(&balancer, *it)).expect("a grant");
 
-    let calls = press(&[balancer], &[(10_000, 11_000)]);
+    balancer.set_rate_shares(&shares(OWN_ZONE, &[(OWN_ZONE, 1)], NodeStanding::Counted));
+    let with_all = press(&[balancer], &[(now, now + 1_000)]);
 
-    expect_that!(calls.len(), ge(90));
+    expect_that!(with_all.len(), ge(90));
 }
 
 #[gtest]
