Limit the number of chunks of a reply

What callers saw: an endless body in chunks of 16 bytes takes half a million chunks, seconds of processor time, until it reaches the limit of its length; the caller of a request that must not be repeated waits for that.

Cause: pieces of a body were counted by their bytes alone. It was traced, not rerun.

Change: each piece of a body counts for at least 256 bytes; at most 256 KiB are read before a head is complete, in place of 1 MiB, and 9 MiB after it, in place of 16 MiB.

--- a/crates/edge/src/upstream/open_connection.rs
+++ b/crates/edge/src/upstream/open_connection.rs
@@ -27,10 +27,9 @@
 /// Size of the buffer for the head of a reply; the library rejects a longer head.
 const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
 /// Bytes that may be read before the head of a reply is complete, interim replies included.
-const MAX_HEAD_BYTES: usize = 1_024 * 1_024;
-/// Bytes that may be read after the head of a reply. The framing of a body in small chunks may be as
-/// long as the body.
-const MAX_BODY_BYTES: usize = 2 * MAX_REPLY_BYTES;
+const MAX_HEAD_BYTES: usize = 256 * 1_024;
+/// Bytes that may be read after the head of a reply: a body with its framing.
+const MAX_BODY_BYTES: usize = MAX_REPLY_BYTES + 1_024 * 1_024;
 
 /// A connection that carries one request at a time.
 #[derive(Debug)]
--- a/crates/edge/src/upstream/reply_buffers.rs
+++ b/crates/edge/src/upstream/reply_buffers.rs
@@ -9,6 +9,9 @@
 pub const MAX_REPLY_BYTES: usize = 8 * 1_024 * 1_024;
 /// Length up to which a body is accepted although no memory is left, in bytes.
 pub const SHORT_REPLY_BYTES: usize = 64 * 1_024;
+/// Bytes that a piece of a body counts for at least. Without it, an endless body of tiny chunks would
+/// take seconds of processor time until it reached its limit.
+const MIN_PIECE_BYTES: usize = 256;
 /// Memory for the bodies of all replies of a node, in bytes; a part of what the smallest nodes have.
 /// Short replies may exceed it.
 const BUFFERED_BYTES_LIMIT: usize = 32 * 1_024 * 1_024;
@@ -42,10 +45,11 @@
 }
 
 impl BufferReservation {
-    /// Adds `bytes`; returns `false` without adding them if the body would become longer than
+    /// Adds a piece of `bytes`; returns `false` without adding it if the body would become longer than
     /// [`MAX_REPLY_BYTES`] or, unless it is short, than the memory that is free.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
+        let bytes = bytes.max(MIN_PIECE_BYTES);
         let grown = self.bytes.saturating_add(bytes);
         let free = BUFFERED_BYTES_LIMIT.saturating_sub(self.buffers.used_bytes());
         if MAX_REPLY_BYTES < grown || free.max(SHORT_REPLY_BYTES) < grown {
--- a/crates/edge/tests/reply_buffers.rs
+++ b/crates/edge/tests/reply_buffers.rs
@@ -44,6 +44,16 @@
     expect_false!(reservation.try_grow(1));
 }
 
+/// Each chunk costs processor time, so that their number has to be limited as well.
+#[gtest]
+fn reply_in_tiny_chunks_is_limited_by_their_number() {
+    let mut reservation = ReplyBuffers::default().reserve();
+
+    let chunks = (0..1_000_000).take_while(|_| reservation.try_grow(16)).count();
+
+    expect_that!(chunks, eq(MAX_REPLY_BYTES / 256));
+}
+
 #[gtest]
 fn memory_of_a_reply_is_released_with_it() {
     let buffers = ReplyBuffers::default();
