Log the request during which the process of an upstream ended

The logs could not tell which hypothesis holds: no line identified a request that comes again, or told an upstream that ended from a connection that was reset.

The line 'upstream: ended during a call' has the instance, a fingerprint of the request's content (caller's credentials, method, host, target, body), the caller's address and the age of the call; metric upstream_ends. The failure is a kind of its own and is handled like a lost connection, so that nothing changes but the time of the check.

--- a/crates/edge/src/caller/request_server.rs
+++ b/crates/edge/src/caller/request_server.rs
@@ -20,13 +20,13 @@
 /// Serves one request of a caller.
 pub(crate) async fn serve_request<W: WireProtocol>(
     edge: Arc<EdgeState>,
-    _caller: SocketAddr,
+    caller_address: SocketAddr,
     request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let received_at = edge.timer.now();
     let handler = RequestHandler::new(&edge);
     let id = W::read_request(request.headers()).ok().map(|it| it.request_id);
-    let answer = match read_request(&edge, request).await {
+    let answer = match read_request(&edge, caller_address, request).await {
         Ok(request) => handler.handle::<W>(request).await,
         Err(refusal) => handler.record_refusal(received_at, id.as_ref(), refusal),
     };
@@ -41,6 +41,7 @@
 
 async fn read_request(
     edge: &EdgeState,
+    caller_address: SocketAddr,
     request: Request<Incoming>,
 ) -> Result<CallerRequest, FinalAnswer> {
     let received_at = edge.timer.now();
@@ -57,6 +58,7 @@
         headers: head.headers,
         body,
         received_at,
+        caller_address,
     })
 }
 
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -118,6 +118,7 @@
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
+    pub(crate) upstream_ends: Counter,
     pub(crate) leaving_upstreams: Counter,
     pub(crate) quiet_requests: Counter,
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
@@ -144,6 +145,7 @@
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
+            upstream_ends: Counter::default(),
             leaving_upstreams: Counter::default(),
             quiet_requests: Counter::default(),
             rate_limit_changes: Family::default(),
@@ -161,6 +163,11 @@
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let registry = registry.sub_registry_with_prefix("mustardmux");
         registry.register("answers", "Final answers by outcome", self.answers.clone());
+        registry.register(
+            "upstream_ends",
+            "Calls during which the process of their upstream ended",
+            self.upstream_ends.clone(),
+        );
         registry.register(
             "leaving_upstreams",
             "Upstreams that announced their exit in a reply",
--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -249,6 +249,7 @@
         CallFailure::NotRun { reason: NotRunReason::Shed, .. } => "shed",
         CallFailure::NotRun { .. } => "not_run",
         CallFailure::ConnectionLost => "connection_lost",
+        CallFailure::UpstreamEnded => "upstream_ended",
         CallFailure::Silent => "silent",
         CallFailure::UpstreamError => "upstream_error",
         CallFailure::BadReply => "bad_reply",
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -1,6 +1,12 @@
 //! Finds the route of a request, calls its upstreams and creates the final answer.
 
-use std::{fmt::Write, num::NonZeroU32, sync::Arc, time::Duration};
+use std::{
+    fmt::Write,
+    net::SocketAddr,
+    num::NonZeroU32,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
@@ -16,7 +22,7 @@
     final_answer::{FinalAnswer, failure_answer, refusal_answer, stopped_answer},
 };
 use crate::{
-    RequestMetadataError, WireProtocol,
+    RequestMetadata, RequestMetadataError, WireProtocol,
     caller::strip_hop_by_hop_headers,
     edge_state::EdgeState,
     upstream::{CallTemplate, UpstreamReply},
@@ -42,6 +48,8 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
     pub(crate) received_at: TimePoint,
+    /// Network address of the caller.
+    pub(crate) caller_address: SocketAddr,
 }
 
 /// Handles callers' requests.
@@ -129,8 +137,7 @@
             rule.latency_target,
         );
         let received_at = request.received_at;
-        let template =
-            Arc::new(call_template(request, metadata.request_id.clone(), rule.execution));
+        let template = Arc::new(call_template(request, &metadata, rule.execution));
         let mut guard = DisconnectGuard { template: Arc::clone(&template), is_answered: false };
         let (answer, summary) = self.dispatch::<W>(&rule, version, timing, template).await;
         guard.is_answered = true;
@@ -279,7 +286,7 @@
 
 fn call_template(
     mut request: CallerRequest,
-    request_id: HeaderValue,
+    metadata: &RequestMetadata,
     execution: ExecutionSemantics,
 ) -> CallTemplate {
     strip_hop_by_hop_headers(&mut request.headers);
@@ -289,8 +296,11 @@
         target: request.uri,
         headers: request.headers,
         body: request.body,
-        request_id,
+        request_id: metadata.request_id.clone(),
         execution,
+        caller_address: request.caller_address,
+        caller: metadata.caller.clone(),
+        fingerprint: OnceLock::new(),
         caller_disconnected: watch::Sender::new(false),
     }
 }
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -1,13 +1,19 @@
 //! A call to an upstream, which may outlive its query.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Method, Request, Uri};
+use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use mux_config::traffic::ExecutionSemantics;
 use mux_model::{CallFailure, InstanceId, TimePoint, UpstreamId};
+use mux_quarantine::RequestFingerprint;
 use mux_routing::balancer::{LatencyEstimate, ServiceBalancer};
+use slog::info;
 use tokio::sync::{oneshot, watch};
 
 use super::{UpstreamReply, connection_pool::ReusePolicy};
@@ -31,10 +37,36 @@
     pub(crate) body: Bytes,
     pub(crate) request_id: HeaderValue,
     pub(crate) execution: ExecutionSemantics,
+    /// Network address of the caller.
+    pub(crate) caller_address: SocketAddr,
+    /// Credentials of the caller; `None` if it sent none.
+    pub(crate) caller: Option<HeaderValue>,
+    pub(crate) fingerprint: OnceLock<RequestFingerprint>,
     /// Becomes true when the caller disconnects before the final answer.
     pub(crate) caller_disconnected: watch::Sender<bool>,
 }
 
+impl CallTemplate {
+    /// Returns the fingerprint of the request; computed when it is needed for the first time.
+    pub(crate) fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let host = value_bytes(self.headers.get(header::HOST)).to_ascii_lowercase();
+            let target = self.target.path_and_query().map_or("", |it| it.as_str());
+            RequestFingerprint::of_parts(&[
+                value_bytes(self.caller.as_ref()),
+                self.method.as_str().as_bytes(),
+                &host,
+                target.as_bytes(),
+                &self.body,
+            ])
+        })
+    }
+}
+
+fn value_bytes(value: Option<&HeaderValue>) -> &[u8] {
+    value.map_or(&[], HeaderValue::as_bytes)
+}
+
 /// The parameters of a call.
 #[derive(Debug)]
 pub(crate) struct CallSpec {
@@ -144,9 +176,29 @@
     {
         edge.on_misdirected(&instance);
     }
+    if matches!(result, Err(CallFailure::ConnectionLost)) && pool.has_ended(&edge.timer).await {
+        record_upstream_end(edge, spec, &instance);
+        return Err(CallFailure::UpstreamEnded);
+    }
     result
 }
 
+/// Records that the process of an upstream ended during a call.
+fn record_upstream_end(edge: &EdgeState, spec: &CallSpec, instance: &InstanceId) {
+    edge.metrics.upstream_ends.inc();
+    let now = edge.timer.now();
+    let Some(suppressed) = edge.request_log.allow(now) else {
+        return;
+    };
+    let template = &spec.template;
+    info!(edge.logger, "upstream: ended during a call"; "instance" => instance.as_str(),
+        "upstream" => spec.upstream.to_string(), "fingerprint" => template.fingerprint().to_string(),
+        "id" => template.request_id.to_str().unwrap_or("(not text)"),
+        "caller" => template.caller_address.to_string(), "path" => template.target.path(),
+        "call_ms" => now.since(spec.reserved_at).as_millis() as u64,
+        "suppressed_lines" => suppressed);
+}
+
 fn call_request<W: WireProtocol>(
     now: TimePoint,
     spec: &CallSpec,
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -13,6 +13,8 @@
     pub request_id: HeaderValue,
     /// Remaining time that the caller will wait; `None` if it sent no limit.
     pub time_left: Option<Duration>,
+    /// Credentials of the caller; `None` if it sent none.
+    pub caller: Option<HeaderValue>,
 }
 
 /// Error in the metadata of a request.
--- a/crates/model/src/call.rs
+++ b/crates/model/src/call.rs
@@ -42,6 +42,8 @@
     },
     /// The connection failed after the request may have been written.
     ConnectionLost,
+    /// The process of the upstream ended while the call was in flight.
+    UpstreamEnded,
     /// Nothing was received on the connection within the pool's silence timeout.
     Silent,
     /// The upstream replied with an error and may have run the request.
@@ -76,6 +78,7 @@
             Self::NotRun { reason: NotRunReason::WrongInstance, .. } => "another instance answered",
             Self::NotRun { reason: NotRunReason::ConnectionRefused, .. } => "connection refused",
             Self::ConnectionLost => "connection lost",
+            Self::UpstreamEnded => "upstream process ended",
             Self::Silent => "connection silent",
             Self::UpstreamError => "upstream error",
             Self::BadReply => "bad reply",
--- a/crates/routing/src/upstream_health.rs
+++ b/crates/routing/src/upstream_health.rs
@@ -163,6 +163,7 @@
             ..
         }
         | CallFailure::ConnectionLost
+        | CallFailure::UpstreamEnded
         | CallFailure::Silent => CONNECTION_FAILURES_TO_EJECT,
         _ => FAULTY_REPLIES_TO_EJECT,
     }
--- a/crates/routing/src/upstream_state.rs
+++ b/crates/routing/src/upstream_state.rs
@@ -299,7 +299,10 @@
                 self.latency.record_lower_bound(now, elapsed);
                 self.health.on_failure(now, failure, jitter);
             }
-            CallFailure::ConnectionLost | CallFailure::UpstreamError | CallFailure::BadReply => {
+            CallFailure::ConnectionLost
+            | CallFailure::UpstreamEnded
+            | CallFailure::UpstreamError
+            | CallFailure::BadReply => {
                 self.health.on_failure(now, failure, jitter);
             }
         }
