Decide which requests crash upstreams

CrashLedger keeps the evidence against requests, known by a fingerprint of their content: the processes of upstreams that ended while they ran one, seen by this node or others. Three crashes without a reply of the service quarantine a request; a reply to a later call refutes them, as the request only ran on upstreams that fell for another reason. A quarantined request gets two trials, 10 s and 60 s after the latest evidence, which all nodes share. At most 2,048 requests with 8 pieces of evidence each are kept; quarantined ones are evicted last.

--- /dev/null
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -0,0 +1,331 @@
+//! Evidence against requests, and the decision whether a request is admitted.
+
+use std::{cmp::Reverse, time::Duration};
+
+use mux_model::{FastMap, FastSet, ServiceName, TimePoint};
+
+use crate::{Evidence, EvidenceKey, EvidenceSource, RequestFingerprint};
+
+/// Number of processes that a request has to crash to be quarantined.
+pub const CRASH_LIMIT: usize = 3;
+/// Maximum number of requests with evidence that are remembered.
+pub const MAX_REQUESTS: usize = 2_048;
+/// Maximum number of crashes and of trials that are remembered of one request.
+const MAX_EVIDENCE_PER_REQUEST: usize = 8;
+/// Maximum number of pieces of evidence that wait for their withdrawal from the store.
+const MAX_WITHDRAWALS: usize = 4_096;
+/// Time from a crash until it is shared. Most requests that only ran on an upstream which crashed are
+/// answered by another one meanwhile.
+const SHARING_DELAY: Duration = Duration::from_millis(300);
+/// Time without an attempt or new evidence after which a request is forgotten.
+pub const IDLE_LIFETIME: Duration = Duration::from_secs(600);
+/// Time after which the evidence against a request that still comes is shared again, so that other
+/// nodes do not forget it.
+const RENEWAL_PERIOD: Duration = Duration::from_secs(240);
+/// Time from the latest evidence to each trial. A quarantined request gets no further ones.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
+/// Minimum time between two attempts of a node to claim a trial.
+const TRIAL_CLAIM_PERIOD: Duration = Duration::from_millis(200);
+
+/// Whether a request may be sent to upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RequestAdmission {
+    /// There is no evidence against the request.
+    Clear,
+    /// There is evidence, but not enough for a quarantine.
+    Suspect,
+    /// The request must not be sent.
+    Quarantined {
+        /// The trial that this node may claim for the request now.
+        trial: Option<Evidence>,
+    },
+}
+
+/// Evidence that has to be written to the store or removed from it.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct EvidenceUpdate {
+    /// Evidence to write, and when this node learnt of it.
+    pub writes: Vec<(Evidence, TimePoint)>,
+    /// Evidence to remove.
+    pub withdrawals: Vec<EvidenceKey>,
+}
+
+#[derive(Debug, Clone)]
+struct KnownEvidence {
+    evidence: Evidence,
+    learnt_at: TimePoint,
+    /// Whether the store is known to hold the evidence.
+    is_shared: bool,
+}
+
+#[derive(Debug, Clone)]
+struct SuspectRequest {
+    evidence: Vec<KnownEvidence>,
+    last_activity: TimePoint,
+    /// When evidence was last seen to be written to the store.
+    renewed_at: TimePoint,
+}
+
+impl SuspectRequest {
+    fn crashes(&self) -> usize {
+        self.evidence.iter().filter(|it| is_crash(&it.evidence)).count()
+    }
+
+    fn trials(&self) -> usize {
+        self.evidence.len() - self.crashes()
+    }
+
+    fn is_quarantined(&self) -> bool {
+        CRASH_LIMIT <= self.crashes()
+    }
+
+    /// Returns the number of the trial that is due, from 1.
+    fn due_trial(&self, now: TimePoint) -> Option<u32> {
+        let latest = self.evidence.iter().map(|it| it.learnt_at).max()?;
+        let delay = TRIAL_DELAYS.get(self.trials())?;
+        (latest + *delay <= now).then(|| u32::try_from(self.trials() + 1).unwrap_or(u32::MAX))
+    }
+}
+
+/// The evidence against requests that is known to this node, its own and that of other nodes.
+///
+/// A request that crashed an upstream is a suspect until an upstream of that service has answered it.
+/// One that crashed [`CRASH_LIMIT`] processes without such an answer is quarantined. As requests that
+/// only ran on upstreams which crashed for other reasons may get there too, it gets few trials, which
+/// all nodes share; a reply ends the quarantine.
+#[derive(Debug, Clone, Default)]
+pub struct CrashLedger {
+    requests: FastMap<RequestFingerprint, SuspectRequest>,
+    withdrawals: Vec<EvidenceKey>,
+    next_claim_at: TimePoint,
+}
+
+impl CrashLedger {
+    /// Creates an empty ledger.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns whether there is no evidence against any request.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns the number of requests with evidence, and how many of them are quarantined.
+    pub fn counts(&self) -> (usize, usize) {
+        let quarantined = self.requests.values().filter(|it| it.is_quarantined());
+        (self.requests.len(), quarantined.count())
+    }
+
+    /// Returns the number of processes that a request is known to have crashed.
+    pub fn crashes(&self, fingerprint: RequestFingerprint) -> usize {
+        self.requests.get(&fingerprint).map_or(0, SuspectRequest::crashes)
+    }
+
+    /// Decides on an attempt to send a request.
+    pub fn admit(&mut self, now: TimePoint, fingerprint: RequestFingerprint) -> RequestAdmission {
+        let Some(request) = self.requests.get_mut(&fingerprint) else {
+            return RequestAdmission::Clear;
+        };
+        request.last_activity = now;
+        if !request.is_quarantined() {
+            return RequestAdmission::Suspect;
+        }
+        let number = request.due_trial(now).filter(|_| self.next_claim_at <= now);
+        let trial = number.map(|number| {
+            self.next_claim_at = now + TRIAL_CLAIM_PERIOD;
+            let service = request.evidence[0].evidence.service.clone();
+            let source = EvidenceSource::Trial(number);
+            Evidence { key: EvidenceKey { fingerprint, source }, service }
+        });
+        RequestAdmission::Quarantined { trial }
+    }
+
+    /// Records evidence that this node observed.
+    pub fn record(&mut self, now: TimePoint, evidence: Evidence) {
+        self.insert(now, evidence, false);
+    }
+
+    /// Records evidence that another node sent, which the store may lack.
+    pub fn on_peer_evidence(&mut self, now: TimePoint, evidence: Evidence) {
+        self.insert(now, evidence, false);
+    }
+
+    /// Records evidence that the store holds.
+    pub fn on_stored(&mut self, now: TimePoint, evidence: Evidence) {
+        self.insert(now, evidence, true);
+    }
+
+    /// Records that the store no longer holds a piece of evidence.
+    pub fn on_removed(&mut self, key: &EvidenceKey) {
+        self.retain_evidence(key.fingerprint, |it| it.evidence.key != *key || !it.is_shared);
+    }
+
+    /// Handles a complete listing of the store; evidence that is not listed counts as removed.
+    pub fn on_listing(&mut self, listed: &FastSet<EvidenceKey>) {
+        self.requests.retain(|_, request| {
+            request.evidence.retain(|it| !it.is_shared || listed.contains(&it.evidence.key));
+            !request.evidence.is_empty()
+        });
+    }
+
+    /// Records that the store was restored from an older copy, which may lack evidence.
+    pub fn on_store_restored(&mut self) {
+        for request in self.requests.values_mut() {
+            request.evidence.iter_mut().for_each(|it| it.is_shared = false);
+        }
+    }
+
+    /// Records that an upstream of `service` answered a call of the request that was sent at `sent_at`:
+    /// the crashes of this service that were known then had other reasons.
+    pub fn on_reply(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        service: &ServiceName,
+        sent_at: TimePoint,
+    ) {
+        let Some(request) = self.requests.get_mut(&fingerprint) else {
+            return;
+        };
+        let is_refuted =
+            |it: &KnownEvidence| it.evidence.service == *service && it.learnt_at <= sent_at;
+        let refuted: Vec<_> = request.evidence.extract_if(.., |it| is_refuted(it)).collect();
+        if request.crashes() == 0 {
+            let request = self.requests.remove(&fingerprint);
+            let trials = request.map(|it| it.evidence).unwrap_or_default();
+            self.withdraw(trials);
+        }
+        self.withdraw(refuted);
+    }
+
+    /// Drops a piece of evidence that turned out to be wrong.
+    pub fn retract(&mut self, key: &EvidenceKey) {
+        self.retain_evidence(key.fingerprint, |it| it.evidence.key != *key);
+    }
+
+    /// Returns up to `limit` changes that the store lacks; evidence against requests that crashed most
+    /// processes comes first.
+    pub fn pending_update(&mut self, now: TimePoint, limit: usize) -> EvidenceUpdate {
+        for request in self.requests.values_mut() {
+            let is_due = request.renewed_at + RENEWAL_PERIOD <= now;
+            if is_due && request.renewed_at < request.last_activity {
+                request.evidence.iter_mut().for_each(|it| it.is_shared = false);
+            }
+        }
+        let mut writes: Vec<_> = self
+            .requests
+            .values()
+            .flat_map(|request| request.evidence.iter().map(|it| (request.evidence.len(), it)))
+            .filter(|(_, it)| !it.is_shared && it.learnt_at + SHARING_DELAY <= now)
+            .collect();
+        writes.sort_by_key(|(count, it)| (Reverse(*count), it.learnt_at));
+        let writes: Vec<_> = writes
+            .into_iter()
+            .take(limit)
+            .map(|(_, it)| (it.evidence.clone(), it.learnt_at))
+            .collect();
+        let withdrawals = self.withdrawals.iter().take(limit - writes.len()).cloned().collect();
+        EvidenceUpdate { writes, withdrawals }
+    }
+
+    /// Records that the store has applied an update.
+    pub fn on_update_stored(&mut self, now: TimePoint, update: &EvidenceUpdate) {
+        for (evidence, _) in &update.writes {
+            let Some(request) = self.requests.get_mut(&evidence.key.fingerprint) else {
+                // It was refuted while it was written.
+                self.withdrawals.push(evidence.key.clone());
+                continue;
+            };
+            request.renewed_at = now;
+            let known = request.evidence.iter_mut().find(|it| it.evidence.key == evidence.key);
+            match known {
+                Some(known) => known.is_shared = true,
+                None => self.withdrawals.push(evidence.key.clone()),
+            }
+        }
+        self.withdrawals.retain(|it| !update.withdrawals.contains(it));
+    }
+
+    /// Forgets requests without activity; their evidence is withdrawn from the store.
+    pub fn expire(&mut self, now: TimePoint) {
+        let is_idle = |it: &SuspectRequest| it.last_activity + IDLE_LIFETIME <= now;
+        let idle: Vec<_> = self.requests.extract_if(|_, it| is_idle(it)).collect();
+        for (_, request) in idle {
+            self.withdraw(request.evidence);
+        }
+    }
+
+    /// Returns up to `limit` pieces of evidence for other nodes; those against requests that crashed
+    /// most processes come first, and newer ones before older ones.
+    pub fn summary(&self, limit: usize) -> Vec<Evidence> {
+        let mut known: Vec<_> = self
+            .requests
+            .values()
+            .flat_map(|request| request.evidence.iter().map(|it| (request.crashes(), it)))
+            .collect();
+        known.sort_by_key(|(crashes, it)| (Reverse(*crashes), Reverse(it.learnt_at)));
+        known.into_iter().take(limit).map(|(_, it)| it.evidence.clone()).collect()
+    }
+
+    fn insert(&mut self, now: TimePoint, evidence: Evidence, is_shared: bool) {
+        let fingerprint = evidence.key.fingerprint;
+        if !self.requests.contains_key(&fingerprint) && MAX_REQUESTS <= self.requests.len() {
+            self.evict_one();
+        }
+        let request = self.requests.entry(fingerprint).or_insert_with(|| SuspectRequest {
+            evidence: Vec::new(),
+            last_activity: now,
+            renewed_at: now,
+        });
+        request.last_activity = now;
+        if is_shared {
+            request.renewed_at = now;
+        }
+        let has_room = request.evidence.len() < MAX_EVIDENCE_PER_REQUEST;
+        let known = request.evidence.iter_mut().find(|it| it.evidence.key == evidence.key);
+        match known {
+            Some(known) => known.is_shared |= is_shared,
+            None if has_room => {
+                request.evidence.push(KnownEvidence { evidence, learnt_at: now, is_shared });
+            }
+            None => {}
+        }
+    }
+
+    /// Forgets the request with the fewest crashes, and of these the one that was idle for longest.
+    fn evict_one(&mut self) {
+        let requests = self.requests.iter();
+        let oldest = requests.min_by_key(|(_, it)| (it.crashes(), it.last_activity));
+        let Some(fingerprint) = oldest.map(|(it, _)| *it) else {
+            return;
+        };
+        if let Some(request) = self.requests.remove(&fingerprint) {
+            self.withdraw(request.evidence);
+        }
+    }
+
+    /// Queues evidence for its removal from the store.
+    fn withdraw(&mut self, evidence: Vec<KnownEvidence>) {
+        let shared = evidence.into_iter().filter(|it| it.is_shared);
+        self.withdrawals.extend(shared.map(|it| it.evidence.key));
+        self.withdrawals.truncate(MAX_WITHDRAWALS);
+    }
+
+    fn retain_evidence(
+        &mut self,
+        fingerprint: RequestFingerprint,
+        is_kept: impl Fn(&KnownEvidence) -> bool,
+    ) {
+        let Some(request) = self.requests.get_mut(&fingerprint) else {
+            return;
+        };
+        request.evidence.retain(is_kept);
+        if request.evidence.is_empty() {
+            self.requests.remove(&fingerprint);
+        }
+    }
+}
+
+fn is_crash(evidence: &Evidence) -> bool {
+    matches!(evidence.key.source, EvidenceSource::Crash(_))
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,5 +1,15 @@
-//! Recognizes requests that crash the upstreams that run them.
+//! Recognizes requests that crash the upstreams that run them, and keeps them from upstreams.
+//!
+//! The decisions own no socket and no clock: they take events and the current time.
 
+mod attempt_containment;
+mod crash_ledger;
+mod evidence;
 mod request_fingerprint;
 
+pub use attempt_containment::{AttemptContainment, CrashReaction};
+pub use crash_ledger::{
+    CRASH_LIMIT, CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
+};
+pub use evidence::{Evidence, EvidenceKey, EvidenceSource, UpstreamProcess};
 pub use request_fingerprint::RequestFingerprint;
