Call one shard first for a request that may crash upstreams

FanOutPlan::is_suspect: the first calls to the other shards wait until the first shard has answered, for half of the latency target at most; a crash there ends the query before they are sent. There are no hedges, and calls that may have run are not repeated. FanOut::contain does the latter in the middle of a query.

--- a/crates/node/src/dispatch/query_executor.rs
+++ b/crates/node/src/dispatch/query_executor.rs
@@ -83,6 +83,7 @@
             coverage_target: definition.coverage_target,
             coverage_minimum: definition.coverage_minimum,
             max_calls: None,
+            is_suspect: false,
         }
     }
 
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -40,6 +40,12 @@
     retry_after: Option<Duration>,
     dropped_replies: u32,
     finished: bool,
+    /// Whether calls that may have run are neither hedged nor repeated.
+    is_contained: bool,
+    /// The call on whose reply the other first calls wait; they are open, but not sent.
+    canary: Option<CallId>,
+    /// When the other first calls are sent although the canary has not replied.
+    canary_limit: TimePoint,
 }
 
 /// Numbers of shards that can no longer return a result, by cause.
@@ -77,6 +83,9 @@
             retry_after: None,
             dropped_replies: 0,
             finished: false,
+            is_contained: plan.is_suspect,
+            canary: None,
+            canary_limit: TimePoint::MAX,
             plan,
         }
     }
@@ -104,14 +113,18 @@
             return;
         }
         self.started_at = now;
-        if self.plan.idempotent {
+        if self.plan.idempotent && !self.is_contained {
             self.hedge_delay = router.hedge_delay(now);
         }
         for shard in self.plan.map.shards() {
             self.reserve(now, router, shard);
         }
         if self.completion(now).is_none() {
-            self.send_reserved(actions);
+            if self.is_contained {
+                self.send_canary(now, actions);
+            } else {
+                self.send_reserved(actions);
+            }
         } else {
             self.release_reserved(now, router);
         }
@@ -145,6 +158,7 @@
         self.answered_shards += 1;
         self.table.shard_mut(reply.shard).phase = ShardPhase::Answered(reply.body);
         self.cancel_shard(now, router, reply.shard, actions);
+        self.send_held_back(actions);
         if !self.try_finish(now, router, actions) {
             self.use_freed_slot(now, router, upstream, actions);
             self.advance(now, router, actions);
@@ -171,9 +185,23 @@
         if self.table.shard(shard).open_calls == 0 {
             self.retry_or_fail(now, router, shard, failure, actions);
         }
+        if self.canary == Some(call) {
+            self.on_canary_failed(now, router, shard, failure, actions);
+        }
         self.advance(now, router, actions);
     }
 
+    /// Makes no further call that may have run: the request may crash upstreams.
+    pub fn contain(&mut self) {
+        self.is_contained = true;
+        self.hedge_delay = None;
+    }
+
+    /// Returns whether `shard` may still return a result.
+    pub fn is_pending(&self, shard: ShardIndex) -> bool {
+        matches!(self.table.shard(shard).phase, ShardPhase::Pending)
+    }
+
     /// Runs the work scheduled by the latest [`FanOutAction::WakeAt`]; safe to call at any time.
     pub fn on_wake<R: ReplicaRouter>(
         &mut self,
@@ -185,6 +213,9 @@
         if self.try_finish(now, router, actions) {
             return;
         }
+        if self.canary_limit <= now {
+            self.send_held_back(actions);
+        }
         self.poll_waiting_shards(now, router, actions);
         self.hedge_due_calls(now, router, actions);
         self.advance(now, router, actions);
@@ -269,7 +300,7 @@
         match failure {
             CallFailure::NotRun { reason: NotRunReason::Rejected, .. } => false,
             CallFailure::NotRun { .. } => true,
-            _ => self.plan.idempotent,
+            _ => self.plan.idempotent && !self.is_contained,
         }
     }
 }
--- a/crates/query/src/fan_out_events.rs
+++ b/crates/query/src/fan_out_events.rs
@@ -28,6 +28,9 @@
     pub coverage_minimum: f64,
     /// Maximum number of calls to one shard that may have run; `None`: one for each replica.
     pub max_calls: Option<NonZeroU32>,
+    /// Whether the request may crash upstreams: one shard is called first, and the others once it has
+    /// answered; there are no hedges, and calls that may have run are not repeated.
+    pub is_suspect: bool,
 }
 
 /// A complete reply from an upstream, with the request, snapshot and shard that it states.
