Keep requests that crash upstreams from upstreams, over all nodes

What callers saw: a request that crashes the upstreams that run it was sent to upstreams each time it came again, at whatever node.

Cause: a node knew a request only by the id of an attempt, and kept no memory of what had ended an upstream; nodes did not tell each other. Each node and each attempt began anew.

Change: a request is known by its content. Suspects are called without hedges and repeats; a request with three crashes is refused at once as not run, without a time to come back. Trials are claimed in the store by a conditional write, so that all nodes together make two.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -119,6 +119,8 @@
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
     pub(crate) upstream_ends: Counter,
+    pub(crate) suspect_requests: Gauge,
+    pub(crate) quarantined_requests: Gauge,
     pub(crate) leaving_upstreams: Counter,
     pub(crate) quiet_requests: Counter,
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
@@ -146,6 +148,8 @@
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
             upstream_ends: Counter::default(),
+            suspect_requests: Gauge::default(),
+            quarantined_requests: Gauge::default(),
             leaving_upstreams: Counter::default(),
             quiet_requests: Counter::default(),
             rate_limit_changes: Family::default(),
@@ -168,6 +172,16 @@
             "Calls during which the process of their upstream ended",
             self.upstream_ends.clone(),
         );
+        registry.register(
+            "suspect_requests",
+            "Requests with evidence that they crash upstreams",
+            self.suspect_requests.clone(),
+        );
+        registry.register(
+            "quarantined_requests",
+            "Suspect requests that are not sent to upstreams",
+            self.quarantined_requests.clone(),
+        );
         registry.register(
             "leaving_upstreams",
             "Upstreams that announced their exit in a reply",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -26,6 +26,7 @@
     StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     rate_sharing::{RateSharing, refresh_rate_shares},
+    request_quarantine::RequestQuarantine,
     upstream::{ConnectionPools, ReplyBuffers},
 };
 
@@ -73,6 +74,7 @@
     upstreams: Mutex<UpstreamRegistry>,
     nodes: Mutex<NodeRegistry>,
     pub(crate) rate_sharing: RateSharing,
+    pub(crate) quarantine: RequestQuarantine,
     store_reachability: Mutex<StoreReachability>,
     /// Reachability of the store as reported by the node whose copy this node reads; `None` while
     /// this node reads the store itself.
@@ -112,6 +114,7 @@
             upstreams: Mutex::default(),
             nodes: Mutex::new(nodes),
             rate_sharing: RateSharing::new(),
+            quarantine: RequestQuarantine::new(),
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
             balancers: RwLock::default(),
@@ -338,6 +341,9 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         self.metrics.balancers.set(balancers.values().map(|it| it.report()));
         let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
+        let (suspects, quarantined) = self.quarantine.update(|it| it.counts());
+        self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
+        self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
         self.metrics.reply_buffer_bytes.set(buffered_bytes);
         self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod query;
 mod rate_sharing;
 mod relay;
+mod request_quarantine;
 mod run_edge;
 mod store;
 mod sync;
--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -5,7 +5,11 @@
 use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use http::{HeaderValue, StatusCode};
-use mux_model::{CallFailure, CallId, FastMap, NotRunReason, ShardIndex, TimePoint, UpstreamId};
+use mux_model::{
+    CallFailure, CallId, FastMap, InstanceId, NotRunReason, ServiceName, ShardIndex, TimePoint,
+    UpstreamId,
+};
+use mux_quarantine::{AttemptContainment, CRASH_LIMIT, CrashReaction};
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
 use mux_routing::{AcquireError, balancer::QueryRouter};
 use tokio::sync::oneshot;
@@ -14,7 +18,8 @@
     WireProtocol,
     edge_metrics::ResultLabel,
     edge_state::EdgeState,
-    upstream::{CallResult, CallSpec, CallTemplate, UpstreamReply, spawn_call},
+    request_quarantine::record_crash,
+    upstream::{CallError, CallResult, CallSpec, CallTemplate, UpstreamReply, spawn_call},
 };
 
 /// Which replies of an upstream are accepted as the reply of its shard.
@@ -74,14 +79,19 @@
     edge: &'a Arc<EdgeState>,
     router: QueryRouter,
     plan: FanOutPlan,
+    /// The service of each shard.
+    services: &'a [ServiceName],
     template: Arc<CallTemplate>,
     accepted_replies: AcceptedReplies,
+    containment: AttemptContainment,
+    /// Calls during which an upstream crashed, which wait for the containment to end.
+    held_calls: Vec<CallRecord>,
     replies: FastMap<ShardIndex, UpstreamReply>,
     error_reply: Option<UpstreamReply>,
     failures: Vec<ShardFailure>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct CallRecord {
     call: CallId,
     shard: ShardIndex,
@@ -94,13 +104,17 @@
         edge: &'a Arc<EdgeState>,
         router: QueryRouter,
         plan: FanOutPlan,
+        services: &'a [ServiceName],
         template: Arc<CallTemplate>,
         accepted_replies: AcceptedReplies,
     ) -> Self {
         Self {
             edge,
             router,
+            containment: AttemptContainment::new(plan.is_suspect),
+            held_calls: Vec::new(),
             plan,
+            services,
             template,
             accepted_replies,
             replies: FastMap::default(),
@@ -151,12 +165,14 @@
                     now = timer.now();
                     if !cancelled.contains(&record.call) {
                         self.on_call_result(&mut fan_out, now, &record, call_result, &mut actions);
+                        self.release_held_calls(&mut fan_out, now, &mut actions);
                     }
                 }
                 () = &mut wake => {
                     now = timer.now();
                     wake.set(timer.sleep_until(self.plan.deadline));
                     fan_out.on_wake(now, &self.router, &mut actions);
+                    self.release_held_calls(&mut fan_out, now, &mut actions);
                 }
             }
         }
@@ -172,6 +188,7 @@
             template: Arc::clone(&self.template),
             balancer: Arc::clone(self.router.balancer(shard)),
             upstream,
+            service: self.service(shard).clone(),
             reserved_at: now,
             deadline: self.plan.deadline,
             latency_estimate: self.router.latency_estimate(),
@@ -198,6 +215,9 @@
                     shard: record.shard,
                     body: Bytes::new(),
                 };
+                if self.containment.canary() == Some(record.shard) {
+                    self.containment.end_canary();
+                }
                 fan_out.on_reply(now, &self.router, record.call, reply, latency, actions);
                 return;
             }
@@ -208,7 +228,11 @@
                 CallFailure::UpstreamError
             }
             Ok(_) => CallFailure::BadReply,
-            Err(failure) => failure,
+            Err(CallError { failure, ended_instance: Some(instance) }) => {
+                self.count_call_result(failure_label(failure));
+                return self.on_crash(fan_out, now, record, &instance, actions);
+            }
+            Err(CallError { failure, .. }) => failure,
         };
         self.count_call_result(failure_label(failure));
         let cause = ShardFailureCause::Failed(record.upstream, failure);
@@ -216,6 +240,66 @@
         fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
     }
 
+    /// Handles that the process of an upstream ended during a call.
+    fn on_crash(
+        &mut self,
+        fan_out: &mut FanOut,
+        now: TimePoint,
+        record: &CallRecord,
+        instance: &InstanceId,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        let failure = CallFailure::UpstreamEnded;
+        let cause = ShardFailureCause::Failed(record.upstream, failure);
+        self.failures.push(ShardFailure { shard: record.shard, cause });
+        let (mut reaction, is_evidence) =
+            self.containment.on_crash(now, record.shard, record.started_at);
+        if is_evidence {
+            let service = self.service(record.shard);
+            let crashes = record_crash(self.edge, self.template.fingerprint(), service, instance);
+            if CRASH_LIMIT <= crashes {
+                reaction = CrashReaction::Stop;
+            }
+        }
+        match reaction {
+            CrashReaction::Retry => {}
+            CrashReaction::Hold => return self.held_calls.push(record.clone()),
+            CrashReaction::Stop => {
+                fan_out.contain();
+                self.containment.end_canary();
+            }
+        }
+        let latency = now.since(record.started_at);
+        fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
+    }
+
+    /// Ends the calls that were held, once the canary was answered or can no longer be.
+    fn release_held_calls(
+        &mut self,
+        fan_out: &mut FanOut,
+        now: TimePoint,
+        actions: &mut Vec<FanOutAction>,
+    ) {
+        if self.containment.canary().is_some_and(|it| fan_out.is_pending(it)) {
+            return;
+        }
+        self.containment.end_canary();
+        for record in std::mem::take(&mut self.held_calls) {
+            let latency = now.since(record.started_at);
+            let failure = CallFailure::UpstreamEnded;
+            fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
+        }
+    }
+
+    /// Returns the service of a shard of the query.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the query does not have the shard.
+    fn service(&self, shard: ShardIndex) -> &ServiceName {
+        &self.services[usize::try_from(shard.0).unwrap_or(usize::MAX)]
+    }
+
     fn count_call_result(&self, result: &'static str) {
         self.edge.metrics.calls.get_or_create(&ResultLabel { result }).inc();
     }
@@ -270,6 +354,6 @@
     receiver: oneshot::Receiver<CallResult>,
 ) -> (CallRecord, CallResult) {
     // The sender is dropped without a result only if the task of the call has panicked.
-    let call_result = receiver.await.unwrap_or(Err(CallFailure::ConnectionLost));
+    let call_result = receiver.await.unwrap_or_else(|_| Err(CallFailure::ConnectionLost.into()));
     (record, call_result)
 }
--- a/crates/edge/src/query/final_answer.rs
+++ b/crates/edge/src/query/final_answer.rs
@@ -53,6 +53,14 @@
     answer
 }
 
+/// Returns the answer to a request that is not sent because it crashes upstreams.
+///
+/// It was not run and will not be. No time is suggested for a retry, which would have the same answer.
+pub(super) fn quarantined_answer() -> FinalAnswer {
+    let reason = "requests with this content have crashed several upstreams";
+    failure_answer(StatusCode::SERVICE_UNAVAILABLE, "quarantined", reason)
+}
+
 /// Returns the answer to a query without a sufficient result from its upstreams.
 ///
 /// Only a query that certainly was not run by any upstream is answered as not run. For one that may
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -19,12 +19,15 @@
 
 use super::{
     call_driver::{AcceptedReplies, CallDriver, CallDriverResult, signatures},
-    final_answer::{FinalAnswer, failure_answer, refusal_answer, stopped_answer},
+    final_answer::{
+        FinalAnswer, failure_answer, quarantined_answer, refusal_answer, stopped_answer,
+    },
 };
 use crate::{
     RequestMetadata, RequestMetadataError, WireProtocol,
     caller::strip_hop_by_hop_headers,
     edge_state::EdgeState,
+    request_quarantine::admit_request,
     upstream::{CallTemplate, UpstreamReply},
 };
 
@@ -139,7 +142,12 @@
         let received_at = request.received_at;
         let template = Arc::new(call_template(request, &metadata, rule.execution));
         let mut guard = DisconnectGuard { template: Arc::clone(&template), is_answered: false };
-        let (answer, summary) = self.dispatch::<W>(&rule, version, timing, template).await;
+        let (answer, summary) = match admit_request(self.edge, || template.fingerprint()).await {
+            Some(is_suspect) => {
+                self.dispatch::<W>(&rule, version, timing, template, is_suspect).await
+            }
+            None => (quarantined_answer(), DispatchSummary::default()),
+        };
         guard.is_answered = true;
         let log_context =
             RequestLogContext { id: &metadata.request_id, rule: &rule, version, summary: &summary };
@@ -174,6 +182,7 @@
         version: RevisionNumber,
         timing: AnswerTiming,
         template: Arc<CallTemplate>,
+        is_suspect: bool,
     ) -> (FinalAnswer, DispatchSummary) {
         let split_service;
         let (services, accepted_replies, shard_set): (&[ServiceName], _, Option<&ShardSet>) =
@@ -222,8 +231,9 @@
             coverage_target: coverage,
             coverage_minimum: coverage,
             max_calls: NonZeroU32::new(rule.max_calls),
+            is_suspect,
         };
-        let driver = CallDriver::new(self.edge, router, plan, template, accepted_replies);
+        let driver = CallDriver::new(self.edge, router, plan, services, template, accepted_replies);
         let driver_result = driver.run::<W>().await;
         let summary = DispatchSummary::new(&driver_result, services);
         let remaining = timing.deadline.since(self.edge.timer.now());
--- a/crates/edge/src/relay/relay_client.rs
+++ b/crates/edge/src/relay/relay_client.rs
@@ -6,6 +6,7 @@
     time::{Duration, Instant},
 };
 
+use mux_quarantine::Evidence;
 use mux_timer::TimerService;
 use tarpc::{
     client::Config, context, context::Context, serde_transport::tcp, tokio_serde::formats::Bincode,
@@ -84,6 +85,25 @@
             Err(_) => Err(RelayError::NoReply(format!("none within {} ms", limit.as_millis()))),
         }
     }
+
+    /// Sends evidence against requests, and returns that of the peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RelayError::NoReply`] if no reply was received.
+    pub(crate) async fn exchange_evidence(
+        &self,
+        evidence: Vec<Evidence>,
+    ) -> Result<Vec<Evidence>, RelayError> {
+        let call = self.client.exchange_evidence(context_with_timeout(REPLY_TIMEOUT), evidence);
+        match self.timer.timeout(REPLY_TIMEOUT, call).await {
+            Ok(result) => result.map_err(|error| RelayError::NoReply(error.to_string())),
+            Err(_) => {
+                let limit = REPLY_TIMEOUT.as_millis();
+                Err(RelayError::NoReply(format!("none within {limit} ms")))
+            }
+        }
+    }
 }
 
 fn context_with_timeout(limit: Duration) -> Context {
--- a/crates/edge/src/relay/relay_protocol.rs
+++ b/crates/edge/src/relay/relay_protocol.rs
@@ -1,6 +1,7 @@
 //! RPC interface between nodes.
 
 use mux_config::ReachabilityReport;
+use mux_quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 
 use super::MirrorUpdate;
@@ -23,4 +24,7 @@
     /// Waits up to `wait_ms` until the node knows a revision after `after`, and returns the changes
     /// since then; without `after`, returns all entries at once.
     async fn read_changes(after: Option<StoreRevision>, wait_ms: u64) -> RelayedUpdate;
+
+    /// Records evidence against requests, and returns that of the node.
+    async fn exchange_evidence(evidence: Vec<Evidence>) -> Vec<Evidence>;
 }
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -3,6 +3,7 @@
 use std::{future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
+use mux_quarantine::Evidence;
 use slog::warn;
 use tarpc::{
     context::Context,
@@ -12,7 +13,7 @@
 };
 
 use super::{RelayedUpdate, relay_protocol::RelayProtocol};
-use crate::{StoreRevision, edge_state::EdgeState};
+use crate::{StoreRevision, edge_state::EdgeState, sync::MAX_EXCHANGED_EVIDENCE};
 
 /// Largest message between nodes, in bytes.
 pub(super) const MESSAGE_BYTES_LIMIT: usize = 64 << 20;
@@ -85,4 +86,15 @@
             reachability: edge.store_reachability().report(edge.timer.now()),
         }
     }
+
+    async fn exchange_evidence(self, _: Context, evidence: Vec<Evidence>) -> Vec<Evidence> {
+        let now = self.edge.timer.now();
+        self.edge.quarantine.update(|ledger| {
+            let own = ledger.summary(MAX_EXCHANGED_EVIDENCE);
+            for evidence in evidence.into_iter().take(MAX_EXCHANGED_EVIDENCE) {
+                ledger.on_peer_evidence(now, evidence);
+            }
+            own
+        })
+    }
 }
--- a/crates/edge/src/relay/store_mirror.rs
+++ b/crates/edge/src/relay/store_mirror.rs
@@ -170,6 +170,9 @@
         StoreChange::Written(StoreEntry::SpentBudget { node, .. }) => {
             StoreKey::SpentBudget(node.clone())
         }
+        StoreChange::Written(StoreEntry::Evidence(evidence)) => {
+            StoreKey::Evidence(evidence.key.clone())
+        }
         StoreChange::Removed(key) | StoreChange::Malformed { key, .. } => key.clone(),
     }
 }
--- /dev/null
+++ b/crates/edge/src/request_quarantine.rs
@@ -0,0 +1,147 @@
+//! This node's knowledge of requests that crash upstreams.
+
+use std::sync::{
+    Mutex, MutexGuard, PoisonError,
+    atomic::{AtomicBool, Ordering},
+};
+
+use mux_model::{InstanceId, ServiceName, TimePoint};
+use mux_quarantine::{
+    CrashLedger, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
+    UpstreamProcess,
+};
+use slog::{info, warn};
+use tokio::sync::{Notify, mpsc, oneshot};
+
+use crate::edge_state::EdgeState;
+
+/// Maximum number of claims of trials that wait for the store; further ones are not made.
+const MAX_PENDING_CLAIMS: usize = 16;
+
+/// A request of the request path to claim a trial in the store.
+#[derive(Debug)]
+pub(crate) struct TrialClaim {
+    pub(crate) trial: Evidence,
+    /// Receives whether this node may make the trial.
+    pub(crate) granted: oneshot::Sender<bool>,
+}
+
+/// The evidence against requests, and what connects it with the task that shares it.
+#[derive(Debug)]
+pub(crate) struct RequestQuarantine {
+    ledger: Mutex<CrashLedger>,
+    /// Copy of the ledger's state, so that requests need no lock while there is no evidence.
+    is_empty: AtomicBool,
+    /// Wakes the task that shares evidence.
+    pub(crate) evidence_added: Notify,
+    claims: mpsc::Sender<TrialClaim>,
+    /// The receiver of the claims, until the task that shares evidence takes it.
+    pending_claims: Mutex<Option<mpsc::Receiver<TrialClaim>>>,
+}
+
+impl RequestQuarantine {
+    pub(crate) fn new() -> Self {
+        let (claims, pending_claims) = mpsc::channel(MAX_PENDING_CLAIMS);
+        Self {
+            ledger: Mutex::default(),
+            is_empty: AtomicBool::new(true),
+            evidence_added: Notify::new(),
+            claims,
+            pending_claims: Mutex::new(Some(pending_claims)),
+        }
+    }
+
+    /// Returns whether there is no evidence against any request.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.is_empty.load(Ordering::Relaxed)
+    }
+
+    /// Calls `update` with exclusive access to the ledger.
+    pub(crate) fn update<T>(&self, update: impl FnOnce(&mut CrashLedger) -> T) -> T {
+        let mut ledger = lock(&self.ledger);
+        let result = update(&mut ledger);
+        self.is_empty.store(ledger.is_empty(), Ordering::Relaxed);
+        result
+    }
+
+    /// Takes the receiver of the claims; `None` if it was taken before.
+    pub(crate) fn take_claims(&self) -> Option<mpsc::Receiver<TrialClaim>> {
+        lock(&self.pending_claims).take()
+    }
+
+    /// Claims a trial in the store; returns whether this node may make it.
+    async fn claim(&self, trial: Evidence) -> bool {
+        let (granted, result) = oneshot::channel();
+        if self.claims.try_send(TrialClaim { trial, granted }).is_err() {
+            return false;
+        }
+        result.await.unwrap_or_default()
+    }
+}
+
+/// Decides on an attempt to send a request: returns whether it is a suspect, or `None` if it is
+/// quarantined and must not be sent.
+pub(crate) async fn admit_request(
+    edge: &EdgeState,
+    fingerprint: impl FnOnce() -> RequestFingerprint,
+) -> Option<bool> {
+    if edge.quarantine.is_empty() {
+        return Some(false);
+    }
+    let fingerprint = fingerprint();
+    let now = edge.timer.now();
+    match edge.quarantine.update(|it| it.admit(now, fingerprint)) {
+        RequestAdmission::Clear => Some(false),
+        RequestAdmission::Suspect => Some(true),
+        RequestAdmission::Quarantined { trial: None } => None,
+        RequestAdmission::Quarantined { trial: Some(trial) } => {
+            let source = trial.key.source.to_string();
+            let is_granted = edge.quarantine.claim(trial).await;
+            info!(edge.logger, "quarantine: trial of a request";
+                "fingerprint" => fingerprint.to_string(), "trial" => source,
+                "granted" => is_granted);
+            is_granted.then_some(true)
+        }
+    }
+}
+
+/// Records that the process of `instance` ended while it ran a request; returns the number of processes
+/// that the request is known to have crashed.
+pub(crate) fn record_crash(
+    edge: &EdgeState,
+    fingerprint: RequestFingerprint,
+    service: &ServiceName,
+    instance: &InstanceId,
+) -> usize {
+    let started_ms = edge.upstreams().started_ms(instance);
+    let process = UpstreamProcess { instance: instance.clone(), started_ms };
+    let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
+    let evidence = Evidence { key, service: service.clone() };
+    let now = edge.timer.now();
+    let crashes = edge.quarantine.update(|it| {
+        it.record(now, evidence);
+        it.crashes(fingerprint)
+    });
+    warn!(edge.logger, "quarantine: request crashed an upstream";
+        "fingerprint" => fingerprint.to_string(), "service" => service.as_str(),
+        "instance" => instance.as_str(), "crashes" => crashes);
+    edge.quarantine.evidence_added.notify_one();
+    crashes
+}
+
+/// Records that an upstream of `service` answered a call that was sent at `sent_at`.
+pub(crate) fn record_survival(
+    edge: &EdgeState,
+    fingerprint: impl FnOnce() -> RequestFingerprint,
+    service: &ServiceName,
+    sent_at: TimePoint,
+) {
+    if !edge.quarantine.is_empty() {
+        let fingerprint = fingerprint();
+        edge.quarantine.update(|it| it.on_reply(fingerprint, service, sent_at));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -96,6 +96,7 @@
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_rate_shares(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
+    tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
     signals.wait(&edge, reload).await;
     stop(&edge).await;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -5,6 +5,7 @@
 use mux_config::traffic::TrafficConfig;
 use mux_model::{InstanceId, NodeId, ServiceName};
 use mux_placement::NodeRecord;
+use mux_quarantine::{Evidence, EvidenceKey};
 use mux_routing::balancer::UpstreamRecord;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
@@ -20,6 +21,8 @@
     Node(NodeId),
     /// The services for which a node has spent a large part of its share of the retry budget.
     SpentBudget(NodeId),
+    /// Evidence that a request crashes upstreams.
+    Evidence(EvidenceKey),
 }
 
 /// A decoded entry.
@@ -38,6 +41,8 @@
         /// The services.
         services: Vec<ServiceName>,
     },
+    /// Evidence that a request crashes upstreams.
+    Evidence(Evidence),
 }
 
 /// The state of one entry as returned by a listing or a watch.
@@ -177,4 +182,17 @@
         node: &NodeId,
         services: &[ServiceName],
     ) -> impl Future<Output = Result<(), ClusterStoreError>> + Send;
+
+    /// Writes evidence against requests and removes other evidence, all or nothing.
+    fn update_evidence(
+        &self,
+        written: &[&Evidence],
+        removed: &[EvidenceKey],
+    ) -> impl Future<Output = Result<(), ClusterStoreError>> + Send;
+
+    /// Writes the evidence of a trial unless another node has done so; returns whether it was written.
+    fn claim_trial(
+        &self,
+        trial: &Evidence,
+    ) -> impl Future<Output = Result<bool, ClusterStoreError>> + Send;
 }
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -36,6 +36,7 @@
     let writer_may_be_alive = edge.store_reachability().may_lack_live_entries(now);
     let mut listed_instances = FastSet::default();
     let mut listed_nodes = FastSet::default();
+    let mut listed_evidence = FastSet::default();
     let mut is_changed = false;
     for change in changes {
         match change {
@@ -55,6 +56,13 @@
                     edge.set_inherited_spent_services(services);
                 }
             }
+            StoreChange::Written(StoreEntry::Evidence(evidence)) => {
+                listed_evidence.insert(evidence.key.clone());
+                edge.quarantine.update(|it| it.on_stored(now, evidence));
+            }
+            StoreChange::Removed(StoreKey::Evidence(key)) => {
+                edge.quarantine.update(|it| it.on_removed(&key));
+            }
             StoreChange::Removed(key) => {
                 is_changed |= apply_removal(edge, &key, writer_may_be_alive)
             }
@@ -64,7 +72,7 @@
                 match key {
                     StoreKey::Upstream(instance) => _ = listed_instances.insert(instance),
                     StoreKey::Node(node) => _ = listed_nodes.insert(node),
-                    StoreKey::Config | StoreKey::SpentBudget(_) => {}
+                    StoreKey::Config | StoreKey::SpentBudget(_) | StoreKey::Evidence(_) => {}
                 }
             }
         }
@@ -72,6 +80,7 @@
     if kind == UpdateKind::Listing {
         // Markers in later listings were written by this process.
         edge.set_inherited_spent_services(Vec::new());
+        edge.quarantine.update(|it| it.on_listing(&listed_evidence));
         is_changed |= drop_unlisted_upstreams(edge, &listed_instances, writer_may_be_alive);
         is_changed |= drop_unlisted_nodes(edge, &listed_nodes, writer_may_be_alive);
     }
@@ -154,7 +163,7 @@
             return false;
         }
         StoreKey::Node(node) => edge.nodes().on_removed(node, writer_may_be_alive),
-        StoreKey::SpentBudget(_) => return false,
+        StoreKey::SpentBudget(_) | StoreKey::Evidence(_) => return false,
     };
     info!(edge.logger, "store: entry removed"; "entry" => describe_key(key),
         "doubtful" => writer_may_be_alive, "given_up" => is_dropped);
@@ -194,5 +203,6 @@
         StoreKey::Upstream(instance) => format!("upstream {instance}"),
         StoreKey::Node(node) => format!("node {node}"),
         StoreKey::SpentBudget(node) => format!("spent budget of {node}"),
+        StoreKey::Evidence(key) => format!("evidence {} {}", key.fingerprint, key.source),
     }
 }
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce_task;
 mod apply_update;
+mod evidence_task;
 mod missing_entries_task;
 mod rate_share_task;
 mod read_pacing;
@@ -10,6 +11,7 @@
 mod store_reader;
 
 pub(crate) use announce_task::maintain_announcement;
+pub(crate) use evidence_task::{MAX_EXCHANGED_EVIDENCE, share_evidence};
 pub(crate) use missing_entries_task::drop_missing_entries;
 pub(crate) use rate_share_task::maintain_rate_shares;
 pub use read_pacing::ReadPacing;
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -10,14 +10,18 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use mux_config::traffic::ExecutionSemantics;
-use mux_model::{CallFailure, InstanceId, TimePoint, UpstreamId};
+use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint, UpstreamId};
 use mux_quarantine::RequestFingerprint;
 use mux_routing::balancer::{LatencyEstimate, ServiceBalancer};
 use slog::info;
 use tokio::sync::{oneshot, watch};
 
 use super::{UpstreamReply, connection_pool::ReusePolicy};
-use crate::{CallMetadata, WireProtocol, edge_state::EdgeState};
+use crate::{
+    CallMetadata, WireProtocol,
+    edge_state::EdgeState,
+    request_quarantine::{record_crash, record_survival},
+};
 
 /// Time for which a call may continue after its caller has disconnected.
 ///
@@ -73,6 +77,7 @@
     pub(crate) template: Arc<CallTemplate>,
     pub(crate) balancer: Arc<ServiceBalancer>,
     pub(crate) upstream: UpstreamId,
+    pub(crate) service: ServiceName,
     /// When the balancer reserved the connection.
     pub(crate) reserved_at: TimePoint,
     /// Time after which the reply is no longer needed.
@@ -81,7 +86,21 @@
 }
 
 /// The reply to a call, or the reason for its failure.
-pub(crate) type CallResult = Result<UpstreamReply, CallFailure>;
+pub(crate) type CallResult = Result<UpstreamReply, CallError>;
+
+/// Failure of a call.
+#[derive(Debug, Clone)]
+pub(crate) struct CallError {
+    pub(crate) failure: CallFailure,
+    /// The instance whose process ended during the call; `None` for other failures.
+    pub(crate) ended_instance: Option<InstanceId>,
+}
+
+impl From<CallFailure> for CallError {
+    fn from(failure: CallFailure) -> Self {
+        Self { failure, ended_instance: None }
+    }
+}
 
 /// Releases the reserved connection when it is dropped.
 #[derive(Debug)]
@@ -130,10 +149,16 @@
         result = &mut exchange => Some(result),
         () = wait_until_abandoned(edge, spec) => None,
     };
-    if let Some(Ok(_)) = late_result {
-        let now = edge.timer.now();
-        let latency = now.since(spec.reserved_at);
-        spec.balancer.record_late_reply(now, spec.upstream, latency, &spec.latency_estimate);
+    match late_result {
+        Some(Ok(_)) => {
+            let now = edge.timer.now();
+            let latency = now.since(spec.reserved_at);
+            spec.balancer.record_late_reply(now, spec.upstream, latency, &spec.latency_estimate);
+        }
+        Some(Err(CallError { ended_instance: Some(instance), .. })) => {
+            record_crash(edge, spec.template.fingerprint(), &spec.service, &instance);
+        }
+        Some(Err(_)) | None => {}
     }
 }
 
@@ -162,7 +187,7 @@
 async fn exchange<W: WireProtocol>(edge: &EdgeState, spec: &CallSpec) -> CallResult {
     let Some(instance) = spec.balancer.instance(spec.upstream) else {
         let reason = mux_model::NotRunReason::NotSent;
-        return Err(CallFailure::NotRun { reason, retry_after: None });
+        return Err(CallFailure::NotRun { reason, retry_after: None }.into());
     };
     let pool = edge.connection_pools.pool(&instance, spec.upstream);
     let request = call_request::<W>(edge.timer.now(), spec, &instance);
@@ -178,9 +203,14 @@
     }
     if matches!(result, Err(CallFailure::ConnectionLost)) && pool.has_ended(&edge.timer).await {
         record_upstream_end(edge, spec, &instance);
-        return Err(CallFailure::UpstreamEnded);
+        let failure = CallFailure::UpstreamEnded;
+        return Err(CallError { failure, ended_instance: Some(instance) });
+    }
+    if result.as_ref().is_ok_and(|it| it.signature.is_some()) {
+        let fingerprint = || spec.template.fingerprint();
+        record_survival(edge, fingerprint, &spec.service, spec.reserved_at);
     }
-    result
+    Ok(result?)
 }
 
 /// Records that the process of an upstream ended during a call.
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -65,6 +65,7 @@
     idle: Vec<IdleConnection>,
     open: u32,
     is_closed: bool,
+    last_reply_at: TimePoint,
 }
 
 /// The connections to one upstream instance.
@@ -117,6 +118,11 @@
         state.idle.clear();
     }
 
+    /// Returns when the latest reply began; zero if there was none.
+    pub(crate) fn last_reply_at(&self) -> TimePoint {
+        self.lock().last_reply_at
+    }
+
     /// Returns whether the process of the upstream has ended, after a connection to it was lost: it
     /// refuses a new connection, and has no other one.
     ///
@@ -166,6 +172,7 @@
         if is_new {
             balancer.record_connection_accepted(timer.now(), self.upstream);
         }
+        self.lock().last_reply_at = timer.now();
         let (head, body) = response.into_parts();
         let metadata = W::read_reply(head.status, &head.headers, request_id);
         if let Some(load) = metadata.load {
--- a/crates/edge/src/upstream/connection_pools.rs
+++ b/crates/edge/src/upstream/connection_pools.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use mux_model::{FastMap, FastSet, InstanceId, UpstreamId};
+use mux_model::{FastMap, FastSet, InstanceId, TimePoint, UpstreamId};
 
 use super::connection_pool::ConnectionPool;
 
@@ -29,6 +29,11 @@
         pool
     }
 
+    /// Returns whether a call to `instance` was replied to after `since`.
+    pub(crate) fn has_replied_since(&self, instance: &InstanceId, since: TimePoint) -> bool {
+        self.lock().get(instance).is_some_and(|it| since < it.last_reply_at())
+    }
+
     /// Removes and closes the pools of all other instances; calls in flight continue.
     pub(crate) fn keep_only<'a>(&self, instances: impl Iterator<Item = &'a InstanceId>) {
         let kept: FastSet<&InstanceId> = instances.collect();
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -9,7 +9,7 @@
 mod reply_buffers;
 mod upstream_reply;
 
-pub(crate) use call_task::{CallResult, CallSpec, CallTemplate, spawn_call};
+pub(crate) use call_task::{CallError, CallResult, CallSpec, CallTemplate, spawn_call};
 pub(crate) use connection_pools::ConnectionPools;
 pub use reply_buffers::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub(crate) use upstream_reply::UpstreamReply;
--- a/crates/quarantine/tests/crash_ledger.rs
+++ b/crates/quarantine/tests/crash_ledger.rs
@@ -1,7 +1,5 @@
 //! Evidence against requests, and the admission of requests.
 
-use std::time::Duration;
-
 use googletest::prelude::*;
 use mux_model::{FastSet, TimePoint};
 use mux_quarantine::{
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -180,6 +180,12 @@
         services
     }
 
+    /// Returns when the known process of an instance started, in milliseconds of Unix time; 0 if
+    /// unknown.
+    pub fn started_ms(&self, instance: &InstanceId) -> u64 {
+        self.known.get(instance).map_or(0, |it| it.record.started_ms)
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.known.len()
