--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -16,6 +16,7 @@
 use mux_logs::LogThrottle;
 use mux_model::{FastMap, FastSet, InstanceId, ServiceName, TimePoint};
 use mux_placement::NodeRegistry;
+use mux_quarantine::CrashLedger;
 use mux_routing::balancer::{LatencyEstimator, RetryBudget, ServiceBalancer, UpstreamRegistry};
 use mux_timer::TimerService;
 use slog::{Logger, info, warn};
@@ -255,6 +256,7 @@
             relayed.on_restored(now);
         }
         self.upstreams().on_store_restored();
+        self.quarantine.update(CrashLedger::on_store_restored);
         self.watch_restart.notify_one();
         self.announce_wakeup.notify_one();
     }
--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -99,10 +99,10 @@
         SHARING_PERIOD
     }
 
+    /// Delays the writes to a store that was restored.
     fn follow_era(&mut self, now: TimePoint) {
         let era = *self.edge.store_era.borrow();
         if self.known_era.is_some() && self.known_era < era {
-            self.edge.quarantine.update(|it| it.on_store_restored());
             self.next_write_at = now + MAX_RESTORE_DELAY.mul_f64(rand::random());
         }
         self.known_era = era;
