Contain an attempt that crashes upstreams within the fan-out

The driver of the edge held calls back and released them, which the driver of the other interface would have had to repeat. The fan-out does it now: shards that wait are held, whether their upstreams fell together with another one or the request is a suspect, and are called once the shard that goes first has answered. No slot is reserved for a call that is not sent.

--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -9,7 +9,7 @@
     CallFailure, CallId, FastMap, InstanceId, NotRunReason, ServiceName, ShardIndex, TimePoint,
     UpstreamId,
 };
-use mux_quarantine::{AttemptContainment, CRASH_LIMIT, CrashReaction};
+use mux_quarantine::CRASH_LIMIT;
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
 use mux_routing::{AcquireError, balancer::QueryRouter};
 use tokio::sync::oneshot;
@@ -83,15 +83,12 @@
     services: &'a [ServiceName],
     template: Arc<CallTemplate>,
     accepted_replies: AcceptedReplies,
-    containment: AttemptContainment,
-    /// Calls during which an upstream crashed, which wait for the containment to end.
-    held_calls: Vec<CallRecord>,
     replies: FastMap<ShardIndex, UpstreamReply>,
     error_reply: Option<UpstreamReply>,
     failures: Vec<ShardFailure>,
 }
 
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 struct CallRecord {
     call: CallId,
     shard: ShardIndex,
@@ -111,8 +108,6 @@
         Self {
             edge,
             router,
-            containment: AttemptContainment::new(plan.is_suspect),
-            held_calls: Vec::new(),
             plan,
             services,
             template,
@@ -165,14 +160,12 @@
                     now = timer.now();
                     if !cancelled.contains(&record.call) {
                         self.on_call_result(&mut fan_out, now, &record, call_result, &mut actions);
-                        self.release_held_calls(&mut fan_out, now, &mut actions);
                     }
                 }
                 () = &mut wake => {
                     now = timer.now();
                     wake.set(timer.sleep_until(self.plan.deadline));
                     fan_out.on_wake(now, &self.router, &mut actions);
-                    self.release_held_calls(&mut fan_out, now, &mut actions);
                 }
             }
         }
@@ -215,9 +208,6 @@
                     shard: record.shard,
                     body: Bytes::new(),
                 };
-                if self.containment.canary() == Some(record.shard) {
-                    self.containment.end_canary();
-                }
                 fan_out.on_reply(now, &self.router, record.call, reply, latency, actions);
                 return;
             }
@@ -228,11 +218,12 @@
                 CallFailure::UpstreamError
             }
             Ok(_) => CallFailure::BadReply,
-            Err(CallError { failure, ended_instance: Some(instance) }) => {
-                self.count_call_result(failure_label(failure));
-                return self.on_crash(fan_out, now, record, &instance, actions);
+            Err(CallError { failure, ended_instance }) => {
+                if let Some(instance) = ended_instance {
+                    self.on_crash(fan_out, record, &instance);
+                }
+                failure
             }
-            Err(CallError { failure, .. }) => failure,
         };
         self.count_call_result(failure_label(failure));
         let cause = ShardFailureCause::Failed(record.upstream, failure);
@@ -241,53 +232,14 @@
     }
 
     /// Handles that the process of an upstream ended during a call.
-    fn on_crash(
-        &mut self,
-        fan_out: &mut FanOut,
-        now: TimePoint,
-        record: &CallRecord,
-        instance: &InstanceId,
-        actions: &mut Vec<FanOutAction>,
-    ) {
-        let failure = CallFailure::UpstreamEnded;
-        let cause = ShardFailureCause::Failed(record.upstream, failure);
-        self.failures.push(ShardFailure { shard: record.shard, cause });
-        let (mut reaction, is_evidence) =
-            self.containment.on_crash(now, record.shard, record.started_at);
-        if is_evidence {
-            let service = self.service(record.shard);
-            let crashes = record_crash(self.edge, self.template.fingerprint(), service, instance);
-            if CRASH_LIMIT <= crashes {
-                reaction = CrashReaction::Stop;
-            }
-        }
-        match reaction {
-            CrashReaction::Retry => {}
-            CrashReaction::Hold => return self.held_calls.push(record.clone()),
-            CrashReaction::Stop => {
-                fan_out.contain();
-                self.containment.end_canary();
-            }
-        }
-        let latency = now.since(record.started_at);
-        fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
-    }
-
-    /// Ends the calls that were held, once the canary was answered or can no longer be.
-    fn release_held_calls(
-        &mut self,
-        fan_out: &mut FanOut,
-        now: TimePoint,
-        actions: &mut Vec<FanOutAction>,
-    ) {
-        if self.containment.canary().is_some_and(|it| fan_out.is_pending(it)) {
+    fn on_crash(&self, fan_out: &mut FanOut, record: &CallRecord, instance: &InstanceId) {
+        if !fan_out.is_evidence(record.call) {
             return;
         }
-        self.containment.end_canary();
-        for record in std::mem::take(&mut self.held_calls) {
-            let latency = now.since(record.started_at);
-            let failure = CallFailure::UpstreamEnded;
-            fan_out.on_failure(now, &self.router, record.call, failure, latency, actions);
+        let service = self.service(record.shard);
+        let crashes = record_crash(self.edge, self.template.fingerprint(), service, instance);
+        if CRASH_LIMIT <= crashes {
+            fan_out.contain();
         }
     }
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,12 +2,10 @@
 //!
 //! The decisions own no socket and no clock: they take events and the current time.
 
-mod attempt_containment;
 mod crash_ledger;
 mod evidence;
 mod request_fingerprint;
 
-pub use attempt_containment::{AttemptContainment, CrashReaction};
 pub use crash_ledger::{
     CRASH_LIMIT, CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
 };
--- a/crates/quarantine/src/attempt_containment.rs
+++ b/crates/query/src/attempt_containment.rs
@@ -23,7 +23,7 @@
 /// is answered.
 #[derive(Debug, Clone, Default)]
 pub struct AttemptContainment {
-    is_suspect: bool,
+    is_contained: bool,
     crashes: u32,
     latest_crash_at: Option<TimePoint>,
     /// The shard whose call is made again before the others.
@@ -33,38 +33,63 @@
 impl AttemptContainment {
     /// Starts an attempt; `is_suspect` tells whether there is evidence against the request.
     pub fn new(is_suspect: bool) -> Self {
-        Self { is_suspect, ..Self::default() }
+        Self { is_contained: is_suspect, ..Self::default() }
+    }
+
+    /// Returns whether calls that may have run are neither hedged nor made again.
+    pub fn is_contained(&self) -> bool {
+        self.is_contained
+    }
+
+    /// Makes no call again that may have run.
+    pub fn contain(&mut self) {
+        self.is_contained = true;
+        self.canary = None;
+    }
+
+    /// Returns whether the crash of a call sent at `sent_at` counts as evidence. Of calls that were in
+    /// flight together, only one counts: their crashes may have one cause.
+    pub fn is_evidence(&self, sent_at: TimePoint) -> bool {
+        self.latest_crash_at.is_none_or(|it| it <= sent_at)
     }
 
     /// Records that the process of an upstream of `shard` ended during a call sent at `sent_at`; returns
-    /// how the attempt goes on, and whether the crash counts as evidence.
-    ///
-    /// Of the crashes of calls that were in flight together, only one counts: they may have one cause.
+    /// how the attempt goes on.
     pub fn on_crash(
         &mut self,
         now: TimePoint,
         shard: ShardIndex,
         sent_at: TimePoint,
-    ) -> (CrashReaction, bool) {
-        let is_counted = self.latest_crash_at.is_none_or(|it| it <= sent_at);
-        if is_counted {
+    ) -> CrashReaction {
+        let is_evidence = self.is_evidence(sent_at);
+        if is_evidence {
             self.crashes += 1;
             self.latest_crash_at = Some(now);
         }
-        let reaction = if self.is_suspect || MAX_CRASHES_PER_ATTEMPT <= self.crashes {
+        if self.is_contained || MAX_CRASHES_PER_ATTEMPT <= self.crashes {
+            self.contain();
             CrashReaction::Stop
-        } else if is_counted {
+        } else if is_evidence {
             self.canary = Some(shard);
             CrashReaction::Retry
         } else if self.canary.is_some() {
             CrashReaction::Hold
         } else {
             CrashReaction::Retry
-        };
-        (reaction, is_counted)
+        }
+    }
+
+    /// Returns whether the request was contained and has crashed an upstream since.
+    pub fn is_stopped(&self) -> bool {
+        self.is_contained && 0 < self.crashes
+    }
+
+    /// Makes the other shards wait for `shard`.
+    pub fn begin_canary(&mut self, shard: ShardIndex) {
+        self.canary = Some(shard);
     }
 
-    /// Returns the shard whose call is made again before the others.
+    /// Returns the shard whose call is made before the others.
     pub fn canary(&self) -> Option<ShardIndex> {
         self.canary
     }
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -1,6 +1,7 @@
 //! Sends one query to every shard of a pinned snapshot and collects the results into one answer.
 
 mod completion;
+mod crashes;
 mod dispatch;
 mod hedging;
 mod waiting;
@@ -11,7 +12,7 @@
 use mux_routing::{CallOutcome, ReplicaRouter};
 
 use crate::{
-    CallReply, FanOutAction, FanOutPlan, FanOutStopReason,
+    AttemptContainment, CallReply, CrashReaction, FanOutAction, FanOutPlan, FanOutStopReason,
     call_table::{CallTable, ShardPhase},
     coverage_thresholds::CoverageThresholds,
     fan_out::waiting::WaitingShard,
@@ -40,11 +41,10 @@
     retry_after: Option<Duration>,
     dropped_replies: u32,
     finished: bool,
-    /// Whether calls that may have run are neither hedged nor repeated.
-    is_contained: bool,
-    /// The call on whose reply the other first calls wait; they are open, but not sent.
-    canary: Option<CallId>,
-    /// When the other first calls are sent although the canary has not replied.
+    containment: AttemptContainment,
+    /// Shards that are called once the canary of the containment has ended.
+    held_shards: Vec<ShardIndex>,
+    /// When the held shards of a suspect request are called although the canary has not replied.
     canary_limit: TimePoint,
 }
 
@@ -83,8 +83,8 @@
             retry_after: None,
             dropped_replies: 0,
             finished: false,
-            is_contained: plan.is_suspect,
-            canary: None,
+            containment: AttemptContainment::new(plan.is_suspect),
+            held_shards: Vec::new(),
             canary_limit: TimePoint::MAX,
             plan,
         }
@@ -113,18 +113,18 @@
             return;
         }
         self.started_at = now;
-        if self.plan.idempotent && !self.is_contained {
+        if self.plan.idempotent && !self.containment.is_contained() {
             self.hedge_delay = router.hedge_delay(now);
         }
+        if self.containment.is_contained() {
+            self.start_contained(now, router, actions);
+            return self.advance(now, router, actions);
+        }
         for shard in self.plan.map.shards() {
             self.reserve(now, router, shard);
         }
         if self.completion(now).is_none() {
-            if self.is_contained {
-                self.send_canary(now, actions);
-            } else {
-                self.send_reserved(actions);
-            }
+            self.send_reserved(actions);
         } else {
             self.release_reserved(now, router);
         }
@@ -158,8 +158,8 @@
         self.answered_shards += 1;
         self.table.shard_mut(reply.shard).phase = ShardPhase::Answered(reply.body);
         self.cancel_shard(now, router, reply.shard, actions);
-        self.send_held_back(actions);
         if !self.try_finish(now, router, actions) {
+            self.release_held_shards(now, router, actions);
             self.use_freed_slot(now, router, upstream, actions);
             self.advance(now, router, actions);
         }
@@ -178,28 +178,35 @@
         let Some(state) = self.table.close(call) else {
             return;
         };
-        let shard = state.shard;
+        let (shard, sent_at) = (state.shard, state.sent_at);
         router.release(now, state.upstream, CallOutcome::Failed(failure, latency));
         self.verdict = self.verdict.combine(failure.verdict());
         self.record_failure(call, shard, failure);
-        if self.table.shard(shard).open_calls == 0 {
-            self.retry_or_fail(now, router, shard, failure, actions);
+        let mut is_held = false;
+        if failure == CallFailure::UpstreamEnded {
+            // A hedge would reach a further upstream.
+            self.hedge_delay = None;
+            is_held = self.containment.on_crash(now, shard, sent_at) == CrashReaction::Hold;
         }
-        if self.canary == Some(call) {
-            self.on_canary_failed(now, router, shard, failure, actions);
+        if is_held {
+            self.held_shards.push(shard);
+        } else if self.table.shard(shard).open_calls == 0 {
+            self.retry_or_fail(now, router, shard, failure, actions);
         }
+        self.release_held_shards(now, router, actions);
         self.advance(now, router, actions);
     }
 
     /// Makes no further call that may have run: the request may crash upstreams.
     pub fn contain(&mut self) {
-        self.is_contained = true;
+        self.containment.contain();
         self.hedge_delay = None;
     }
 
-    /// Returns whether `shard` may still return a result.
-    pub fn is_pending(&self, shard: ShardIndex) -> bool {
-        matches!(self.table.shard(shard).phase, ShardPhase::Pending)
+    /// Returns whether the end of the upstream's process during `call` counts as evidence against the
+    /// request; to be asked before the failure is handled.
+    pub fn is_evidence(&self, call: CallId) -> bool {
+        self.table.open_call(call).is_some_and(|it| self.containment.is_evidence(it.sent_at))
     }
 
     /// Runs the work scheduled by the latest [`FanOutAction::WakeAt`]; safe to call at any time.
@@ -213,9 +220,7 @@
         if self.try_finish(now, router, actions) {
             return;
         }
-        if self.canary_limit <= now {
-            self.send_held_back(actions);
-        }
+        self.release_held_shards(now, router, actions);
         self.poll_waiting_shards(now, router, actions);
         self.hedge_due_calls(now, router, actions);
         self.advance(now, router, actions);
@@ -300,7 +305,7 @@
         match failure {
             CallFailure::NotRun { reason: NotRunReason::Rejected, .. } => false,
             CallFailure::NotRun { .. } => true,
-            _ => self.plan.idempotent && !self.is_contained,
+            _ => self.plan.idempotent && !self.containment.is_contained(),
         }
     }
 }
--- a/crates/query/src/fan_out/completion.rs
+++ b/crates/query/src/fan_out/completion.rs
@@ -73,7 +73,6 @@
         actions: &mut Vec<FanOutAction>,
     ) {
         self.finished = true;
-        self.withdraw_held_back(now, router);
         for call in self.table.call_ids() {
             self.cancel(now, router, call, actions);
         }
@@ -196,7 +195,7 @@
 
     fn next_wake(&mut self, now: TimePoint) -> TimePoint {
         let target = Some(self.plan.latency_target).filter(|it| now < *it);
-        let canary_limit = self.canary.map(|_| self.canary_limit);
+        let canary_limit = self.containment.canary().map(|_| self.canary_limit);
         let times = [target, self.next_poll, self.next_hedge_time(), canary_limit];
         times.into_iter().flatten().fold(self.plan.deadline, TimePoint::min)
     }
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sends the first call to a shard and replaces failed calls.
 
-use mux_model::{CallFailure, CallId, ShardIndex, TimePoint, UpstreamId};
+use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
 use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter};
 
 use crate::{
@@ -108,69 +108,6 @@
         }
     }
 
-    /// Sends the first of the calls for which slots were reserved at the start.
-    pub(super) fn send_canary(&mut self, now: TimePoint, actions: &mut Vec<FanOutAction>) {
-        self.canary_limit = now + self.plan.latency_target.since(now) / 2;
-        self.canary = self.table.call_ids().next();
-        if let Some(call) = self.canary {
-            self.send(call, actions);
-        }
-    }
-
-    /// Sends the calls that waited for the reply to the canary.
-    pub(super) fn send_held_back(&mut self, actions: &mut Vec<FanOutAction>) {
-        let Some(canary) = self.canary.take() else {
-            return;
-        };
-        for call in self.table.call_ids().filter(|it| *it != canary) {
-            if self.table.open_call(call).is_some() {
-                self.send(call, actions);
-            }
-        }
-    }
-
-    /// Handles the failure of the canary, a call to `shard`: after a crash, the calls that waited for it
-    /// are not made.
-    pub(super) fn on_canary_failed<R: ReplicaRouter>(
-        &mut self,
-        now: TimePoint,
-        router: &R,
-        shard: ShardIndex,
-        failure: CallFailure,
-        actions: &mut Vec<FanOutAction>,
-    ) {
-        match failure {
-            CallFailure::UpstreamEnded => {
-                for shard in self.withdraw_held_back(now, router) {
-                    self.mark_failed(shard);
-                }
-            }
-            CallFailure::NotRun { .. } if self.table.shard(shard).open_calls != 0 => {
-                self.canary = self.table.newest_open_call(shard);
-            }
-            _ => self.send_held_back(actions),
-        }
-    }
-
-    /// Closes the calls that wait for the reply to the canary, and returns their shards.
-    pub(super) fn withdraw_held_back<R: ReplicaRouter>(
-        &mut self,
-        now: TimePoint,
-        router: &R,
-    ) -> Vec<ShardIndex> {
-        let Some(canary) = self.canary.take() else {
-            return Vec::new();
-        };
-        let mut shards = Vec::new();
-        for call in self.table.call_ids().filter(|it| *it != canary) {
-            if let Some(state) = self.table.close(call) {
-                router.release(now, state.upstream, CallOutcome::Withdrawn);
-                shards.push(state.shard);
-            }
-        }
-        shards
-    }
-
     /// Releases the slots that were reserved at the start for calls that are not sent.
     ///
     /// The hedge cursor is still at the first call, so the new table begins with the same number.
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -1,6 +1,7 @@
 //! Query execution as state machines without I/O or clocks.
 
 mod answer_timing;
+mod attempt_containment;
 mod call_table;
 mod coverage_thresholds;
 mod fan_out;
@@ -15,6 +16,7 @@
 mod snapshot_claims;
 
 pub use answer_timing::AnswerTiming;
+pub use attempt_containment::{AttemptContainment, CrashReaction};
 pub use fan_out::FanOut;
 pub use fan_out_events::{
     CallReply, FanOutAction, FanOutPlan, FanOutResult, FanOutStopReason, ShardResult,
--- a/crates/quarantine/tests/attempt_containment.rs
+++ b/crates/query/tests/attempt_containment.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use mux_model::{ShardIndex, TimePoint};
-use mux_quarantine::{AttemptContainment, CrashReaction};
+use mux_query::{AttemptContainment, CrashReaction};
 
 fn at(millis: u64) -> TimePoint {
     TimePoint::from_micros(millis * 1_000)
@@ -19,10 +19,12 @@
     containment.end_canary();
     let late = containment.on_crash(at(15), ShardIndex(3), at(0));
 
-    expect_that!(first, eq((CrashReaction::Retry, true)));
-    expect_that!(second, eq((CrashReaction::Hold, false)));
-    expect_that!(third, eq((CrashReaction::Hold, false)));
-    expect_that!(late, eq((CrashReaction::Retry, false)));
+    expect_that!(first, eq(CrashReaction::Retry));
+    expect_that!(second, eq(CrashReaction::Hold));
+    expect_that!(third, eq(CrashReaction::Hold));
+    expect_that!(late, eq(CrashReaction::Retry));
+    expect_false!(containment.is_evidence(at(0)));
+    expect_true!(containment.is_evidence(at(10)));
 }
 
 #[gtest]
@@ -33,7 +35,7 @@
 
     let again = containment.on_crash(at(20), ShardIndex(0), at(10));
 
-    expect_that!(again, eq((CrashReaction::Stop, true)));
+    expect_that!(again, eq(CrashReaction::Stop));
 }
 
 #[gtest]
@@ -42,5 +44,5 @@
 
     let first = containment.on_crash(at(10), ShardIndex(0), at(0));
 
-    expect_that!(first, eq((CrashReaction::Stop, true)));
+    expect_that!(first, eq(CrashReaction::Stop));
 }
--- a/crates/query/tests/fan_out_properties.rs
+++ b/crates/query/tests/fan_out_properties.rs
@@ -137,10 +137,11 @@
     fn plan()(
         shards in prop::collection::vec(subsequence(UPSTREAMS, 0..4), 1..7),
         idempotent in any::<bool>(),
+        is_suspect in any::<bool>(),
         coverage_target in select(vec![0.5, 0.9, 1.0]),
         coverage_minimum in select(vec![0.0, 0.3, 0.5, 1.0]),
     ) -> PlanScript {
-        PlanScript { shards, idempotent, coverage_target, coverage_minimum, ..PlanScript::default() }
+        PlanScript { shards, idempotent, is_suspect, coverage_target, coverage_minimum, ..PlanScript::default() }
     }
 }
 
@@ -163,7 +164,13 @@
 }
 
 fn input() -> impl Strategy<Value = Input> {
-    let failures = ["not sent", "shed by the upstream", "snapshot not held", "connection lost"];
+    let failures = [
+        "not sent",
+        "shed by the upstream",
+        "snapshot not held",
+        "connection lost",
+        "upstream process ended",
+    ];
     let failure = select(failures.to_vec()).prop_map(String::from);
     let mismatched =
         |call| Input::Mismatched { call, request: None, snapshot: Some(41), shard: None };
