Keep queries that crash upstreams from upstreams in the nodes' own interface

The same class in mustardmux node: a query that ended an upstream was sent to the next replica, and again with each attempt at any home node. A lost connection to an upstream that then refuses a new one is a failure of its own (UpstreamEnded), found by the probe that the edge uses too. A quarantined query is answered at once with code quarantined, status 422 and verdict not_run. The interface does not identify callers, so that a query is known by its service and text. One home node makes the trials.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -256,7 +256,7 @@
             relayed.on_restored(now);
         }
         self.upstreams().on_store_restored();
-        self.quarantine.update(CrashLedger::on_store_restored);
+        self.quarantine.ledger.update(CrashLedger::on_store_restored);
         self.watch_restart.notify_one();
         self.announce_wakeup.notify_one();
     }
@@ -343,7 +343,7 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         self.metrics.balancers.set(balancers.values().map(|it| it.report()));
         let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
-        let (suspects, quarantined) = self.quarantine.update(|it| it.counts());
+        let (suspects, quarantined) = self.quarantine.ledger.update(|it| it.counts());
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -89,7 +89,7 @@
 
     async fn exchange_evidence(self, _: Context, evidence: Vec<Evidence>) -> Vec<Evidence> {
         let now = self.edge.timer.now();
-        self.edge.quarantine.update(|ledger| {
+        self.edge.quarantine.ledger.update(|ledger| {
             let own = ledger.summary(MAX_EXCHANGED_EVIDENCE);
             for evidence in evidence.into_iter().take(MAX_EXCHANGED_EVIDENCE) {
                 ledger.on_peer_evidence(now, evidence);
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -1,13 +1,10 @@
 //! This node's knowledge of requests that crash upstreams.
 
-use std::sync::{
-    Mutex, MutexGuard, PoisonError,
-    atomic::{AtomicBool, Ordering},
-};
+use std::sync::{Mutex, PoisonError};
 
 use mux_model::{InstanceId, ServiceName, TimePoint};
 use mux_quarantine::{
-    CrashLedger, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
+    Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint, SharedLedger,
     UpstreamProcess,
 };
 use slog::{info, warn};
@@ -29,9 +26,7 @@
 /// The evidence against requests, and what connects it with the task that shares it.
 #[derive(Debug)]
 pub(crate) struct RequestQuarantine {
-    ledger: Mutex<CrashLedger>,
-    /// Copy of the ledger's state, so that requests need no lock while there is no evidence.
-    is_empty: AtomicBool,
+    pub(crate) ledger: SharedLedger,
     /// Wakes the task that shares evidence.
     pub(crate) evidence_added: Notify,
     claims: mpsc::Sender<TrialClaim>,
@@ -43,30 +38,16 @@
     pub(crate) fn new() -> Self {
         let (claims, pending_claims) = mpsc::channel(MAX_PENDING_CLAIMS);
         Self {
-            ledger: Mutex::default(),
-            is_empty: AtomicBool::new(true),
+            ledger: SharedLedger::new(),
             evidence_added: Notify::new(),
             claims,
             pending_claims: Mutex::new(Some(pending_claims)),
         }
     }
 
-    /// Returns whether there is no evidence against any request.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.is_empty.load(Ordering::Relaxed)
-    }
-
-    /// Calls `update` with exclusive access to the ledger.
-    pub(crate) fn update<T>(&self, update: impl FnOnce(&mut CrashLedger) -> T) -> T {
-        let mut ledger = lock(&self.ledger);
-        let result = update(&mut ledger);
-        self.is_empty.store(ledger.is_empty(), Ordering::Relaxed);
-        result
-    }
-
     /// Takes the receiver of the claims; `None` if it was taken before.
     pub(crate) fn take_claims(&self) -> Option<mpsc::Receiver<TrialClaim>> {
-        lock(&self.pending_claims).take()
+        self.pending_claims.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
     /// Claims a trial in the store; returns whether this node may make it.
@@ -85,12 +66,12 @@
     edge: &EdgeState,
     fingerprint: impl FnOnce() -> RequestFingerprint,
 ) -> Option<bool> {
-    if edge.quarantine.is_empty() {
+    if edge.quarantine.ledger.is_empty() {
         return Some(false);
     }
     let fingerprint = fingerprint();
     let now = edge.timer.now();
-    match edge.quarantine.update(|it| it.admit(now, fingerprint)) {
+    match edge.quarantine.ledger.update(|it| it.admit(now, fingerprint)) {
         RequestAdmission::Clear => Some(false),
         RequestAdmission::Suspect => Some(true),
         RequestAdmission::Quarantined { trial: None } => None,
@@ -118,7 +99,7 @@
     let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
     let evidence = Evidence { key, service: service.clone() };
     let now = edge.timer.now();
-    let crashes = edge.quarantine.update(|it| {
+    let crashes = edge.quarantine.ledger.update(|it| {
         it.record(now, evidence);
         it.crashes(fingerprint)
     });
@@ -136,12 +117,8 @@
     service: &ServiceName,
     sent_at: TimePoint,
 ) {
-    if !edge.quarantine.is_empty() {
+    if !edge.quarantine.ledger.is_empty() {
         let fingerprint = fingerprint();
-        edge.quarantine.update(|it| it.on_reply(fingerprint, service, sent_at));
+        edge.quarantine.ledger.update(|it| it.on_reply(fingerprint, service, sent_at));
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -58,10 +58,10 @@
             }
             StoreChange::Written(StoreEntry::Evidence(evidence)) => {
                 listed_evidence.insert(evidence.key.clone());
-                edge.quarantine.update(|it| it.on_stored(now, evidence));
+                edge.quarantine.ledger.update(|it| it.on_stored(now, evidence));
             }
             StoreChange::Removed(StoreKey::Evidence(key)) => {
-                edge.quarantine.update(|it| it.on_removed(&key));
+                edge.quarantine.ledger.update(|it| it.on_removed(&key));
             }
             StoreChange::Removed(key) => {
                 is_changed |= apply_removal(edge, &key, writer_may_be_alive)
@@ -80,7 +80,7 @@
     if kind == UpdateKind::Listing {
         // Markers in later listings were written by this process.
         edge.set_inherited_spent_services(Vec::new());
-        edge.quarantine.update(|it| it.on_listing(&listed_evidence));
+        edge.quarantine.ledger.update(|it| it.on_listing(&listed_evidence));
         is_changed |= drop_unlisted_upstreams(edge, &listed_instances, writer_may_be_alive);
         is_changed |= drop_unlisted_nodes(edge, &listed_nodes, writer_may_be_alive);
     }
--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -85,7 +85,7 @@
     async fn check(&mut self, now: TimePoint) -> Duration {
         if self.next_expiry_at <= now {
             self.next_expiry_at = now + EXPIRY_PERIOD;
-            self.edge.quarantine.update(|it| it.expire(now));
+            self.edge.quarantine.ledger.update(|it| it.expire(now));
         }
         self.follow_era(now);
         let needs_exchange = self.has_failed || self.is_store_silent(now);
@@ -116,7 +116,8 @@
     /// Writes evidence that the store lacks, and removes refuted evidence from it; returns the time
     /// until the next check.
     async fn write(&mut self, now: TimePoint) -> Duration {
-        let update = self.edge.quarantine.update(|it| it.pending_update(now, MAX_CHANGES_PER_CALL));
+        let update =
+            self.edge.quarantine.ledger.update(|it| it.pending_update(now, MAX_CHANGES_PER_CALL));
         let update = self.without_false_crashes(update);
         let changes = update.writes.len() + update.withdrawals.len();
         if changes == 0 {
@@ -128,7 +129,7 @@
         match self.edge.record_store_call("update_evidence", written) {
             Ok(()) => {
                 self.has_failed = false;
-                self.edge.quarantine.update(|it| it.on_update_stored(now, &update));
+                self.edge.quarantine.ledger.update(|it| it.on_update_stored(now, &update));
                 info!(self.edge.logger, "quarantine: evidence shared";
                     "written" => update.writes.len(), "withdrawn" => update.withdrawals.len());
                 if changes == MAX_CHANGES_PER_CALL { FURTHER_CHANGES_DELAY } else { SHARING_PERIOD }
@@ -155,7 +156,7 @@
         for (evidence, _) in
             update.writes.extract_if(.., |(it, learnt_at)| has_replied(&it.key.source, *learnt_at))
         {
-            self.edge.quarantine.update(|it| it.retract(&evidence.key));
+            self.edge.quarantine.ledger.update(|it| it.retract(&evidence.key));
             info!(self.edge.logger, "quarantine: upstream had not crashed, evidence dropped";
                 "fingerprint" => evidence.key.fingerprint.to_string());
         }
@@ -175,7 +176,7 @@
         };
         if is_granted {
             let now = self.edge.timer.now();
-            self.edge.quarantine.update(|it| it.on_stored(now, trial));
+            self.edge.quarantine.ledger.update(|it| it.on_stored(now, trial));
         }
         // The receiver is gone if the caller has left meanwhile; the trial is used up all the same.
         let _ = granted.send(is_granted);
@@ -186,7 +187,7 @@
 async fn exchange_with_peers(edge: &Arc<EdgeState>) {
     let mut peers = edge.nodes().relay_peers();
     peers.shuffle(&mut rand::rng());
-    let own = edge.quarantine.update(|it| it.summary(MAX_EXCHANGED_EVIDENCE));
+    let own = edge.quarantine.ledger.update(|it| it.summary(MAX_EXCHANGED_EVIDENCE));
     let exchange = |peer: RelayPeer| {
         let own = own.clone();
         async move {
@@ -200,7 +201,7 @@
         // A peer that does not answer is one of several, and others are asked a second later.
         let now = edge.timer.now();
         for evidence in received.unwrap_or_default().into_iter().take(MAX_EXCHANGED_EVIDENCE) {
-            edge.quarantine.update(|it| it.on_peer_evidence(now, evidence));
+            edge.quarantine.ledger.update(|it| it.on_peer_evidence(now, evidence));
         }
     }
 }
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -1,7 +1,6 @@
 //! The connection pool of one upstream.
 
 use std::{
-    io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -13,7 +12,7 @@
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
 use mux_routing::balancer::ServiceBalancer;
 use mux_timer::TimerService;
-use tokio::net::TcpStream;
+use mux_upstream::ProcessProbe;
 
 use super::{
     BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, UpstreamReply,
@@ -40,11 +39,6 @@
 /// upstream closed the connection just then, it would be unknown whether the request ran.
 const RECENTLY_USED_LIMIT: Duration = Duration::from_millis(500);
 
-/// Time within which an upstream whose process has ended refuses a connection; its host still answers.
-const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
-/// Time for which the result of a check serves the other calls that were lost at the same moment.
-const END_CHECK_LIFETIME: Duration = Duration::from_millis(50);
-
 /// Which idle connections may be reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ReusePolicy {
@@ -74,8 +68,7 @@
     instance: InstanceId,
     upstream: UpstreamId,
     state: Mutex<PoolState>,
-    /// Time and result of the latest check whether the process of the upstream has ended.
-    end_check: tokio::sync::Mutex<Option<(TimePoint, bool)>>,
+    probe: ProcessProbe,
 }
 
 /// Counts an open connection until it is dropped.
@@ -98,12 +91,7 @@
 
 impl ConnectionPool {
     pub(super) fn new(instance: InstanceId, upstream: UpstreamId) -> Self {
-        Self {
-            instance,
-            upstream,
-            state: Mutex::default(),
-            end_check: tokio::sync::Mutex::default(),
-        }
+        Self { instance, upstream, state: Mutex::default(), probe: ProcessProbe::default() }
     }
 
     /// Returns the upstream that the connections lead to.
@@ -125,25 +113,9 @@
 
     /// Returns whether the process of the upstream has ended, after a connection to it was lost: it
     /// refuses a new connection, and has no other one.
-    ///
-    /// A process that is alive may lose single connections, for example because of its connection
-    /// limit or a fault of the network.
     pub(super) async fn has_ended(&self, timer: &TimerService) -> bool {
-        let mut latest = self.end_check.lock().await;
-        if let Some((checked_at, has_ended)) = *latest
-            && timer.now().since(checked_at) < END_CHECK_LIFETIME
-        {
-            return has_ended;
-        }
-        let dial = TcpStream::connect(self.upstream.0);
-        let is_refused = match timer.timeout(END_CHECK_TIMEOUT, dial).await {
-            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        };
-        let has_connection = self.lock().idle.iter().any(|it| !it.connection.is_closed());
-        let has_ended = is_refused && !has_connection;
-        *latest = Some((timer.now(), has_ended));
-        has_ended
+        self.probe.refuses_connection(timer, self.upstream).await
+            && self.lock().idle.iter().all(|it| it.connection.is_closed())
     }
 
     /// Sends a request and returns the complete reply to it.
--- a/crates/node/src/dispatch/fan_out_driver.rs
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -2,7 +2,6 @@
 
 use std::pin::pin;
 
-use bytes::Bytes;
 use futures::{
     StreamExt,
     future::{AbortHandle, Abortable, Aborted},
@@ -12,12 +11,13 @@
     CallFailure, CallId, FastMap, NotRunReason, ServiceName, ShardIndex, SnapshotId, TimePoint,
     UpstreamId,
 };
+use mux_quarantine::CRASH_LIMIT;
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult, QueryAttempts};
 use mux_timer::TimerService;
 use mux_upstream::{CallHeader, UpstreamPool, UpstreamReply};
 use tokio::sync::mpsc;
 
-use super::ServiceRuntime;
+use super::{QueryCommand, ServiceRuntime};
 use crate::Node;
 
 /// Result of a call, with the upstream and snapshot that it was for.
@@ -39,7 +39,7 @@
     runtime: &'a ServiceRuntime,
     service: &'a ServiceName,
     plan: FanOutPlan,
-    body: Bytes,
+    command: &'a QueryCommand,
 }
 
 struct CallCompletion {
@@ -55,10 +55,10 @@
         node: &'a Node,
         runtime: &'a ServiceRuntime,
         plan: FanOutPlan,
-        body: Bytes,
+        command: &'a QueryCommand,
     ) -> Self {
         let (timer, pool) = (node.timer(), node.pool());
-        Self { node, timer, pool, runtime, service: runtime.name(), plan, body }
+        Self { node, timer, pool, runtime, service: runtime.name(), plan, command }
     }
 
     /// Runs the fan-out and returns its result.
@@ -133,7 +133,7 @@
             deadline,
         };
         let sent_at = self.timer.now();
-        let result = self.pool.call(upstream, &header, self.body.clone()).await;
+        let result = self.pool.call(upstream, &header, self.command.body.clone()).await;
         CallCompletion { call, upstream, sent_at, result }
     }
 
@@ -155,6 +155,7 @@
         let router = self.runtime.router();
         match report.result {
             Ok(reply) => {
+                self.node.record_survival(self.command, completion.sent_at);
                 let reply = CallReply {
                     request: self.plan.request,
                     snapshot: reply.snapshot,
@@ -164,6 +165,12 @@
                 fan_out.on_reply(now, router, completion.call, reply, latency, actions);
             }
             Err(failure) => {
+                if failure == CallFailure::UpstreamEnded && fan_out.is_evidence(completion.call) {
+                    let crashes = self.node.record_crash(self.command, report.upstream);
+                    if CRASH_LIMIT <= crashes {
+                        fan_out.contain();
+                    }
+                }
                 fan_out.on_failure(now, router, completion.call, failure, latency, actions);
                 let missing = matches!(
                     failure,
--- a/crates/node/src/dispatch/query_executor.rs
+++ b/crates/node/src/dispatch/query_executor.rs
@@ -42,7 +42,12 @@
                 .retry_after_ms(to_retry_millis(rejection.retry_after)));
         }
         let permit = AdmissionPermit { runtime: self.runtime, timer };
-        let result = self.try_snapshots(command, &mut caller_disconnected).await;
+        let result = match self.node.admit_query(&command) {
+            Ok(is_suspect) => {
+                self.try_snapshots(command, is_suspect, &mut caller_disconnected).await
+            }
+            Err(problem) => Err(problem),
+        };
         drop(permit);
         result
     }
@@ -50,6 +55,7 @@
     async fn try_snapshots(
         &self,
         command: QueryCommand,
+        is_suspect: bool,
         caller_disconnected: &mut mpsc::Receiver<()>,
     ) -> QueryResult {
         let mut attempts = QueryAttempts::new();
@@ -59,8 +65,8 @@
                     .into_last_result()
                     .map_or_else(|| Err(no_snapshot()), to_query_result);
             };
-            let plan = self.plan(&command, map);
-            let driver = FanOutDriver::new(self.node, self.runtime, plan, command.body.clone());
+            let plan = self.plan(&command, map, is_suspect);
+            let driver = FanOutDriver::new(self.node, self.runtime, plan, &command);
             let result = driver.run(&attempts, caller_disconnected).await;
             let Some(result) = attempts.finish(result) else {
                 RuntimeCounters::add(&self.runtime.counters().snapshot_restarts, 1);
@@ -71,7 +77,7 @@
         }
     }
 
-    fn plan(&self, command: &QueryCommand, map: Arc<SnapshotMap>) -> FanOutPlan {
+    fn plan(&self, command: &QueryCommand, map: Arc<SnapshotMap>, is_suspect: bool) -> FanOutPlan {
         let definition = self.runtime.definition();
         let latency_target = Duration::from_millis(definition.latency_target_ms);
         FanOutPlan {
@@ -83,7 +89,7 @@
             coverage_target: definition.coverage_target,
             coverage_minimum: definition.coverage_minimum,
             max_calls: None,
-            is_suspect: false,
+            is_suspect,
         }
     }
 
--- a/crates/node/src/dispatch/query_outcome.rs
+++ b/crates/node/src/dispatch/query_outcome.rs
@@ -120,6 +120,8 @@
     HomeUnreachable,
     /// The node failed, an upstream's result is not valid JSON, or the caller disconnected.
     Internal,
+    /// Queries with the same content have crashed several upstreams.
+    Quarantined,
 }
 
 impl ProblemCode {
@@ -149,6 +151,7 @@
             Self::SessionOwnerUnreachable => "session_owner_unreachable",
             Self::HomeUnreachable => "home_unreachable",
             Self::Internal => "internal",
+            Self::Quarantined => "quarantined",
         }
     }
 
@@ -165,6 +168,7 @@
             | Self::AnswerForgotten => 409,
             Self::BodyTooLarge => 413,
             Self::UnsupportedMediaType => 415,
+            Self::Quarantined => 422,
             Self::TooManyRequests => 429,
             Self::Internal => 500,
             Self::SessionOwnerUnreachable => 502,
--- a/crates/node/src/node/addresses.rs
+++ b/crates/node/src/node/addresses.rs
@@ -69,6 +69,13 @@
         others.filter_map(|it| members.get(it)).map(|it| it.identity.peer).collect()
     }
 
+    /// Returns the peer addresses of all members that are not dead, other than this node.
+    pub(crate) fn member_peers(&self) -> Vec<SocketAddr> {
+        let members = self.gossip.members();
+        let others = members.available().filter(|it| it.node() != self.name());
+        others.map(|it| it.identity.peer).collect()
+    }
+
     /// Returns the names of the home nodes of a service.
     pub(super) fn home_names(&self, definition: &ServiceDefinition) -> Vec<NodeId> {
         let candidates = self.candidates();
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -5,6 +5,7 @@
 mod config;
 mod draining;
 mod node_parts;
+mod quarantine;
 mod status;
 mod stop_state;
 mod telemetry;
@@ -24,6 +25,7 @@
 use mux_membership::GossipService;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
 use mux_placement::AddressPlanner;
+use mux_quarantine::SharedLedger;
 use mux_timer::TimerService;
 use mux_upstream::UpstreamPool;
 use slog::Logger;
@@ -62,6 +64,7 @@
     queries_in_flight: Arc<AtomicU32>,
     last_contacts: Mutex<LastContacts>,
     rejection_throttle: LogThrottle,
+    quarantine: SharedLedger,
 }
 
 /// Times of the last replies from the store and from a peer.
--- /dev/null
+++ b/crates/node/src/node/quarantine.rs
@@ -0,0 +1,101 @@
+//! Requests that crash upstreams: evidence against them, and their admission.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use mux_model::{ServiceName, TimePoint, UpstreamId};
+use mux_quarantine::{
+    Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint, SharedLedger,
+    UpstreamProcess,
+};
+use slog::{info, warn};
+
+use super::Node;
+use crate::dispatch::{ProblemCode, QueryCommand, QueryProblem};
+
+/// Time within which nodes that lose calls to the same upstream observe the end of one process; it takes
+/// longer to start again.
+const PROCESS_END_PERIOD: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// Returns the evidence against requests.
+    pub(crate) fn quarantine(&self) -> &SharedLedger {
+        &self.quarantine
+    }
+
+    /// Decides on an attempt to run a query; returns whether it is a suspect.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem to report to the caller if the query is quarantined.
+    pub(crate) fn admit_query(&self, command: &QueryCommand) -> Result<bool, QueryProblem> {
+        if self.quarantine.is_empty() {
+            return Ok(false);
+        }
+        let now = self.timer.now();
+        let fingerprint = fingerprint(command);
+        match self.quarantine.update(|it| it.admit(now, fingerprint)) {
+            RequestAdmission::Clear => Ok(false),
+            RequestAdmission::Suspect => Ok(true),
+            RequestAdmission::Quarantined { trial: Some(trial) }
+                if self.makes_trials(&command.service) =>
+            {
+                info!(self.logger, "quarantine: trial of a query";
+                    "fingerprint" => fingerprint.to_string(),
+                    "trial" => trial.key.source.to_string());
+                self.quarantine.update(|it| it.record(now, trial));
+                Ok(true)
+            }
+            RequestAdmission::Quarantined { .. } => {
+                let message = "queries with this content have crashed several upstreams";
+                Err(QueryProblem::not_run(ProblemCode::Quarantined, message))
+            }
+        }
+    }
+
+    /// Records that the process of `upstream` ended while it ran a query; returns the number of
+    /// processes that the query is known to have crashed.
+    pub(crate) fn record_crash(&self, command: &QueryCommand, upstream: UpstreamId) -> usize {
+        let now = self.timer.now();
+        let fingerprint = fingerprint(command);
+        let instance = upstream.to_string().into();
+        let process = UpstreamProcess { instance, started_ms: end_period_ms() };
+        let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
+        let evidence = Evidence { key, service: command.service.clone() };
+        let crashes = self.quarantine.update(|it| {
+            it.record(now, evidence);
+            it.crashes(fingerprint)
+        });
+        warn!(self.logger, "quarantine: query crashed an upstream";
+            "fingerprint" => fingerprint.to_string(), "service" => command.service.as_str(),
+            "upstream" => upstream.to_string(), "crashes" => crashes);
+        crashes
+    }
+
+    /// Records that an upstream replied to a call of a query that was sent at `sent_at`.
+    pub(crate) fn record_survival(&self, command: &QueryCommand, sent_at: TimePoint) {
+        if !self.quarantine.is_empty() {
+            let fingerprint = fingerprint(command);
+            self.quarantine.update(|it| it.on_reply(fingerprint, &command.service, sent_at));
+        }
+    }
+
+    /// Returns whether this node makes the trials of quarantined queries of a service: one of its home
+    /// nodes does, so that all nodes together make few.
+    fn makes_trials(&self, service: &ServiceName) -> bool {
+        let runtime = self.registry.find(service);
+        let homes = runtime.map(|it| self.home_names(it.definition())).unwrap_or_default();
+        homes.iter().min() == Some(self.name())
+    }
+}
+
+/// Returns the identity of a query by its content. Callers of this interface are not identified.
+fn fingerprint(command: &QueryCommand) -> RequestFingerprint {
+    RequestFingerprint::of_parts(&[command.service.as_str().as_bytes(), &command.body])
+}
+
+/// Returns the start of the current [`PROCESS_END_PERIOD`], in milliseconds of Unix time.
+fn end_period_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let period_ms = u64::try_from(PROCESS_END_PERIOD.as_millis()).unwrap_or(u64::MAX);
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX) / period_ms * period_ms
+}
--- a/crates/node/src/peer/peer_client.rs
+++ b/crates/node/src/peer/peer_client.rs
@@ -9,6 +9,7 @@
 
 use mux_config::ConfigUpdate;
 use mux_model::{FastMap, RevisionNumber};
+use mux_quarantine::{Evidence, EvidenceKey};
 use mux_timer::TimerService;
 use tarpc::{
     client::{Config, RpcError},
@@ -91,6 +92,24 @@
         self.check_result(peer, result)
     }
 
+    /// Sends evidence against requests, and the keys of withdrawn evidence; returns the evidence of the
+    /// peer.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no reply was received.
+    pub(crate) async fn exchange_evidence(
+        &self,
+        peer: SocketAddr,
+        evidence: Vec<Evidence>,
+        withdrawn: Vec<EvidenceKey>,
+    ) -> Result<Vec<Evidence>, PeerError> {
+        let client = self.connection(peer).await?;
+        let context = context_with_timeout(CONTROL_CALL_TIMEOUT);
+        let result = client.exchange_evidence(context, evidence, withdrawn).await;
+        self.check_result(peer, result)
+    }
+
     /// Closes the connections to nodes that are not in `peers`.
     pub(crate) fn retain(&self, peers: &[SocketAddr]) {
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/peer/peer_protocol.rs
+++ b/crates/node/src/peer/peer_protocol.rs
@@ -2,6 +2,7 @@
 
 use mux_config::ConfigUpdate;
 use mux_model::RevisionNumber;
+use mux_quarantine::{Evidence, EvidenceKey};
 
 use crate::dispatch::{QueryCommand, QueryOutcome};
 
@@ -16,4 +17,10 @@
 
     /// Returns the configuration revision in force at the node.
     async fn read_revision() -> RevisionNumber;
+
+    /// Records evidence against requests, drops withdrawn evidence, and returns that of the node.
+    async fn exchange_evidence(
+        evidence: Vec<Evidence>,
+        withdrawn: Vec<EvidenceKey>,
+    ) -> Vec<Evidence>;
 }
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -5,6 +5,7 @@
 use futures::StreamExt;
 use mux_config::ConfigUpdate;
 use mux_model::RevisionNumber;
+use mux_quarantine::{Evidence, EvidenceKey};
 use slog::{Logger, debug};
 use tarpc::{
     context::Context,
@@ -23,6 +24,9 @@
 /// Largest message between nodes, in bytes.
 pub(super) const MESSAGE_BYTES_LIMIT: usize = 64 << 20;
 
+/// Maximum number of pieces of evidence, and of withdrawals, in one exchange.
+pub(crate) const MAX_EXCHANGED_EVIDENCE: usize = 64;
+
 const REQUESTS_PER_CONNECTION: usize = 4_096;
 const CONNECTION_LIMIT: usize = 2_048;
 
@@ -92,4 +96,21 @@
     async fn read_revision(self, _: Context) -> RevisionNumber {
         self.node.revision()
     }
+
+    async fn exchange_evidence(
+        self,
+        _: Context,
+        evidence: Vec<Evidence>,
+        withdrawn: Vec<EvidenceKey>,
+    ) -> Vec<Evidence> {
+        let now = self.node.timer().now();
+        self.node.quarantine().update(|ledger| {
+            let own = ledger.summary(MAX_EXCHANGED_EVIDENCE);
+            for evidence in evidence.into_iter().take(MAX_EXCHANGED_EVIDENCE) {
+                ledger.on_stored(now, evidence);
+            }
+            withdrawn.iter().take(MAX_EXCHANGED_EVIDENCE).for_each(|it| ledger.retract(it));
+            own
+        })
+    }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,9 +5,11 @@
 mod crash_ledger;
 mod evidence;
 mod request_fingerprint;
+mod shared_ledger;
 
 pub use crash_ledger::{
     CRASH_LIMIT, CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
 };
 pub use evidence::{Evidence, EvidenceKey, EvidenceSource, UpstreamProcess};
 pub use request_fingerprint::RequestFingerprint;
+pub use shared_ledger::SharedLedger;
--- a/crates/standins/src/experiment/leaf_group.rs
+++ b/crates/standins/src/experiment/leaf_group.rs
@@ -230,6 +230,7 @@
         cold_calls: 0,
         cold_factor: 1.0,
         record_calls: true,
+        crash_key: None,
         snapshots: vec![HeldSnapshot { snapshot: SNAPSHOT, shard_count: size.leaves, shards }],
     }
 }
--- a/crates/standins/src/fleet/outage_run.rs
+++ b/crates/standins/src/fleet/outage_run.rs
@@ -110,6 +110,7 @@
         cold_calls: 0,
         cold_factor: 1.0,
         record_calls: false,
+        crash_key: None,
         snapshots: serde_json::from_value(snapshots)?,
     };
     let process =
--- a/crates/standins/src/leaf/call_handler.rs
+++ b/crates/standins/src/leaf/call_handler.rs
@@ -1,7 +1,7 @@
 //! Handler of shard queries.
 
 use std::{
-    io,
+    io, process,
     str::FromStr,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -50,6 +50,9 @@
     deadline: TimePoint,
 }
 
+/// Exit code of a process that a query ended.
+const CRASH_EXIT_CODE: i32 = 70;
+
 /// Optional member of a query by which tests count its runs.
 #[derive(Deserialize)]
 struct QueryKey {
@@ -101,6 +104,7 @@
     };
     state.counters.runs.fetch_add(1, Ordering::Relaxed);
     record_run(state, shard, headers, query);
+    crash_if_requested(state, query);
     if TIMER_GRANULARITY <= outcome.service_time {
         state.timer.sleep(outcome.service_time).await;
     }
@@ -108,6 +112,14 @@
     reply(state, &target, query, outcome)
 }
 
+/// Ends the process if the query has the key that does so.
+fn crash_if_requested(state: &LeafState, query: &RawValue) {
+    let key = serde_json::from_str(query.get()).ok().and_then(|it: QueryKey| it.key);
+    if key.is_some() && key == state.settings.crash_key {
+        process::exit(CRASH_EXIT_CODE);
+    }
+}
+
 async fn wait_for_slot(
     state: &LeafState,
     target: &CallTarget,
--- a/crates/standins/src/leaf/leaf_settings.rs
+++ b/crates/standins/src/leaf/leaf_settings.rs
@@ -52,6 +52,9 @@
     /// Whether calls are counted by request ID or query key, and shard (see `CallCounts`).
     #[serde(default)]
     pub(crate) record_calls: bool,
+    /// Key of the queries that end the process when it runs them.
+    #[serde(default)]
+    pub(crate) crash_key: Option<String>,
     /// Snapshots held.
     pub(crate) snapshots: Vec<HeldSnapshot>,
 }
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -6,6 +6,7 @@
 mod dial_backoff;
 mod pool_report;
 mod pool_settings;
+mod process_probe;
 mod stream_fault;
 mod upstream_call;
 mod upstream_connection;
@@ -15,5 +16,6 @@
 
 pub use pool_report::{PoolReport, UpstreamReport};
 pub use pool_settings::PoolSettings;
+pub use process_probe::ProcessProbe;
 pub use upstream_call::{CallHeader, HeldSnapshot, UpstreamReply, UpstreamStatus, header_names};
 pub use upstream_pool::UpstreamPool;
--- a/crates/upstream/src/upstream_pool.rs
+++ b/crates/upstream/src/upstream_pool.rs
@@ -83,6 +83,7 @@
         let time_left = header.deadline.since(self.inner.timer.now());
         let exchange = self.exchange(upstream, &connection, header, body, started);
         match self.inner.timer.timeout(time_left, exchange).await {
+            Ok(Err(CallFailure::ConnectionLost)) => Err(self.refine_loss(upstream).await),
             Ok(res) => res,
             Err(_) => Err(CallFailure::DeadlinePassed),
         }
@@ -138,6 +139,16 @@
         PoolReport { upstreams }
     }
 
+    /// Returns the failure of a call whose connection was lost.
+    async fn refine_loss(&self, upstream: UpstreamId) -> CallFailure {
+        let probe = self.inner.stripe(upstream).get(&upstream).map(UpstreamState::probe);
+        let has_ended = match probe {
+            Some(probe) => probe.refuses_connection(&self.inner.timer, upstream).await,
+            None => false,
+        };
+        if has_ended { CallFailure::UpstreamEnded } else { CallFailure::ConnectionLost }
+    }
+
     async fn acquire(
         &self,
         upstream: UpstreamId,
--- a/crates/upstream/src/upstream_state.rs
+++ b/crates/upstream/src/upstream_state.rs
@@ -7,7 +7,7 @@
 use tokio::sync::watch;
 
 use crate::{
-    PoolSettings, UpstreamReport,
+    PoolSettings, ProcessProbe, UpstreamReport,
     dial_backoff::DialBackoff,
     upstream_connection::{PooledConnection, UpstreamConnection},
 };
@@ -27,6 +27,7 @@
 pub(crate) struct UpstreamState {
     upstream: UpstreamId,
     limit: u32,
+    probe: Arc<ProcessProbe>,
     connections: Vec<Arc<UpstreamConnection>>,
     /// Connections in excess of the limit, which receive no new calls and close after the current
     /// ones.
@@ -48,6 +49,7 @@
         Self {
             upstream,
             limit: 0,
+            probe: Arc::default(),
             connections: Vec::new(),
             closing: Vec::new(),
             dialing: false,
@@ -60,6 +62,11 @@
         }
     }
 
+    /// Returns the probe of the upstream's process.
+    pub(crate) fn probe(&self) -> Arc<ProcessProbe> {
+        Arc::clone(&self.probe)
+    }
+
     /// Sets the maximum number of connections; those in excess receive no new calls.
     pub(crate) fn set_limit(&mut self, limit: u32) {
         self.limit = limit;
