Count upstreams that fall together as one crash, and let trials without a result be repeated

Cause, found by reading: a frequent request runs on many upstreams at once, from many nodes. The loss of a rack would have counted as three crashes of it, and a trial during an outage of its service would have been used up, so that callers of a harmless request were refused for as long as they asked. Change: evidence carries the time of its observation, and ends within 250 ms count as one crash; a trial that neither crashed an upstream nor was answered ends without effect and is followed by another one; trials end after two that crashed upstreams. The first trial follows 5 s after the latest evidence instead of 10 s.

In the own interface, each end is a piece of evidence of its own.

--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, HeaderValue, Method, StatusCode, Uri, header};
 use mux_config::traffic::{ExecutionSemantics, RouteRule, RouteTarget, ShardSet};
 use mux_model::{RequestId, RevisionNumber, ServiceName, SnapshotId, TimePoint};
+use mux_quarantine::AttemptKind;
 use mux_query::{AnswerTiming, FanOutPlan, greatest_records};
 use mux_routing::balancer::{QueryConstraints, QueryRouter};
 use slog::info;
@@ -27,7 +28,7 @@
     RequestMetadata, RequestMetadataError, WireProtocol,
     caller::strip_hop_by_hop_headers,
     edge_state::EdgeState,
-    request_quarantine::admit_request,
+    request_quarantine::{admit_request, end_trial},
     upstream::{CallTemplate, UpstreamReply},
 };
 
@@ -143,8 +144,14 @@
         let template = Arc::new(call_template(request, &metadata, rule.execution));
         let mut guard = DisconnectGuard { template: Arc::clone(&template), is_answered: false };
         let (answer, summary) = match admit_request(self.edge, || template.fingerprint()).await {
-            Some(is_suspect) => {
-                self.dispatch::<W>(&rule, version, timing, template, is_suspect).await
+            Some(kind) => {
+                let is_suspect = kind != AttemptKind::Ordinary;
+                let attempt = Arc::clone(&template);
+                let result = self.dispatch::<W>(&rule, version, timing, attempt, is_suspect).await;
+                if kind == AttemptKind::Trial {
+                    end_trial(self.edge, template.fingerprint());
+                }
+                result
             }
             None => (quarantined_answer(), DispatchSummary::default()),
         };
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -4,9 +4,10 @@
 
 use mux_model::{InstanceId, ServiceName, TimePoint};
 use mux_quarantine::{
-    Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint, SharedLedger,
-    UpstreamProcess,
+    AttemptKind, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
+    SharedLedger, UpstreamProcess,
 };
+use mux_timer::unix_millis;
 use slog::{info, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
 
@@ -60,20 +61,19 @@
     }
 }
 
-/// Decides on an attempt to send a request: returns whether it is a suspect, or `None` if it is
-/// quarantined and must not be sent.
+/// Decides on an attempt to send a request; returns `None` if it is quarantined and must not be sent.
 pub(crate) async fn admit_request(
     edge: &EdgeState,
     fingerprint: impl FnOnce() -> RequestFingerprint,
-) -> Option<bool> {
+) -> Option<AttemptKind> {
     if edge.quarantine.ledger.is_empty() {
-        return Some(false);
+        return Some(AttemptKind::Ordinary);
     }
     let fingerprint = fingerprint();
     let now = edge.timer.now();
     match edge.quarantine.ledger.update(|it| it.admit(now, fingerprint)) {
-        RequestAdmission::Clear => Some(false),
-        RequestAdmission::Suspect => Some(true),
+        RequestAdmission::Clear => Some(AttemptKind::Ordinary),
+        RequestAdmission::Suspect => Some(AttemptKind::Suspect),
         RequestAdmission::Quarantined { trial: None } => None,
         RequestAdmission::Quarantined { trial: Some(trial) } => {
             let source = trial.key.source.to_string();
@@ -81,7 +81,7 @@
             info!(edge.logger, "quarantine: trial of a request";
                 "fingerprint" => fingerprint.to_string(), "trial" => source,
                 "granted" => is_granted);
-            is_granted.then_some(true)
+            is_granted.then_some(AttemptKind::Trial)
         }
     }
 }
@@ -97,7 +97,7 @@
     let started_ms = edge.upstreams().started_ms(instance);
     let process = UpstreamProcess { instance: instance.clone(), started_ms };
     let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
-    let evidence = Evidence { key, service: service.clone() };
+    let evidence = Evidence { key, service: service.clone(), observed_ms: unix_millis() };
     let now = edge.timer.now();
     let crashes = edge.quarantine.ledger.update(|it| {
         it.record(now, evidence);
@@ -110,6 +110,12 @@
     crashes
 }
 
+/// Ends the trial of a request that this node made.
+pub(crate) fn end_trial(edge: &EdgeState, fingerprint: RequestFingerprint) {
+    let now = edge.timer.now();
+    edge.quarantine.ledger.update(|it| it.end_trial(now, fingerprint));
+}
+
 /// Records that an upstream of `service` answered a call that was sent at `sent_at`.
 pub(crate) fn record_survival(
     edge: &EdgeState,
--- a/crates/node/src/dispatch/query_executor.rs
+++ b/crates/node/src/dispatch/query_executor.rs
@@ -3,6 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use mux_model::{SnapshotMap, TimePoint};
+use mux_quarantine::AttemptKind;
 use mux_query::{FanOutPlan, FanOutResult, QueryAttempts};
 use mux_routing::ReplicaRouter;
 use mux_timer::TimerService;
@@ -43,8 +44,14 @@
         }
         let permit = AdmissionPermit { runtime: self.runtime, timer };
         let result = match self.node.admit_query(&command) {
-            Ok(is_suspect) => {
-                self.try_snapshots(command, is_suspect, &mut caller_disconnected).await
+            Ok(kind) => {
+                let is_suspect = kind != AttemptKind::Ordinary;
+                let result =
+                    self.try_snapshots(&command, is_suspect, &mut caller_disconnected).await;
+                if kind == AttemptKind::Trial {
+                    self.node.end_trial(&command);
+                }
+                result
             }
             Err(problem) => Err(problem),
         };
@@ -54,7 +61,7 @@
 
     async fn try_snapshots(
         &self,
-        command: QueryCommand,
+        command: &QueryCommand,
         is_suspect: bool,
         caller_disconnected: &mut mpsc::Receiver<()>,
     ) -> QueryResult {
@@ -65,8 +72,8 @@
                     .into_last_result()
                     .map_or_else(|| Err(no_snapshot()), to_query_result);
             };
-            let plan = self.plan(&command, map, is_suspect);
-            let driver = FanOutDriver::new(self.node, self.runtime, plan, &command);
+            let plan = self.plan(command, map, is_suspect);
+            let driver = FanOutDriver::new(self.node, self.runtime, plan, command);
             let result = driver.run(&attempts, caller_disconnected).await;
             let Some(result) = attempts.finish(result) else {
                 RuntimeCounters::add(&self.runtime.counters().snapshot_restarts, 1);
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -1,41 +1,36 @@
 //! Requests that crash upstreams: evidence against them, and their admission.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
 use mux_model::{ServiceName, TimePoint, UpstreamId};
 use mux_quarantine::{
-    Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint, SharedLedger,
-    UpstreamProcess,
+    AttemptKind, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
+    SharedLedger, UpstreamProcess,
 };
+use mux_timer::unix_millis;
 use slog::{info, warn};
 
 use super::Node;
 use crate::dispatch::{ProblemCode, QueryCommand, QueryProblem};
 
-/// Time within which nodes that lose calls to the same upstream observe the end of one process; it takes
-/// longer to start again.
-const PROCESS_END_PERIOD: Duration = Duration::from_secs(2);
-
 impl Node {
     /// Returns the evidence against requests.
     pub(crate) fn quarantine(&self) -> &SharedLedger {
         &self.quarantine
     }
 
-    /// Decides on an attempt to run a query; returns whether it is a suspect.
+    /// Decides on an attempt to run a query; returns how it is made.
     ///
     /// # Errors
     ///
     /// Returns the problem to report to the caller if the query is quarantined.
-    pub(crate) fn admit_query(&self, command: &QueryCommand) -> Result<bool, QueryProblem> {
+    pub(crate) fn admit_query(&self, command: &QueryCommand) -> Result<AttemptKind, QueryProblem> {
         if self.quarantine.is_empty() {
-            return Ok(false);
+            return Ok(AttemptKind::Ordinary);
         }
         let now = self.timer.now();
         let fingerprint = fingerprint(command);
         match self.quarantine.update(|it| it.admit(now, fingerprint)) {
-            RequestAdmission::Clear => Ok(false),
-            RequestAdmission::Suspect => Ok(true),
+            RequestAdmission::Clear => Ok(AttemptKind::Ordinary),
+            RequestAdmission::Suspect => Ok(AttemptKind::Suspect),
             RequestAdmission::Quarantined { trial: Some(trial) }
                 if self.makes_trials(&command.service) =>
             {
@@ -43,7 +38,7 @@
                     "fingerprint" => fingerprint.to_string(),
                     "trial" => trial.key.source.to_string());
                 self.quarantine.update(|it| it.record(now, trial));
-                Ok(true)
+                Ok(AttemptKind::Trial)
             }
             RequestAdmission::Quarantined { .. } => {
                 let message = "queries with this content have crashed several upstreams";
@@ -52,15 +47,24 @@
         }
     }
 
+    /// Ends the trial of a query that this node made.
+    pub(crate) fn end_trial(&self, command: &QueryCommand) {
+        let now = self.timer.now();
+        self.quarantine.update(|it| it.end_trial(now, fingerprint(command)));
+    }
+
     /// Records that the process of `upstream` ended while it ran a query; returns the number of
     /// processes that the query is known to have crashed.
     pub(crate) fn record_crash(&self, command: &QueryCommand, upstream: UpstreamId) -> usize {
         let now = self.timer.now();
         let fingerprint = fingerprint(command);
         let instance = upstream.to_string().into();
-        let process = UpstreamProcess { instance, started_ms: end_period_ms() };
+        let observed_ms = unix_millis();
+        // Upstreams of this interface do not tell when they started. Processes that ended at the same
+        // moment count as one crash.
+        let process = UpstreamProcess { instance, started_ms: observed_ms };
         let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
-        let evidence = Evidence { key, service: command.service.clone() };
+        let evidence = Evidence { key, service: command.service.clone(), observed_ms };
         let crashes = self.quarantine.update(|it| {
             it.record(now, evidence);
             it.crashes(fingerprint)
@@ -92,10 +96,3 @@
 fn fingerprint(command: &QueryCommand) -> RequestFingerprint {
     RequestFingerprint::of_parts(&[command.service.as_str().as_bytes(), &command.body])
 }
-
-/// Returns the start of the current [`PROCESS_END_PERIOD`], in milliseconds of Unix time.
-fn end_period_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    let period_ms = u64::try_from(PROCESS_END_PERIOD.as_millis()).unwrap_or(u64::MAX);
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX) / period_ms * period_ms
-}
--- a/crates/node/src/operator/operator_server.rs
+++ b/crates/node/src/operator/operator_server.rs
@@ -1,11 +1,6 @@
 //! RPC server for operators.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use mux_adapter::KvClient;
 use mux_admin::{
@@ -20,6 +15,7 @@
     InForceTracker, ServiceChange, ServiceDefinition, ServiceEntry, read_audit,
 };
 use mux_model::{ChangeId, RevisionNumber, ServiceName};
+use mux_timer::unix_millis;
 use slog::{info, warn};
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -295,8 +291,3 @@
         outcome: "accepted".to_owned(),
     }
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -1,15 +1,10 @@
 //! Starts a node and runs it until its planned stop.
 
-use std::{
-    io,
-    net::SocketAddr,
-    sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
-};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
 use mux_membership::{GossipEvent, GossipService, GossipSettings, NodeIdentity};
 use mux_model::NodeIncarnation;
-use mux_timer::TimerService;
+use mux_timer::{TimerService, unix_millis};
 use slog::{Logger, info};
 use tokio::{
     runtime::Builder,
@@ -116,8 +111,3 @@
 fn listen_error(key: &'static str, address: SocketAddr, source: io::Error) -> StartError {
     StartError::Listen { key, address, source }
 }
-
-fn unix_millis() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-}
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -6,12 +6,15 @@
 
 use crate::{Evidence, EvidenceKey, EvidenceSource, RequestFingerprint};
 
-/// Number of processes that a request has to crash to be quarantined.
+/// Number of crashes, one after the other, for which a request is quarantined.
 pub const CRASH_LIMIT: usize = 3;
+/// Time between the ends of two processes below which they count as one crash: upstreams that share a
+/// rack or a power supply fall together, and a frequent request may run on all of them.
+const CRASH_GAP_MS: u64 = 250;
 /// Maximum number of requests with evidence that are remembered.
 pub const MAX_REQUESTS: usize = 2_048;
-/// Maximum number of crashes and of trials that are remembered of one request.
-const MAX_EVIDENCE_PER_REQUEST: usize = 8;
+/// Maximum number of pieces of evidence of one request; those that add no crash get half of it.
+const MAX_EVIDENCE_PER_REQUEST: usize = 12;
 /// Maximum number of pieces of evidence that wait for their withdrawal from the store.
 const MAX_WITHDRAWALS: usize = 4_096;
 /// Time from a crash until it is shared. Most requests that only ran on an upstream which crashed are
@@ -22,8 +25,13 @@
 /// Time after which the evidence against a request that still comes is shared again, so that other
 /// nodes do not forget it.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(240);
-/// Time from the latest evidence to each trial. A quarantined request gets no further ones.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(10), Duration::from_secs(60)];
+/// Time from the latest evidence to the next trial, by the number of trials that ended in a crash. After
+/// the last one, a request gets no further ones.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
+/// Time after which a trial without a result no longer keeps other nodes from the next one.
+const TRIAL_LIFETIME: Duration = Duration::from_secs(30);
+/// Time from a trial that reached no upstream to the next one of the same node.
+const TRIAL_PAUSE: Duration = Duration::from_secs(2);
 /// Minimum time between two attempts of a node to claim a trial.
 const TRIAL_CLAIM_PERIOD: Duration = Duration::from_millis(200);
 
@@ -64,35 +72,52 @@
     last_activity: TimePoint,
     /// When evidence was last seen to be written to the store.
     renewed_at: TimePoint,
+    /// When this node may claim a trial again.
+    next_trial_at: TimePoint,
 }
 
 impl SuspectRequest {
+    /// Returns the number of crashes, of which those within [`CRASH_GAP_MS`] count as one.
     fn crashes(&self) -> usize {
-        self.evidence.iter().filter(|it| is_crash(&it.evidence)).count()
+        let crashes = self.evidence.iter().map(|it| &it.evidence).filter(|it| is_crash(it));
+        let mut times: Vec<u64> = crashes.map(|it| it.observed_ms).collect();
+        times.sort_unstable();
+        let mut latest = None;
+        let is_new = |time: &&u64| {
+            let is_new = latest.is_none_or(|it: u64| it.saturating_add(CRASH_GAP_MS) <= **time);
+            latest = latest.filter(|_| !is_new).or(Some(**time));
+            is_new
+        };
+        times.iter().filter(is_new).count()
     }
 
-    fn trials(&self) -> usize {
-        self.evidence.len() - self.crashes()
+    fn trial(&self, number: u32) -> Option<&KnownEvidence> {
+        let source = EvidenceSource::Trial(number);
+        self.evidence.iter().find(|it| it.evidence.key.source == source)
     }
 
     fn is_quarantined(&self) -> bool {
         CRASH_LIMIT <= self.crashes()
     }
 
-    /// Returns the number of the trial that is due, from 1.
+    /// Returns the number of the trial that is due.
     fn due_trial(&self, now: TimePoint) -> Option<u32> {
+        let crashes = self.crashes();
+        let delay = TRIAL_DELAYS.get(crashes.checked_sub(CRASH_LIMIT)?)?;
         let latest = self.evidence.iter().map(|it| it.learnt_at).max()?;
-        let delay = TRIAL_DELAYS.get(self.trials())?;
-        (latest + *delay <= now).then(|| u32::try_from(self.trials() + 1).unwrap_or(u32::MAX))
+        let number = u32::try_from(crashes).unwrap_or(u32::MAX);
+        let is_due = latest + *delay <= now && self.next_trial_at <= now;
+        (is_due && self.trial(number).is_none()).then_some(number)
     }
 }
 
 /// The evidence against requests that is known to this node, its own and that of other nodes.
 ///
-/// A request that crashed an upstream is a suspect until an upstream of that service has answered it.
-/// One that crashed [`CRASH_LIMIT`] processes without such an answer is quarantined. As requests that
-/// only ran on upstreams which crashed for other reasons may get there too, it gets few trials, which
-/// all nodes share; a reply ends the quarantine.
+/// A request that was at an upstream when its process ended is a suspect until an upstream of that
+/// service has answered it. After [`CRASH_LIMIT`] crashes without such an answer it is quarantined. As
+/// requests that only ran on upstreams which fell for other reasons may get there too, there are
+/// trials, which all nodes share: a reply ends the quarantine, and after two that end in a crash there
+/// are no further ones.
 #[derive(Debug, Clone, Default)]
 pub struct CrashLedger {
     requests: FastMap<RequestFingerprint, SuspectRequest>,
@@ -117,13 +142,14 @@
         (self.requests.len(), quarantined.count())
     }
 
-    /// Returns the number of processes that a request is known to have crashed.
+    /// Returns the number of crashes of which a request is the possible cause.
     pub fn crashes(&self, fingerprint: RequestFingerprint) -> usize {
         self.requests.get(&fingerprint).map_or(0, SuspectRequest::crashes)
     }
 
     /// Decides on an attempt to send a request.
     pub fn admit(&mut self, now: TimePoint, fingerprint: RequestFingerprint) -> RequestAdmission {
+        self.end_old_trial(now, fingerprint);
         let Some(request) = self.requests.get_mut(&fingerprint) else {
             return RequestAdmission::Clear;
         };
@@ -134,13 +160,38 @@
         let number = request.due_trial(now).filter(|_| self.next_claim_at <= now);
         let trial = number.map(|number| {
             self.next_claim_at = now + TRIAL_CLAIM_PERIOD;
-            let service = request.evidence[0].evidence.service.clone();
+            let known = &request.evidence[0].evidence;
             let source = EvidenceSource::Trial(number);
-            Evidence { key: EvidenceKey { fingerprint, source }, service }
+            Evidence { key: EvidenceKey { fingerprint, source }, ..known.clone() }
         });
         RequestAdmission::Quarantined { trial }
     }
 
+    /// Ends a trial that this node made. Without a reply or a crash it proves nothing, and another one may
+    /// follow.
+    pub fn end_trial(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
+        let Some(request) = self.requests.get_mut(&fingerprint) else {
+            return;
+        };
+        let number = u32::try_from(request.crashes()).unwrap_or(u32::MAX);
+        let source = EvidenceSource::Trial(number);
+        let ended: Vec<_> =
+            request.evidence.extract_if(.., |it| it.evidence.key.source == source).collect();
+        request.next_trial_at = now + TRIAL_PAUSE;
+        self.withdraw(ended);
+    }
+
+    /// Ends a trial without a result whose node may have stopped meanwhile.
+    fn end_old_trial(&mut self, now: TimePoint, fingerprint: RequestFingerprint) {
+        let is_old = self.requests.get(&fingerprint).is_some_and(|request| {
+            let number = u32::try_from(request.crashes()).unwrap_or(u32::MAX);
+            request.trial(number).is_some_and(|it| it.learnt_at + TRIAL_LIFETIME <= now)
+        });
+        if is_old {
+            self.end_trial(now, fingerprint);
+        }
+    }
+
     /// Records evidence that this node observed.
     pub fn record(&mut self, now: TimePoint, evidence: Evidence) {
         self.insert(now, evidence, false);
@@ -276,19 +327,23 @@
             evidence: Vec::new(),
             last_activity: now,
             renewed_at: now,
+            next_trial_at: now,
         });
         request.last_activity = now;
         if is_shared {
             request.renewed_at = now;
         }
-        let has_room = request.evidence.len() < MAX_EVIDENCE_PER_REQUEST;
         let known = request.evidence.iter_mut().find(|it| it.evidence.key == evidence.key);
-        match known {
-            Some(known) => known.is_shared |= is_shared,
-            None if has_room => {
-                request.evidence.push(KnownEvidence { evidence, learnt_at: now, is_shared });
-            }
-            None => {}
+        if let Some(known) = known {
+            known.is_shared |= is_shared;
+            return;
+        }
+        let (count, crashes) = (request.evidence.len(), request.crashes());
+        request.evidence.push(KnownEvidence { evidence, learnt_at: now, is_shared });
+        let adds_crash = crashes < request.crashes();
+        let limit = MAX_EVIDENCE_PER_REQUEST / if adds_crash { 1 } else { 2 };
+        if limit <= count {
+            request.evidence.pop();
         }
     }
 
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -24,7 +24,7 @@
 pub enum EvidenceSource {
     /// This process ended while it ran the request.
     Crash(UpstreamProcess),
-    /// The quarantined request was admitted once more, as the trial with this number, from 1.
+    /// The quarantined request was admitted once more after this number of crashes.
     Trial(u32),
 }
 
@@ -64,4 +64,6 @@
     pub key: EvidenceKey,
     /// Service of the upstream.
     pub service: ServiceName,
+    /// When it was observed, in milliseconds of Unix time by the clock of the observer.
+    pub observed_ms: u64,
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -2,11 +2,13 @@
 //!
 //! The decisions own no socket and no clock: they take events and the current time.
 
+mod attempt_kind;
 mod crash_ledger;
 mod evidence;
 mod request_fingerprint;
 mod shared_ledger;
 
+pub use attempt_kind::AttemptKind;
 pub use crash_ledger::{
     CRASH_LIMIT, CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
 };
--- a/crates/timer/src/lib.rs
+++ b/crates/timer/src/lib.rs
@@ -4,5 +4,7 @@
 //! timers of their own.
 
 mod timer_service;
+mod wall_clock;
 
 pub use timer_service::{ElapsedError, TickStream, TimerService};
+pub use wall_clock::unix_millis;
