Bound the wait for a trial, and the log lines on evidence

Found by reading: a request whose trial was due waited for the store, up to the time-out of a call and of an exchange with peers before it; it is refused after 300 ms now. The line on evidence is throttled with the others on single requests, as the loss of many upstreams writes one for each call in flight.

--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -1,13 +1,16 @@
 //! This node's knowledge of requests that crash upstreams.
 
-use std::sync::{Mutex, PoisonError};
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
 
 use mux_model::{InstanceId, ServiceName, TimePoint};
 use mux_quarantine::{
     AttemptKind, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
     SharedLedger, UpstreamProcess,
 };
-use mux_timer::unix_millis;
+use mux_timer::{TimerService, unix_millis};
 use slog::{info, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
 
@@ -16,6 +19,9 @@
 /// Maximum number of claims of trials that wait for the store; further ones are not made.
 const MAX_PENDING_CLAIMS: usize = 16;
 
+/// Time for which a request waits for the claim of its trial; then it is refused.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
+
 /// A request of the request path to claim a trial in the store.
 #[derive(Debug)]
 pub(crate) struct TrialClaim {
@@ -51,13 +57,14 @@
         self.pending_claims.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    /// Claims a trial in the store; returns whether this node may make it.
-    async fn claim(&self, trial: Evidence) -> bool {
+    /// Claims a trial in the store; returns whether this node may make it. A trial that is granted too
+    /// late is not made.
+    async fn claim(&self, timer: &TimerService, trial: Evidence) -> bool {
         let (granted, result) = oneshot::channel();
         if self.claims.try_send(TrialClaim { trial, granted }).is_err() {
             return false;
         }
-        result.await.unwrap_or_default()
+        matches!(timer.timeout(CLAIM_TIMEOUT, result).await, Ok(Ok(true)))
     }
 }
 
@@ -77,7 +84,7 @@
         RequestAdmission::Quarantined { trial: None } => None,
         RequestAdmission::Quarantined { trial: Some(trial) } => {
             let source = trial.key.source.to_string();
-            let is_granted = edge.quarantine.claim(trial).await;
+            let is_granted = edge.quarantine.claim(&edge.timer, trial).await;
             info!(edge.logger, "quarantine: trial of a request";
                 "fingerprint" => fingerprint.to_string(), "trial" => source,
                 "granted" => is_granted);
@@ -103,10 +110,13 @@
         it.record(now, evidence);
         it.crashes(fingerprint)
     });
-    warn!(edge.logger, "quarantine: request crashed an upstream";
-        "fingerprint" => fingerprint.to_string(), "service" => service.as_str(),
-        "instance" => instance.as_str(), "crashes" => crashes);
     edge.quarantine.evidence_added.notify_one();
+    if let Some(suppressed) = edge.request_log.allow(now) {
+        warn!(edge.logger, "quarantine: evidence against a request";
+            "fingerprint" => fingerprint.to_string(), "service" => service.as_str(),
+            "instance" => instance.as_str(), "crashes" => crashes,
+            "suppressed_lines" => suppressed);
+    }
     crashes
 }
 
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -69,7 +69,7 @@
             it.record(now, evidence);
             it.crashes(fingerprint)
         });
-        warn!(self.logger, "quarantine: query crashed an upstream";
+        warn!(self.logger, "quarantine: evidence against a query";
             "fingerprint" => fingerprint.to_string(), "service" => command.service.as_str(),
             "upstream" => upstream.to_string(), "crashes" => crashes);
         crashes
