Bound what nodes write to the store when they forget evidence

A reply counted as a sign that a process had not ended even minutes later, when it may come from the next process under the same id, so that the renewal of evidence could have dropped it.

Change: only announced nodes remove what they forget, each after a random time of ten to twenty minutes; a reply refutes an end for one second; a trial that nobody waits for ends at once.

--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -7,8 +7,8 @@
 
 use mux_model::{InstanceId, ServiceName, TimePoint};
 use mux_quarantine::{
-    AttemptKind, Evidence, EvidenceKey, EvidenceSource, RequestAdmission, RequestFingerprint,
-    SharedLedger, UpstreamProcess,
+    AttemptKind, Evidence, EvidenceKey, EvidenceSource, IDLE_LIFETIME, RequestAdmission,
+    RequestFingerprint, SharedLedger, UpstreamProcess,
 };
 use mux_timer::{TimerService, unix_millis};
 use slog::{info, warn};
@@ -18,7 +18,6 @@
 
 /// Maximum number of claims of trials that wait for the store; further ones are not made.
 const MAX_PENDING_CLAIMS: usize = 16;
-
 /// Time for which a request waits for the claim of its trial; then it is refused.
 const CLAIM_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -45,7 +44,7 @@
     pub(crate) fn new() -> Self {
         let (claims, pending_claims) = mpsc::channel(MAX_PENDING_CLAIMS);
         Self {
-            ledger: SharedLedger::new(),
+            ledger: SharedLedger::new(IDLE_LIFETIME.mul_f64(1.0 + rand::random::<f64>())),
             evidence_added: Notify::new(),
             claims,
             pending_claims: Mutex::new(Some(pending_claims)),
@@ -93,8 +92,8 @@
     }
 }
 
-/// Records that the process of `instance` ended while it ran a request; returns the number of processes
-/// that the request is known to have crashed.
+/// Records that the process of `instance` ended while it ran a request; returns the number of crashes
+/// that are known of the request.
 pub(crate) fn record_crash(
     edge: &EdgeState,
     fingerprint: RequestFingerprint,
--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -10,7 +10,10 @@
 use slog::{info, warn};
 
 use crate::{
-    ClusterStore, edge_state::EdgeState, relay::RelayConnection, request_quarantine::TrialClaim,
+    ClusterStore,
+    edge_state::EdgeState,
+    relay::RelayConnection,
+    request_quarantine::{TrialClaim, end_trial},
 };
 
 /// Maximum number of changes in one call to the store.
@@ -31,6 +34,9 @@
 const EXCHANGE_PEERS: usize = 3;
 /// Maximum number of pieces of evidence that a node sends in one exchange.
 pub(crate) const MAX_EXCHANGED_EVIDENCE: usize = 64;
+/// Time from a crash within which a reply shows that the process had not ended. Later, it may be that of
+/// the next process.
+const FALSE_CRASH_PERIOD: Duration = Duration::from_secs(1);
 /// Longest random delay before evidence is written again to a store that was restored, so that one
 /// node writes it and the others see it.
 const MAX_RESTORE_DELAY: Duration = Duration::from_secs(1);
@@ -85,7 +91,11 @@
     async fn check(&mut self, now: TimePoint) -> Duration {
         if self.next_expiry_at <= now {
             self.next_expiry_at = now + EXPIRY_PERIOD;
-            self.edge.quarantine.ledger.update(|it| it.expire(now));
+            let is_announced = self.edge.is_announced();
+            self.edge.quarantine.ledger.update(|it| {
+                it.set_keeps_store(is_announced);
+                it.expire(now);
+            });
         }
         self.follow_era(now);
         let needs_exchange = self.has_failed || self.is_store_silent(now);
@@ -118,9 +128,10 @@
     async fn write(&mut self, now: TimePoint) -> Duration {
         let update =
             self.edge.quarantine.ledger.update(|it| it.pending_update(now, MAX_CHANGES_PER_CALL));
-        let update = self.without_false_crashes(update);
+        let update = self.without_false_crashes(now, update);
         let changes = update.writes.len() + update.withdrawals.len();
         if changes == 0 {
+            self.has_failed = false;
             return SHARING_PERIOD;
         }
         let evidence: Vec<_> = update.writes.iter().map(|(it, _)| it).collect();
@@ -143,9 +154,10 @@
         }
     }
 
-    /// Drops the crashes of processes that have replied since.
-    fn without_false_crashes(&self, mut update: EvidenceUpdate) -> EvidenceUpdate {
-        let has_replied = |source: &EvidenceSource, since| match source {
+    /// Drops new crashes of processes that have replied since.
+    fn without_false_crashes(&self, now: TimePoint, mut update: EvidenceUpdate) -> EvidenceUpdate {
+        let has_replied = |source: &EvidenceSource, since: TimePoint| match source {
+            _ if FALSE_CRASH_PERIOD <= now.since(since) => false,
             EvidenceSource::Crash(process) => {
                 let is_current =
                     self.edge.upstreams().started_ms(&process.instance) == process.started_ms;
@@ -165,6 +177,10 @@
 
     async fn claim(&mut self, claim: TrialClaim) {
         let TrialClaim { trial, granted } = claim;
+        if granted.is_closed() {
+            return;
+        }
+        let fingerprint = trial.key.fingerprint;
         let claimed = self.store.claim_trial(&trial).await;
         let is_granted = match self.edge.record_store_call("claim_trial", claimed) {
             Ok(is_granted) => is_granted,
@@ -178,8 +194,10 @@
             let now = self.edge.timer.now();
             self.edge.quarantine.ledger.update(|it| it.on_stored(now, trial));
         }
-        // The receiver is gone if the caller has left meanwhile; the trial is used up all the same.
-        let _ = granted.send(is_granted);
+        // The request no longer waits if the store was slow or its caller has left.
+        if granted.send(is_granted).is_err() && is_granted {
+            end_trial(&self.edge, fingerprint);
+        }
     }
 }
 
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -11,7 +11,7 @@
 use mux_membership::GossipService;
 use mux_model::NodeIncarnation;
 use mux_placement::AddressPlanner;
-use mux_quarantine::SharedLedger;
+use mux_quarantine::{IDLE_LIFETIME, SharedLedger};
 use mux_query::{LedgerLimits, SessionLedger, SessionMint};
 use mux_timer::TimerService;
 use mux_upstream::{PoolSettings, UpstreamPool};
@@ -96,7 +96,7 @@
             queries_in_flight: Arc::default(),
             last_contacts: Mutex::default(),
             rejection_throttle: LogThrottle::new(REJECTION_LOG_LINES, REJECTION_LOG_PERIOD),
-            quarantine: SharedLedger::new(),
+            quarantine: SharedLedger::new(IDLE_LIFETIME),
         })
     }
 }
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -54,7 +54,7 @@
     }
 
     /// Records that the process of `upstream` ended while it ran a query; returns the number of
-    /// processes that the query is known to have crashed.
+    /// crashes that are known of the query.
     pub(crate) fn record_crash(&self, command: &QueryCommand, upstream: UpstreamId) -> usize {
         let now = self.timer.now();
         let fingerprint = fingerprint(command);
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -20,7 +20,7 @@
 /// Time from a crash until it is shared. Most requests that only ran on an upstream which crashed are
 /// answered by another one meanwhile.
 const SHARING_DELAY: Duration = Duration::from_millis(300);
-/// Time without an attempt or new evidence after which a request is forgotten.
+/// Shortest time without an attempt or new evidence after which a request is forgotten.
 pub const IDLE_LIFETIME: Duration = Duration::from_secs(600);
 /// Time after which the evidence against a request that still comes is shared again, so that other
 /// nodes do not forget it.
@@ -118,17 +118,31 @@
 /// requests that only ran on upstreams which fell for other reasons may get there too, there are
 /// trials, which all nodes share: a reply ends the quarantine, and after two that end in a crash there
 /// are no further ones.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct CrashLedger {
     requests: FastMap<RequestFingerprint, SuspectRequest>,
     withdrawals: Vec<EvidenceKey>,
     next_claim_at: TimePoint,
+    idle_lifetime: Duration,
+    keeps_store: bool,
 }
 
 impl CrashLedger {
-    /// Creates an empty ledger.
-    pub fn new() -> Self {
-        Self::default()
+    /// Creates an empty ledger that forgets requests after `idle_lifetime` without activity, at least
+    /// [`IDLE_LIFETIME`]. Different times at the nodes keep them from removing the same evidence together.
+    pub fn new(idle_lifetime: Duration) -> Self {
+        Self {
+            requests: FastMap::default(),
+            withdrawals: Vec::new(),
+            next_claim_at: TimePoint::ZERO,
+            idle_lifetime: idle_lifetime.max(IDLE_LIFETIME),
+            keeps_store: true,
+        }
+    }
+
+    /// Sets whether this node removes what it forgets from the store; of many nodes, few have to.
+    pub fn set_keeps_store(&mut self, keeps_store: bool) {
+        self.keeps_store = keeps_store;
     }
 
     /// Returns whether there is no evidence against any request.
@@ -299,8 +313,12 @@
 
     /// Forgets requests without activity; their evidence is withdrawn from the store.
     pub fn expire(&mut self, now: TimePoint) {
-        let is_idle = |it: &SuspectRequest| it.last_activity + IDLE_LIFETIME <= now;
+        let lifetime = self.idle_lifetime;
+        let is_idle = |it: &SuspectRequest| it.last_activity + lifetime <= now;
         let idle: Vec<_> = self.requests.extract_if(|_, it| is_idle(it)).collect();
+        if !self.keeps_store {
+            return;
+        }
         for (_, request) in idle {
             self.withdraw(request.evidence);
         }
@@ -354,7 +372,8 @@
         let Some(fingerprint) = oldest.map(|(it, _)| *it) else {
             return;
         };
-        if let Some(request) = self.requests.remove(&fingerprint) {
+        let evicted = self.requests.remove(&fingerprint).filter(|_| self.keeps_store);
+        if let Some(request) = evicted {
             self.withdraw(request.evidence);
         }
     }
--- a/crates/quarantine/src/shared_ledger.rs
+++ b/crates/quarantine/src/shared_ledger.rs
@@ -1,8 +1,11 @@
 //! A ledger that tasks share.
 
-use std::sync::{
-    Mutex, PoisonError,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use crate::CrashLedger;
@@ -15,9 +18,10 @@
 }
 
 impl SharedLedger {
-    /// Creates an empty ledger.
-    pub fn new() -> Self {
-        Self { ledger: Mutex::default(), is_empty: AtomicBool::new(true) }
+    /// Creates an empty ledger that forgets requests after `idle_lifetime` without activity.
+    pub fn new(idle_lifetime: Duration) -> Self {
+        let ledger = CrashLedger::new(idle_lifetime);
+        Self { ledger: Mutex::new(ledger), is_empty: AtomicBool::new(true) }
     }
 
     /// Returns whether there is no evidence against any request.
@@ -34,9 +38,3 @@
         result
     }
 }
-
-impl Default for SharedLedger {
-    fn default() -> Self {
-        Self::new()
-    }
-}
--- a/crates/quarantine/tests/crash_ledger.rs
+++ b/crates/quarantine/tests/crash_ledger.rs
@@ -32,7 +32,7 @@
 
 /// Returns a ledger with `count` crashes of a request, one a second from second 0.
 fn ledger_with_crashes(fingerprint: RequestFingerprint, count: u64) -> CrashLedger {
-    let mut ledger = CrashLedger::new();
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
     (0..count).for_each(|it| ledger.record(at(it), crash(fingerprint, it)));
     ledger
 }
@@ -79,7 +79,7 @@
 
 #[gtest]
 fn crashes_seen_by_other_nodes_count() {
-    let mut ledger = CrashLedger::new();
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
 
     ledger.record(at(0), crash(request("a"), 0));
     ledger.on_stored(at(1), crash(request("a"), 1));
@@ -114,7 +114,7 @@
 /// Upstreams of one rack fall together, and a frequent request may run on all of them, from all nodes.
 #[gtest]
 fn processes_that_end_at_the_same_moment_count_as_one_crash() {
-    let mut ledger = CrashLedger::new();
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
 
     for process in 0..40 {
         ledger.on_stored(at(1), crash_at(request("a"), process, 5_000 + process));
@@ -207,7 +207,7 @@
 /// All of a flood of different requests are quarantined.
 #[gtest]
 fn flood_of_quarantined_requests_does_not_grow_the_ledger() {
-    let mut ledger = CrashLedger::new();
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
 
     for number in 0..2 * MAX_REQUESTS as u64 {
         let fingerprint = request(&format!("flood {number}"));
@@ -299,6 +299,19 @@
     expect_that!(ledger.pending_update(end, 32).withdrawals, len(eq(3)));
 }
 
+/// Of hundreds of nodes, few remove from the store what all of them forget.
+#[gtest]
+fn node_that_does_not_keep_the_store_forgets_without_removing() {
+    let mut ledger = ledger_with_crashes(request("a"), 3);
+    share(&mut ledger, at(5));
+    ledger.set_keeps_store(false);
+
+    ledger.expire(at(5) + IDLE_LIFETIME);
+
+    expect_true!(ledger.is_empty());
+    expect_that!(ledger.pending_update(at(700), 32).withdrawals, is_empty());
+}
+
 #[gtest]
 fn fingerprint_and_source_are_read_back_from_their_text() {
     let key = crash(request("a"), 7).key;
