Do not take an answered request for the cause of a crash

What callers saw: harmless requests that are sent all the time were refused as quarantined.

Cause: only a reply to a call that was sent after a node had learnt of a crash refuted it, so that with crashes at several services one after the other, and evidence that takes a second to reach other nodes, three could add up against a request that is answered all the time.

Change: a node remembers for 10 s which requests were answered by a service, or by all shards, 2,048 at most. A crash of such a service is no evidence against the request, and what another node has shared is withdrawn. A request that crashes each upstream is never answered.

Two tests of the ledger.

--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -28,7 +28,7 @@
     RequestMetadata, RequestMetadataError, WireProtocol,
     caller::strip_hop_by_hop_headers,
     edge_state::EdgeState,
-    request_quarantine::{admit_request, end_trial},
+    request_quarantine::{admit_request, end_trial, record_answer},
     upstream::{CallTemplate, UpstreamReply},
 };
 
@@ -240,8 +240,13 @@
             max_calls: NonZeroU32::new(rule.max_calls),
             is_suspect,
         };
-        let driver = CallDriver::new(self.edge, router, plan, services, template, accepted_replies);
+        let attempt = Arc::clone(&template);
+        let driver = CallDriver::new(self.edge, router, plan, services, attempt, accepted_replies);
         let driver_result = driver.run::<W>().await;
+        if driver_result.replies.len() == services.len() {
+            let service = shard_set.is_none().then(|| &services[0]);
+            record_answer(self.edge, template.fingerprint(), service);
+        }
         let summary = DispatchSummary::new(&driver_result, services);
         let remaining = timing.deadline.since(self.edge.timer.now());
         let answer = match shard_set {
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -125,6 +125,16 @@
     edge.quarantine.ledger.update(|it| it.end_trial(now, fingerprint));
 }
 
+/// Records that a request was answered by `service`, or by all services of a query over many shards.
+pub(crate) fn record_answer(
+    edge: &EdgeState,
+    fingerprint: RequestFingerprint,
+    service: Option<&ServiceName>,
+) {
+    let now = edge.timer.now();
+    edge.quarantine.ledger.update(|it| it.on_answered(now, fingerprint, service));
+}
+
 /// Records that an upstream of `service` answered a call that was sent at `sent_at`.
 pub(crate) fn record_survival(
     edge: &EdgeState,
--- a/crates/node/src/dispatch/query_executor.rs
+++ b/crates/node/src/dispatch/query_executor.rs
@@ -79,6 +79,9 @@
                 RuntimeCounters::add(&self.runtime.counters().snapshot_restarts, 1);
                 continue;
             };
+            if result.coverage.contributed == result.coverage.total {
+                self.node.record_answer(command);
+            }
             self.count_result(&result);
             return to_query_result(result);
         }
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -75,6 +75,12 @@
         crashes
     }
 
+    /// Records that all shards answered a query.
+    pub(crate) fn record_answer(&self, command: &QueryCommand) {
+        let now = self.timer.now();
+        self.quarantine.update(|it| it.on_answered(now, fingerprint(command), None));
+    }
+
     /// Records that an upstream replied to a call of a query that was sent at `sent_at`.
     pub(crate) fn record_survival(&self, command: &QueryCommand, sent_at: TimePoint) {
         if !self.quarantine.is_empty() {
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -4,7 +4,9 @@
 
 use mux_model::{FastMap, FastSet, ServiceName, TimePoint};
 
-use crate::{Evidence, EvidenceKey, EvidenceSource, RequestFingerprint};
+use crate::{
+    Evidence, EvidenceKey, EvidenceSource, RequestFingerprint, recent_answers::RecentAnswers,
+};
 
 /// Number of crashes, one after the other, for which a request is quarantined.
 pub const CRASH_LIMIT: usize = 3;
@@ -121,6 +123,7 @@
 #[derive(Debug, Clone)]
 pub struct CrashLedger {
     requests: FastMap<RequestFingerprint, SuspectRequest>,
+    answers: RecentAnswers,
     withdrawals: Vec<EvidenceKey>,
     next_claim_at: TimePoint,
     idle_lifetime: Duration,
@@ -133,6 +136,7 @@
     pub fn new(idle_lifetime: Duration) -> Self {
         Self {
             requests: FastMap::default(),
+            answers: RecentAnswers::default(),
             withdrawals: Vec::new(),
             next_claim_at: TimePoint::ZERO,
             idle_lifetime: idle_lifetime.max(IDLE_LIFETIME),
@@ -263,6 +267,17 @@
         self.withdraw(refuted);
     }
 
+    /// Records that a request was answered by `service`, or by all its services if `None`. For some time,
+    /// crashes of these are not taken for evidence against it.
+    pub fn on_answered(
+        &mut self,
+        now: TimePoint,
+        fingerprint: RequestFingerprint,
+        service: Option<&ServiceName>,
+    ) {
+        self.answers.record(now, fingerprint, service);
+    }
+
     /// Drops a piece of evidence that turned out to be wrong.
     pub fn retract(&mut self, key: &EvidenceKey) {
         self.retain_evidence(key.fingerprint, |it| it.evidence.key != *key);
@@ -338,6 +353,13 @@
 
     fn insert(&mut self, now: TimePoint, evidence: Evidence, is_shared: bool) {
         let fingerprint = evidence.key.fingerprint;
+        if is_crash(&evidence) && self.answers.contains(now, fingerprint, &evidence.service) {
+            if is_shared {
+                self.withdrawals.push(evidence.key);
+                self.withdrawals.truncate(MAX_WITHDRAWALS);
+            }
+            return;
+        }
         if !self.requests.contains_key(&fingerprint) && MAX_REQUESTS <= self.requests.len() {
             self.evict_one();
         }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,6 +5,7 @@
 mod attempt_kind;
 mod crash_ledger;
 mod evidence;
+mod recent_answers;
 mod request_fingerprint;
 mod shared_ledger;
 
--- a/crates/quarantine/tests/crash_ledger.rs
+++ b/crates/quarantine/tests/crash_ledger.rs
@@ -299,6 +299,49 @@
     expect_that!(ledger.pending_update(end, 32).withdrawals, len(eq(3)));
 }
 
+/// A frequent request runs on all upstreams that fall, and is answered by the others all the time.
+#[gtest]
+fn request_that_was_answered_lately_is_not_the_cause_of_a_crash() {
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
+    ledger.on_answered(at(100), request("a"), Some(&SERVICE.into()));
+    ledger.on_answered(at(100), request("query"), None);
+    ledger.on_answered(at(100), request("other"), Some(&"stock".into()));
+
+    for name in ["a", "query", "other"] {
+        (0..3).for_each(|it| ledger.record(at(101 + it), crash(request(name), it)));
+    }
+
+    expect_that!(ledger.crashes(request("a")), eq(0));
+    expect_that!(ledger.crashes(request("query")), eq(0));
+    expect_that!(ledger.crashes(request("other")), eq(3));
+    // What a node without that knowledge has shared is withdrawn.
+    ledger.on_stored(at(105), crash(request("a"), 9));
+    expect_that!(ledger.pending_update(at(106), 32).withdrawals, len(eq(1)));
+    // An answer does not protect the request for long.
+    ledger.record(at(110), crash(request("a"), 10));
+    expect_that!(ledger.crashes(request("a")), eq(1));
+}
+
+/// The answers that are remembered are bounded as well.
+#[gtest]
+fn oldest_answers_are_forgotten_first() {
+    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
+    ledger.on_answered(at(1), request("old"), None);
+    ledger.on_answered(at(1), request("frequent"), None);
+    for number in 0..5_000 {
+        ledger.on_answered(at(1), request(&format!("flood {number}")), None);
+        if number == 4_000 {
+            ledger.on_answered(at(2), request("frequent"), None);
+        }
+    }
+
+    ledger.record(at(3), crash(request("old"), 1));
+    ledger.record(at(3), crash(request("frequent"), 1));
+
+    expect_that!(ledger.crashes(request("old")), eq(1));
+    expect_that!(ledger.crashes(request("frequent")), eq(0));
+}
+
 /// Of hundreds of nodes, few remove from the store what all of them forget.
 #[gtest]
 fn node_that_does_not_keep_the_store_forgets_without_removing() {
