Give nodes that the others do not count no part of the retry budget's slack

What upstreams saw: more hedges and retries than the budget allows.

Cause: the slack is divided by the number of nodes that callers are directed to, but every node took a part of it, also those that callers are not directed to, and those that the store hides from the others. Called together, 150 nodes had 25 times the slack.

Change: a node that the others do not count (the standing that the shares of rate limits know) uses only the ratio of its own first calls.

--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -6,7 +6,8 @@
 use rand::RngExt;
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RateShares, RetryBudget, RetryBudgetLimits,
+    BalancerReport, LatencyEstimate, NodeStanding, PriorityArbiter, RateShares, RetryBudget,
+    RetryBudgetLimits,
     tracked_upstream::{HealthTier, TrackedUpstream},
 };
 use crate::{AcquireError, CallKind};
@@ -42,6 +43,15 @@
 }
 
 impl BalancerState {
+    /// Returns the number of nodes among which the slack of the retry budget is divided. A node that the
+    /// others do not count uses none of it: many such nodes may be called at once.
+    pub(super) fn budget_nodes(&self) -> u32 {
+        match self.rate_shares.standing() {
+            NodeStanding::Counted => self.nodes,
+            NodeStanding::Uncounted => u32::MAX,
+        }
+    }
+
     pub(super) fn max_connections(&self, upstream: &TrackedUpstream) -> u32 {
         let useful_connections = upstream.slots() * CONNECTIONS_PER_SLOT;
         let useful_connections = useful_connections.min(upstream.assumed_connection_limit());
@@ -75,7 +85,7 @@
             self.report.first_calls += 1;
         } else if kind == CallKind::Resend {
             self.report.resent_calls += 1;
-        } else if self.retry_budget.try_extra_call(now, &limits, self.nodes) {
+        } else if self.retry_budget.try_extra_call(now, &limits, self.budget_nodes()) {
             self.report.extra_calls += 1;
         } else {
             self.report.budget_refusals += 1;
--- a/crates/routing/src/balancer/rate_shares.rs
+++ b/crates/routing/src/balancer/rate_shares.rs
@@ -29,12 +29,14 @@
 pub struct RateShares {
     by_zone: FastMap<AvailabilityZone, f64>,
     elsewhere: f64,
+    standing: NodeStanding,
 }
 
 impl RateShares {
     /// Returns the shares of a node that does not share limits with others.
     pub fn sole_node() -> Self {
-        Self { by_zone: FastMap::default(), elsewhere: 1.0 }
+        let standing = NodeStanding::Counted;
+        Self { by_zone: FastMap::default(), elsewhere: 1.0, standing }
     }
 
     /// Returns the shares of a node in `own_zone`; `nodes_by_zone` counts the nodes that share
@@ -56,7 +58,12 @@
         };
         let by_zone =
             nodes_by_zone.iter().map(|(zone, nodes)| (zone.clone(), share(zone, *nodes))).collect();
-        Self { by_zone, elsewhere: factor / f64::from(total.max(1)) }
+        Self { by_zone, elsewhere: factor / f64::from(total.max(1)), standing }
+    }
+
+    /// Returns whether the other nodes count this one among those that share limits.
+    pub fn standing(&self) -> NodeStanding {
+        self.standing
     }
 
     /// Returns the fraction of the limit of an upstream in `zone`.
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -130,7 +130,7 @@
     /// Returns the fraction of this node's share of the retry budget that is spent.
     pub fn spent_fraction(&self, now: TimePoint) -> f64 {
         let state = self.lock();
-        state.retry_budget.spent_fraction(now, &state.retry_limits, state.nodes)
+        state.retry_budget.spent_fraction(now, &state.retry_limits, state.budget_nodes())
     }
 
     /// Returns the counts since the start of the process.
--- a/crates/routing/tests/balancer/retry_budget.rs
+++ b/crates/routing/tests/balancer/retry_budget.rs
@@ -1,11 +1,17 @@
 //! Budget for hedges and retries ("extra calls") across all nodes.
 
 use googletest::prelude::*;
-use mux_model::TimePoint;
-use mux_routing::balancer::RetryBudget;
+use mux_model::{FastMap, TimePoint};
+use mux_routing::{
+    CallKind,
+    balancer::{NodeStanding, RateShares, RetryBudget},
+};
 use proptest::prelude::*;
 
-use crate::fixtures::limits;
+use crate::fixtures::{
+    NO_LATENCY_LIMIT, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits, record,
+    reply,
+};
 
 const NODES: u32 = 7;
 
@@ -179,3 +185,35 @@
     expect_that!(early, eq((18, 2)));
     expect_that!(late, eq((45, 45)));
 }
+
+/// Callers may use many nodes that the others do not count: right after the loss of those that they
+/// were directed to, and while the store hides nodes.
+#[gtest]
+fn uncounted_nodes_do_not_exceed_the_budget_that_the_counted_ones_divide() {
+    let counted_nodes = 6;
+    let counts = FastMap::from_iter([(OWN_ZONE.into(), counted_nodes)]);
+    let (mut first_calls, mut extra_calls) = (0, 0);
+
+    for node in 0..150 {
+        let is_counted = node < counted_nodes;
+        let standing = if is_counted { NodeStanding::Counted } else { NodeStanding::Uncounted };
+        let balancer = balancer(&[record(0, OWN_ZONE), record(1, OWN_ZONE)]);
+        balancer.set_limits(None, counted_nodes);
+        balancer.set_rate_shares(&RateShares::new(&OWN_ZONE.into(), &counts, standing));
+        for call in 0..20 {
+            let first = acquire_first(&balancer, at(call)).unwrap();
+            reply(&balancer, first, call, call);
+            first_calls += 1;
+            let (estimate, kind) = (latency_estimate(), CallKind::Retry);
+            let extra = balancer.acquire(at(call), &[], kind, &estimate, NO_LATENCY_LIMIT);
+            extra_calls += i32::from(extra.is_ok());
+            if let Ok(upstream) = extra {
+                reply(&balancer, upstream, call, call);
+            }
+        }
+    }
+
+    let allowed = limits().ratio * f64::from(first_calls) + limits().slack;
+    expect_that!(f64::from(extra_calls), le(allowed));
+    expect_that!(extra_calls, ge(150));
+}
