Log whether a node reaches upstreams, and whether its peers do

The lines of a node cut from all upstreams could not be told from those of an outage of the upstreams. A node now probes upstreams when several have failed without a reply of any other, asks peers whether they reach these, and logs the result.

Nodes state a compatible version of their messages in their entry in the store, so that nodes of this build and of earlier ones do not call each other; before, a node found out by messages that it could not decode.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -129,6 +129,8 @@
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
+    pub(crate) node_cut: Gauge,
+    pub(crate) reach_probes: Family<ResultLabel, Counter>,
 }
 
 impl EdgeMetrics {
@@ -158,6 +160,8 @@
             rate_share: Gauge::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
+            node_cut: Gauge::default(),
+            reach_probes: Family::default(),
         };
         metrics.register();
         metrics
@@ -218,6 +222,13 @@
             "Times that the store was found to be restored from an older copy",
             self.store_restores.clone(),
         );
+        let node_cut = self.node_cut.clone();
+        registry.register("node_cut", "1 while this node is cut from all upstreams", node_cut);
+        registry.register(
+            "reach_probes",
+            "Probes whether this node reaches upstreams, by result",
+            self.reach_probes.clone(),
+        );
         registry.register_with_unit(
             "answer_latency",
             "Time from the request to its final answer",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -27,6 +27,8 @@
     StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     rate_sharing::{RateSharing, refresh_rate_shares},
+    reach::NodeReach,
+    relay::HelperLinks,
     request_quarantine::RequestQuarantine,
     upstream::{ConnectionPools, ReplyBuffers},
 };
@@ -76,6 +78,8 @@
     nodes: Mutex<NodeRegistry>,
     pub(crate) rate_sharing: RateSharing,
     pub(crate) quarantine: RequestQuarantine,
+    pub(crate) reach: NodeReach,
+    pub(crate) helpers: HelperLinks,
     store_reachability: Mutex<StoreReachability>,
     /// Reachability of the store as reported by the node whose copy this node reads; `None` while
     /// this node reads the store itself.
@@ -116,6 +120,8 @@
             nodes: Mutex::new(nodes),
             rate_sharing: RateSharing::new(),
             quarantine: RequestQuarantine::new(),
+            reach: NodeReach::new(),
+            helpers: HelperLinks::default(),
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
             balancers: RwLock::default(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod errors;
 mod query;
 mod rate_sharing;
+mod reach;
 mod relay;
 mod request_quarantine;
 mod run_edge;
--- a/crates/edge/src/relay/relay_client.rs
+++ b/crates/edge/src/relay/relay_client.rs
@@ -6,10 +6,15 @@
     time::{Duration, Instant},
 };
 
+use mux_model::InstanceId;
 use mux_quarantine::Evidence;
 use mux_timer::TimerService;
 use tarpc::{
-    client::Config, context, context::Context, serde_transport::tcp, tokio_serde::formats::Bincode,
+    client::{Config, RpcError},
+    context,
+    context::Context,
+    serde_transport::tcp,
+    tokio_serde::formats::Bincode,
 };
 
 use super::{
@@ -77,13 +82,9 @@
         after: Option<StoreRevision>,
         wait: Duration,
     ) -> Result<RelayedUpdate, RelayError> {
-        let limit = wait + REPLY_TIMEOUT;
         let wait_ms = u64::try_from(wait.as_millis()).unwrap_or(u64::MAX);
-        let call = self.client.read_changes(context_with_timeout(limit), after, wait_ms);
-        match self.timer.timeout(limit, call).await {
-            Ok(result) => result.map_err(|error| RelayError::NoReply(error.to_string())),
-            Err(_) => Err(RelayError::NoReply(format!("none within {} ms", limit.as_millis()))),
-        }
+        let call = |context| self.client.read_changes(context, after, wait_ms);
+        self.call(wait + REPLY_TIMEOUT, call).await
     }
 
     /// Sends evidence against requests, and returns that of the peer.
@@ -95,13 +96,30 @@
         &self,
         evidence: Vec<Evidence>,
     ) -> Result<Vec<Evidence>, RelayError> {
-        let call = self.client.exchange_evidence(context_with_timeout(REPLY_TIMEOUT), evidence);
-        match self.timer.timeout(REPLY_TIMEOUT, call).await {
+        self.call(REPLY_TIMEOUT, |context| self.client.exchange_evidence(context, evidence)).await
+    }
+
+    /// Returns which of the upstreams the peer reaches.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RelayError::NoReply`] if no reply was received within `limit`.
+    pub(crate) async fn reach_upstreams(
+        &self,
+        instances: Vec<InstanceId>,
+        limit: Duration,
+    ) -> Result<Vec<bool>, RelayError> {
+        self.call(limit, |context| self.client.reach_upstreams(context, instances)).await
+    }
+
+    async fn call<T, C: Future<Output = Result<T, RpcError>>>(
+        &self,
+        limit: Duration,
+        start: impl FnOnce(Context) -> C,
+    ) -> Result<T, RelayError> {
+        match self.timer.timeout(limit, start(context_with_timeout(limit))).await {
             Ok(result) => result.map_err(|error| RelayError::NoReply(error.to_string())),
-            Err(_) => {
-                let limit = REPLY_TIMEOUT.as_millis();
-                Err(RelayError::NoReply(format!("none within {limit} ms")))
-            }
+            Err(_) => Err(RelayError::NoReply(format!("none within {} ms", limit.as_millis()))),
         }
     }
 }
--- a/crates/edge/src/relay/relay_protocol.rs
+++ b/crates/edge/src/relay/relay_protocol.rs
@@ -1,6 +1,7 @@
 //! RPC interface between nodes.
 
 use mux_config::ReachabilityReport;
+use mux_model::InstanceId;
 use mux_quarantine::Evidence;
 use serde::{Deserialize, Serialize};
 
@@ -27,4 +28,7 @@
 
     /// Records evidence against requests, and returns that of the node.
     async fn exchange_evidence(evidence: Vec<Evidence>) -> Vec<Evidence>;
+
+    /// Returns which of the upstreams the node reaches. Without any, shows that the node answers.
+    async fn reach_upstreams(instances: Vec<InstanceId>) -> Vec<bool>;
 }
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -3,6 +3,7 @@
 use std::{future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use futures::StreamExt;
+use mux_model::InstanceId;
 use mux_quarantine::Evidence;
 use slog::warn;
 use tarpc::{
@@ -13,7 +14,9 @@
 };
 
 use super::{RelayedUpdate, relay_protocol::RelayProtocol};
-use crate::{StoreRevision, edge_state::EdgeState, sync::MAX_EXCHANGED_EVIDENCE};
+use crate::{
+    StoreRevision, edge_state::EdgeState, reach::probe_instances, sync::MAX_EXCHANGED_EVIDENCE,
+};
 
 /// Largest message between nodes, in bytes.
 pub(super) const MESSAGE_BYTES_LIMIT: usize = 64 << 20;
@@ -97,4 +100,8 @@
             own
         })
     }
+
+    async fn reach_upstreams(self, _: Context, instances: Vec<InstanceId>) -> Vec<bool> {
+        probe_instances(&self.edge, &instances).await
+    }
 }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -15,6 +15,7 @@
     ClusterStore, EdgeError, EdgeSettings, WireProtocol,
     caller::{serve_directory, serve_metrics, serve_readiness, serve_request},
     edge_state::{EdgeState, StopPhase},
+    reach::watch_reach,
     relay::RelayServer,
     sync,
 };
@@ -96,6 +97,7 @@
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_rate_shares(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
+    tokio::spawn(watch_reach(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
     signals.wait(&edge, reload).await;
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -2,6 +2,7 @@
 
 use std::{
     net::SocketAddr,
+    pin::pin,
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -12,7 +13,10 @@
 use mux_config::traffic::ExecutionSemantics;
 use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint, UpstreamId};
 use mux_quarantine::RequestFingerprint;
-use mux_routing::balancer::{LatencyEstimate, ServiceBalancer};
+use mux_routing::{
+    balancer::{LatencyEstimate, ServiceBalancer},
+    reach::ContactFailure,
+};
 use slog::info;
 use tokio::sync::{oneshot, watch};
 
@@ -32,6 +36,12 @@
 /// fewer connections, so it may be impossible to replace a connection that is closed early.
 const UNNEEDED_CALL_GRACE: Duration = Duration::from_millis(300);
 
+/// Number of hedge delays after which an upstream without a reply counts as silent.
+const SILENT_AFTER_HEDGE_DELAYS: u32 = 3;
+/// Range of that time.
+const MIN_SILENT_TIME: Duration = Duration::from_millis(50);
+const MAX_SILENT_TIME: Duration = Duration::from_millis(300);
+
 /// The parts of a caller's request that are sent with every call.
 #[derive(Debug)]
 pub(crate) struct CallTemplate {
@@ -131,7 +141,7 @@
     mut sender: oneshot::Sender<CallResult>,
 ) {
     let reservation = ReservationGuard { spec };
-    let mut exchange = Box::pin(exchange::<W>(edge, spec));
+    let mut exchange = Box::pin(exchange_watched::<W>(edge, spec));
     let completed = tokio::select! {
         biased;
         result = &mut exchange => Some(result),
@@ -184,6 +194,21 @@
     let _ = flag.wait_for(|it| *it).await;
 }
 
+/// Makes a call, and records that its upstream is silent if the reply is late.
+async fn exchange_watched<W: WireProtocol>(edge: &EdgeState, spec: &CallSpec) -> CallResult {
+    let silent_time = (spec.latency_estimate.hedge_delay * SILENT_AFTER_HEDGE_DELAYS)
+        .clamp(MIN_SILENT_TIME, MAX_SILENT_TIME);
+    let mut exchange = pin!(exchange::<W>(edge, spec));
+    tokio::select! {
+        biased;
+        result = &mut exchange => return result,
+        () = edge.timer.sleep(silent_time) => {
+            edge.reach.on_failure(spec.upstream, ContactFailure::Silent);
+        }
+    }
+    exchange.await
+}
+
 async fn exchange<W: WireProtocol>(edge: &EdgeState, spec: &CallSpec) -> CallResult {
     let Some(instance) = spec.balancer.instance(spec.upstream) else {
         let reason = mux_model::NotRunReason::NotSent;
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -1,6 +1,7 @@
 //! The connection pool of one upstream.
 
 use std::{
+    io,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -10,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
-use mux_routing::balancer::ServiceBalancer;
+use mux_routing::{balancer::ServiceBalancer, reach::ContactFailure};
 use mux_timer::TimerService;
 use mux_upstream::ProcessProbe;
 
@@ -129,7 +130,7 @@
     ) -> Result<UpstreamReply, CallFailure> {
         let timer = &edge.timer;
         let (mut connection, count_guard, is_new) =
-            self.acquire(timer, balancer, reuse_policy).await?;
+            self.acquire(edge, balancer, reuse_policy).await?;
         let sent_at = timer.now();
         let response = match connection.send(request).await {
             Ok(response) => response,
@@ -137,6 +138,7 @@
                 if is_new {
                     balancer.record_new_connection_failed(timer.now(), self.upstream);
                 }
+                edge.reach.on_failure(self.upstream, ContactFailure::Lost);
                 let is_unsent = error.take_message().is_some();
                 return Err(if is_unsent { not_sent() } else { CallFailure::ConnectionLost });
             }
@@ -145,6 +147,7 @@
             balancer.record_connection_accepted(timer.now(), self.upstream);
         }
         self.lock().last_reply_at = timer.now();
+        edge.reach.on_reply(timer.now());
         let (head, body) = response.into_parts();
         let metadata = W::read_reply(head.status, &head.headers, request_id);
         if let Some(load) = metadata.load {
@@ -166,10 +169,11 @@
     /// Returns a connection for one request, and whether it is new.
     async fn acquire<'a>(
         &'a self,
-        timer: &TimerService,
+        edge: &EdgeState,
         balancer: &'a ServiceBalancer,
         reuse_policy: ReusePolicy,
     ) -> Result<(OpenConnection, ConnectionCountGuard<'a>, bool), CallFailure> {
+        let timer = &edge.timer;
         if let Some(connection) = self.take_idle(timer.now(), balancer, reuse_policy) {
             return Ok((connection, ConnectionCountGuard { pool: self, balancer }, false));
         }
@@ -179,6 +183,13 @@
         let open = OpenConnection::open(timer, self.upstream, check);
         let opened = timer.timeout(CONNECT_TIMEOUT, open).await;
         let now = timer.now();
+        match &opened {
+            Ok(Ok(_)) => edge.reach.on_connected(now),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                edge.reach.on_failure(self.upstream, ContactFailure::Refused);
+            }
+            Ok(Err(_)) | Err(_) => edge.reach.on_failure(self.upstream, ContactFailure::Lost),
+        }
         match opened {
             Ok(Ok(None)) => {
                 balancer.record_new_connection_failed(now, self.upstream);
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -17,7 +17,8 @@
             region: "r".to_owned(),
             callers: address(1),
             link_mbps: 100.0,
-            relay: None,
+            relay_endpoint: None,
+            is_cut: false,
         },
         listen: ListenAddresses {
             callers: address(1),
--- a/crates/edge/tests/store_mirror.rs
+++ b/crates/edge/tests/store_mirror.rs
@@ -20,7 +20,8 @@
         region: "r".to_owned(),
         callers: SocketAddr::from(([10, 0, 0, 1], idx)),
         link_mbps,
-        relay: None,
+        relay_endpoint: None,
+        is_cut: false,
     }))
 }
 
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -13,6 +13,6 @@
 pub use candidate_node::CandidateNode;
 pub use home_limits::HomeLimits;
 pub use home_nodes::home_nodes;
-pub use node_registry::{NodeRecord, NodeRegistry, RelayPeer};
+pub use node_registry::{NodeRecord, NodeRegistry, RelayEndpoint, RelayPeer};
 pub use sharing_nodes::SharingNodes;
 pub use watcher_nodes::watcher_nodes;
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -45,12 +45,41 @@
     pub callers: SocketAddr,
     /// Bandwidth of the node's network link, in megabits per second.
     pub link_mbps: f64,
-    /// Address at which other nodes read this node's copy of the store; `None` if it offers none.
+    /// Where other nodes read this node's copy of the store and send it requests; `None` if it offers
+    /// neither.
     #[serde(default)]
-    pub relay: Option<SocketAddr>,
+    pub relay_endpoint: Option<RelayEndpoint>,
+    /// Whether the node is cut from all upstreams, so that it forwards its requests to other nodes.
+    #[serde(default)]
+    pub is_cut: bool,
+}
+
+/// Version of the messages between nodes. Nodes send nothing to those with another version, whose
+/// messages they could take for others.
+const RELAY_PROTOCOL_VERSION: u32 = 2;
+
+/// Where a node answers calls of other nodes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayEndpoint {
+    /// Address of its relay.
+    pub address: SocketAddr,
+    /// Version of the messages between nodes.
+    protocol: u32,
+}
+
+impl RelayEndpoint {
+    /// Creates the endpoint of a node of this build.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { address, protocol: RELAY_PROTOCOL_VERSION }
+    }
+
+    /// Returns whether nodes of this build can call it.
+    fn is_compatible(&self) -> bool {
+        self.protocol == RELAY_PROTOCOL_VERSION
+    }
 }
 
-/// A node whose copy of the store other nodes can read.
+/// A node that other nodes can call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RelayPeer {
     /// Name of the node.
@@ -84,6 +113,13 @@
     missing: bool,
 }
 
+impl KnownNode {
+    /// Returns the address of the node's relay; `None` if it has none that this node can call.
+    fn relay_address(&self) -> Option<SocketAddr> {
+        self.record.relay_endpoint.filter(RelayEndpoint::is_compatible).map(|it| it.address)
+    }
+}
+
 /// The nodes that serve callers, including this one.
 #[derive(Debug, Clone)]
 pub struct NodeRegistry {
@@ -98,6 +134,17 @@
         Self { own, is_stopping: false, others: FastMap::default() }
     }
 
+    /// Returns the record of this node.
+    pub fn own_record(&self) -> &NodeRecord {
+        &self.own
+    }
+
+    /// Sets whether this node is cut from all upstreams. Callers are directed to it only if all nodes
+    /// are.
+    pub fn set_cut(&mut self, is_cut: bool) {
+        self.own.is_cut = is_cut;
+    }
+
     /// Records that this node begins a planned stop; it is no longer advertised.
     pub fn begin_stop(&mut self) {
         self.is_stopping = true;
@@ -202,7 +249,7 @@
         let mut peers: Vec<_> = self
             .others
             .values()
-            .filter_map(|it| Some((&it.record, it.record.relay?)))
+            .filter_map(|it| Some((&it.record, it.relay_address()?)))
             .map(|(record, address)| {
                 let rank = NodeRank::new(record, self.own_zone(), &self.own.region);
                 let own_name = self.own.node.as_str().as_bytes();
@@ -216,6 +263,27 @@
         peers.into_iter().map(|(_, peer)| peer).collect()
     }
 
+    /// Returns the nodes to which this node may forward requests while it is cut from all upstreams:
+    /// those to which callers of its availability zone are directed, then the other advertised ones,
+    /// near ones first.
+    pub fn helpers(&self) -> Vec<RelayPeer> {
+        let advertised = self.advertised();
+        let preferred = self.addresses_for(self.own_zone(), &self.own.region);
+        let known = self.others.values().filter(|it| !it.record.is_cut);
+        let reachable = known.filter_map(|it| Some((&it.record, it.relay_address()?)));
+        let mut helpers: Vec<_> = reachable
+            .filter(|(record, _)| advertised.contains(&record.callers))
+            .map(|(record, address)| {
+                let rank = NodeRank::new(record, self.own_zone(), &self.own.region);
+                let key = (!preferred.contains(&record.callers), rank.distance, rank.hash);
+                let is_near = rank.distance == 0;
+                (key, RelayPeer { node: record.node.clone(), address, is_near })
+            })
+            .collect();
+        helpers.sort_by_key(|(key, _)| *key);
+        helpers.into_iter().map(|(_, helper)| helper).collect()
+    }
+
     /// Returns the number of announced nodes in this node's availability zone that rank before it.
     fn rank_in_zone(&self) -> usize {
         let own = NodeRank::new(&self.own, self.own_zone(), &self.own.region);
@@ -251,8 +319,8 @@
     /// Returns the addresses for callers in `zone`; empty only if this node is stopping and no
     /// other is known.
     ///
-    /// Nodes are ranked by link class, then by the caller's zone, then by its region. Equal nodes
-    /// are ranked by a hash of zone and node, so that all nodes return the same addresses. A second
+    /// Nodes that are cut from all upstreams come last. The others are ranked by link class, then by
+    /// the caller's zone, then by its region. Equal nodes are ranked by a hash of zone and node, so that all nodes return the same addresses. A second
     /// node is advertised even if it is farther away, so that callers can fail over to it.
     pub fn addresses_for(&self, zone: &str, region: &str) -> Vec<SocketAddr> {
         let mut ranked: Vec<NodeRank> =
@@ -275,6 +343,8 @@
 /// Sort key of a node; the lowest is advertised first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 struct NodeRank {
+    /// Whether the node is cut from all upstreams.
+    is_cut: bool,
     link: Reverse<u32>,
     /// 0 in the caller's zone, 1 elsewhere in its region, 2 elsewhere.
     distance: u8,
@@ -290,10 +360,11 @@
             _ => 2,
         };
         let hash = stable_hash(&[zone.as_bytes(), record.node.as_str().as_bytes()]);
-        Self { link: Reverse(record.link_class()), distance, hash, caller_address: record.callers }
+        let link = Reverse(record.link_class());
+        Self { is_cut: record.is_cut, link, distance, hash, caller_address: record.callers }
     }
 
     fn is_same_tier(&self, other: &Self) -> bool {
-        (self.link, self.distance) == (other.link, other.distance)
+        (self.is_cut, self.link, self.distance) == (other.is_cut, other.link, other.distance)
     }
 }
--- a/crates/placement/tests/node_registry.rs
+++ b/crates/placement/tests/node_registry.rs
@@ -4,7 +4,7 @@
 
 use googletest::prelude::*;
 use mux_model::{FastSet, NodeId};
-use mux_placement::{NodeRecord, NodeRegistry};
+use mux_placement::{NodeRecord, NodeRegistry, RelayEndpoint};
 
 const FAST: f64 = 140.0;
 const SLOW: f64 = 14.0;
@@ -16,7 +16,8 @@
         region: "bayern".to_owned(),
         callers: address(idx),
         link_mbps,
-        relay: Some(SocketAddr::from(([10, 0, 0, 1], 9_000 + idx))),
+        relay_endpoint: Some(RelayEndpoint::new(SocketAddr::from(([10, 0, 0, 1], 9_000 + idx)))),
+        is_cut: false,
     }
 }
 
@@ -226,7 +227,7 @@
         registry.on_record(record(idx, "a", if idx == 4 { SLOW } else { FAST }));
         registry.on_record(record(idx + 10, "b", FAST));
     }
-    registry.on_record(NodeRecord { relay: None, ..record(20, "a", FAST) });
+    registry.on_record(NodeRecord { relay_endpoint: None, ..record(20, "a", FAST) });
 
     let peers = registry.relay_peers();
 
--- a/crates/placement/tests/sharing_nodes.rs
+++ b/crates/placement/tests/sharing_nodes.rs
@@ -16,7 +16,8 @@
         region: "bayern".to_owned(),
         callers,
         link_mbps: 140.0,
-        relay: None,
+        relay_endpoint: None,
+        is_cut: false,
     }
 }
 
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use mux_model::{FastMap, FastSet, InstanceId, ServiceName};
+use mux_model::{FastMap, FastSet, InstanceId, ServiceName, UpstreamId};
 
 use super::{UpstreamPhase, UpstreamRecord};
 
@@ -186,6 +186,11 @@
         self.known.get(instance).map_or(0, |it| it.record.started_ms)
     }
 
+    /// Returns the address of an instance; `None` if it is not known.
+    pub fn address(&self, instance: &InstanceId) -> Option<UpstreamId> {
+        self.known.get(instance).map(|it| it.record.upstream)
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 mod latency_window;
 mod overload_detector;
 mod query_admission;
+pub mod reach;
 mod replica_router;
 mod router_report;
 mod router_settings;
--- /dev/null
+++ b/crates/routing/src/reach/mod.rs
@@ -0,0 +1,5 @@
+//! Whether this node reaches upstreams at all.
+
+mod reach_monitor;
+
+pub use reach_monitor::{ContactFailure, ProbeReason, ProbeResult, ReachChange, ReachMonitor};
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -16,6 +16,6 @@
 
 pub use pool_report::{PoolReport, UpstreamReport};
 pub use pool_settings::PoolSettings;
-pub use process_probe::ProcessProbe;
+pub use process_probe::{DialResult, ProcessProbe, dial};
 pub use upstream_call::{CallHeader, HeldSnapshot, UpstreamReply, UpstreamStatus, header_names};
 pub use upstream_pool::UpstreamPool;
--- a/crates/upstream/src/process_probe.rs
+++ b/crates/upstream/src/process_probe.rs
@@ -30,12 +30,28 @@
         {
             return is_refused;
         }
-        let dial = TcpStream::connect(upstream.0);
-        let is_refused = match timer.timeout(PROBE_TIMEOUT, dial).await {
-            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
-        };
+        let is_refused = dial(timer, upstream, PROBE_TIMEOUT).await == DialResult::Refused;
         *latest = Some((timer.now(), is_refused));
         is_refused
     }
 }
+
+/// Result of an attempt to open a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DialResult {
+    /// The connection was established.
+    Accepted,
+    /// It was refused.
+    Refused,
+    /// It was not established in time, or failed for another reason.
+    Failed,
+}
+
+/// Opens a connection to `upstream` within `limit`, and closes it without sending anything.
+pub async fn dial(timer: &TimerService, upstream: UpstreamId, limit: Duration) -> DialResult {
+    match timer.timeout(limit, TcpStream::connect(upstream.0)).await {
+        Ok(Ok(_)) => DialResult::Accepted,
+        Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => DialResult::Refused,
+        Ok(Err(_)) | Err(_) => DialResult::Failed,
+    }
+}
