Do not take the loss of all upstreams for crashes

Cause: the evidence rests on one upstream at a time, as the choice of upstreams did.

While a node is cut it records no evidence, and what it recorded since its last contact with any upstream and has not shared is dropped.

--- a/crates/edge/src/reach/node_reach.rs
+++ b/crates/edge/src/reach/node_reach.rs
@@ -96,6 +96,11 @@
         self.lock().contact_age(now)
     }
 
+    /// Returns the latest contact with an upstream; zero before the first one.
+    pub(crate) fn last_contact(&self) -> TimePoint {
+        self.lock().last_contact()
+    }
+
     /// Returns whether this node is cut from all upstreams.
     pub(crate) fn is_cut(&self) -> bool {
         *self.is_cut.borrow()
--- a/crates/edge/src/reach/probe_task.rs
+++ b/crates/edge/src/reach/probe_task.rs
@@ -94,6 +94,8 @@
     match change {
         Some(ReachChange::Cut) => {
             edge.metrics.node_cut.set(1);
+            let last_contact = edge.reach.last_contact();
+            edge.quarantine.ledger.update(|it| it.retract_crashes_since(last_contact));
             set_cut(edge, true);
             warn!(edge.logger, "reach: this node is cut from all upstreams";
                 "contact_age_ms" => contact_age.map(|it| it.as_millis() as u64));
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -105,6 +105,10 @@
     let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
     let evidence = Evidence { key, service: service.clone(), observed_ms: unix_millis() };
     let now = edge.timer.now();
+    if edge.reach.is_cut() {
+        // This node lost its connections because of the cut.
+        return edge.quarantine.ledger.update(|it| it.crashes(fingerprint));
+    }
     let crashes = edge.quarantine.ledger.update(|it| {
         it.record(now, evidence);
         it.crashes(fingerprint)
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -283,6 +283,18 @@
         self.retain_evidence(key.fingerprint, |it| it.evidence.key != *key);
     }
 
+    /// Drops the crashes that this node learnt of at `since` or later and has not shared: it lost its
+    /// connections because it was cut from all upstreams.
+    pub fn retract_crashes_since(&mut self, since: TimePoint) {
+        self.requests.retain(|_, request| {
+            request.evidence.retain(|it| {
+                let is_crash = matches!(it.evidence.key.source, EvidenceSource::Crash(_));
+                it.is_shared || !is_crash || it.learnt_at < since
+            });
+            !request.evidence.is_empty()
+        });
+    }
+
     /// Returns up to `limit` changes that the store lacks; evidence against requests that crashed most
     /// processes comes first.
     pub fn pending_update(&mut self, now: TimePoint, limit: usize) -> EvidenceUpdate {
