Let other nodes answer the queries of a node without upstreams, in the own interface

The same class as on the platform: a node of mustardmux node that had lost all upstreams answered its callers' queries with problems, although other home nodes reached the upstreams, and stayed among the addresses that they are given.

The monitor of contact moved to the connections' crate, where both interfaces use it; the pool of HTTP/2 connections feeds it. A node that is cut forwards its queries to other home nodes by the call for queries that exists, once at most; a query that has not run because of a cut found out meanwhile too. At-most-once holds by the session as before. Peers tell by a new call whether they reach upstreams. By gossip the node reports the highest load, by which the others leave it out of their address answers. Queries in flight when the cut begins are not repeated.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -19,6 +19,7 @@
 use mux_quarantine::CrashLedger;
 use mux_routing::balancer::{LatencyEstimator, RetryBudget, ServiceBalancer, UpstreamRegistry};
 use mux_timer::TimerService;
+use mux_upstream::NodeReach;
 use slog::{Logger, info, warn};
 use tokio::sync::{Notify, watch};
 
@@ -27,7 +28,6 @@
     StoreRevision,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     rate_sharing::{RateSharing, refresh_rate_shares},
-    reach::NodeReach,
     relay::HelperLinks,
     request_quarantine::RequestQuarantine,
     upstream::{ConnectionPools, ReplyBuffers},
--- a/crates/node/src/dispatch/query_dispatcher.rs
+++ b/crates/node/src/dispatch/query_dispatcher.rs
@@ -24,6 +24,8 @@
 
 const HOP_LIMIT: u8 = 1;
 const UNKNOWN_SERVICE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Part of the remaining time for which a failed query waits for the result of a probe.
+const PROBE_WAIT_DIVISOR: u32 = 3;
 const DEADLINE_MARGIN: Duration = Duration::from_millis(2);
 
 /// Runs queries at this node or forwards them to another one.
@@ -110,11 +112,24 @@
             return Err(QueryProblem::not_run(ProblemCode::SessionRequired, message));
         }
         let deadline = self.deadline(&runtime, &command);
-        if runtime.is_home() || HOP_LIMIT <= command.hops {
+        if HOP_LIMIT <= command.hops {
+            if node.is_cut() {
+                return Err(cut_problem());
+            }
             let executor = QueryExecutor::new(node, &runtime, deadline);
             return executor.run(command, caller_disconnected).await;
         }
-        self.forward_to_home(node, &runtime, command, deadline).await
+        if !runtime.is_home() || node.is_cut() {
+            return self.forward_to_home(node, &runtime, command, deadline).await;
+        }
+        let executor = QueryExecutor::new(node, &runtime, deadline);
+        let result = executor.run(command.clone(), caller_disconnected).await;
+        let is_not_run = result.as_ref().is_err_and(|it| it.verdict == Verdict::NotRun);
+        let limit = deadline.since(self.timer.now()) / PROBE_WAIT_DIVISOR;
+        if is_not_run && node.settle_reach(limit).await {
+            return self.forward_to_home(node, &runtime, command, deadline).await;
+        }
+        result
     }
 
     fn deadline(&self, runtime: &ServiceRuntime, command: &QueryCommand) -> TimePoint {
@@ -210,6 +225,9 @@
             let limit = deadline.since(self.timer.now());
             let command = self.forwarded_command(command.clone(), deadline);
             match self.peers.run_query(peer, command, limit).await {
+                Ok(QueryOutcome { result: Err(problem), .. })
+                    if problem.verdict == Verdict::NotRun
+                        && problem.code == ProblemCode::NotReady => {}
                 Ok(outcome) => return outcome.result,
                 Err(PeerError::NotSent) => {}
                 Err(PeerError::NoReply) => {
@@ -231,3 +249,8 @@
         QueryCommand { deadline_ms: Some(millis), hops: HOP_LIMIT, ..command }
     }
 }
+
+fn cut_problem() -> QueryProblem {
+    let message = "this node is cut from all upstreams";
+    QueryProblem::not_run(ProblemCode::NotReady, message).retry_after_ms(DEFAULT_RETRY_MS)
+}
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -69,6 +69,8 @@
     /// Whether the configuration is fresh enough to admit queries: 1 or 0. A planned stop does not
     /// change it.
     pub(crate) ready: Gauge,
+    /// Whether the node is cut from all upstreams: 1 or 0.
+    pub(crate) node_cut: Gauge,
     /// Whether the node is stopping: 1 or 0.
     pub(crate) draining: Gauge,
     /// Members by state.
@@ -200,6 +202,8 @@
             it.peer_contact_age.clone(),
         );
         registry.register("ready", "Whether queries are admitted", it.ready.clone());
+        let node_cut = it.node_cut.clone();
+        registry.register("node_cut", "Whether the node is cut from all upstreams", node_cut);
         registry.register("draining", "Whether the node is stopping", it.draining.clone());
         registry.register("members", "Members by state", it.members.clone());
         registry.register("queries_in_flight", "Queries in flight", it.queries_in_flight.clone());
--- a/crates/node/src/node/addresses.rs
+++ b/crates/node/src/node/addresses.rs
@@ -14,6 +14,8 @@
 };
 
 const MAX_ALTERNATIVE_ADDRESSES: usize = 3;
+/// Load that a node which is cut from all upstreams reports to the others.
+pub(crate) const CUT_LOAD: u16 = u16::MAX;
 
 impl Node {
     /// Returns the addresses to which `caller` can send queries of `service`, and a new session.
@@ -119,7 +121,7 @@
         availability_zone: member.identity.availability_zone.clone(),
         caller_address: member.identity.caller,
         load: member.load,
-        available: member.is_available(),
+        available: member.is_available() && member.load < CUT_LOAD,
     }
 }
 
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -38,6 +38,7 @@
     peer::PeerClient,
 };
 
+pub(crate) use addresses::CUT_LOAD;
 pub(crate) use node_parts::NodeParts;
 pub(crate) use stop_state::{StopPhase, StopState};
 
@@ -131,6 +132,18 @@
         &self.pool
     }
 
+    /// Returns whether this node is cut from all upstreams.
+    pub(crate) fn is_cut(&self) -> bool {
+        self.pool.reach().is_cut()
+    }
+
+    /// Waits for the result of a probe of upstreams if one is due; returns whether this node is cut from
+    /// all of them.
+    pub(crate) async fn settle_reach(&self, limit: Duration) -> bool {
+        let known = self.pool.report().upstreams.len();
+        self.pool.reach().settle(&self.timer, known, limit).await
+    }
+
     /// Returns the services in force.
     pub(crate) fn registry(&self) -> &ServiceRegistry {
         &self.registry
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -58,6 +58,10 @@
     pub(crate) fn record_crash(&self, command: &QueryCommand, upstream: UpstreamId) -> usize {
         let now = self.timer.now();
         let fingerprint = fingerprint(command);
+        if self.is_cut() {
+            // This node lost its connections because of the cut.
+            return self.quarantine.update(|it| it.crashes(fingerprint));
+        }
         let instance = upstream.to_string().into();
         let observed_ms = unix_millis();
         // Upstreams of this interface do not tell when they started. Processes that ended at the same
--- a/crates/node/src/node/telemetry.rs
+++ b/crates/node/src/node/telemetry.rs
@@ -83,6 +83,7 @@
         gauges.store_contact_age.set(age(last_contacts.store));
         gauges.peer_contact_age.set(age(last_contacts.peer));
         gauges.ready.set(i64::from(self.readiness() == ReadyState::Ready));
+        gauges.node_cut.set(i64::from(self.is_cut()));
         gauges.draining.set(i64::from(self.stop_state.phase() != StopPhase::Serving));
         gauges.queries_in_flight.set(i64::from(self.queries_in_flight()));
         gauges.sessions.set(to_gauge(self.dispatcher.ledger().session_count() as u64));
--- a/crates/node/src/peer/peer_client.rs
+++ b/crates/node/src/peer/peer_client.rs
@@ -8,7 +8,7 @@
 };
 
 use mux_config::ConfigUpdate;
-use mux_model::{FastMap, RevisionNumber};
+use mux_model::{FastMap, RevisionNumber, UpstreamId};
 use mux_quarantine::{Evidence, EvidenceKey};
 use mux_timer::TimerService;
 use tarpc::{
@@ -110,6 +110,22 @@
         self.check_result(peer, result)
     }
 
+    /// Returns which of the upstreams the peer reaches.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`PeerError`] if no reply was received.
+    pub(crate) async fn reach_upstreams(
+        &self,
+        peer: SocketAddr,
+        upstreams: Vec<UpstreamId>,
+    ) -> Result<Vec<bool>, PeerError> {
+        let client = self.connection(peer).await?;
+        let context = context_with_timeout(LIVENESS_CHECK_TIMEOUT);
+        let result = client.reach_upstreams(context, upstreams).await;
+        self.check_result(peer, result)
+    }
+
     /// Closes the connections to nodes that are not in `peers`.
     pub(crate) fn retain(&self, peers: &[SocketAddr]) {
         let mut connections = self.connections.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/node/src/peer/peer_protocol.rs
+++ b/crates/node/src/peer/peer_protocol.rs
@@ -1,7 +1,7 @@
 //! RPC interface between nodes.
 
 use mux_config::ConfigUpdate;
-use mux_model::RevisionNumber;
+use mux_model::{RevisionNumber, UpstreamId};
 use mux_quarantine::{Evidence, EvidenceKey};
 
 use crate::dispatch::{QueryCommand, QueryOutcome};
@@ -23,4 +23,7 @@
         evidence: Vec<Evidence>,
         withdrawn: Vec<EvidenceKey>,
     ) -> Vec<Evidence>;
+
+    /// Returns which of the upstreams the node reaches.
+    async fn reach_upstreams(upstreams: Vec<UpstreamId>) -> Vec<bool>;
 }
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -4,7 +4,7 @@
 
 use futures::StreamExt;
 use mux_config::ConfigUpdate;
-use mux_model::RevisionNumber;
+use mux_model::{RevisionNumber, UpstreamId};
 use mux_quarantine::{Evidence, EvidenceKey};
 use slog::{Logger, debug};
 use tarpc::{
@@ -19,6 +19,7 @@
 use crate::{
     Node,
     dispatch::{ProblemCode, QueryCommand, QueryOutcome, QueryProblem},
+    sync::probe_upstreams,
 };
 
 /// Largest message between nodes, in bytes.
@@ -113,4 +114,8 @@
             own
         })
     }
+
+    async fn reach_upstreams(self, _: Context, upstreams: Vec<UpstreamId>) -> Vec<bool> {
+        probe_upstreams(&self.node, &upstreams).await
+    }
 }
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -94,6 +94,7 @@
     tokio::spawn(sync::run_janitor(Arc::clone(node)));
     tokio::spawn(sync::poll_upstreams(Arc::clone(node)));
     tokio::spawn(sync::share_evidence(Arc::clone(node)));
+    tokio::spawn(sync::watch_reach(Arc::clone(node)));
 }
 
 async fn run_until_stopped(node: &Arc<Node>) -> io::Result<()> {
--- a/crates/node/src/sync/member_watch.rs
+++ b/crates/node/src/sync/member_watch.rs
@@ -9,7 +9,7 @@
 use tokio::sync::mpsc;
 
 use super::failed_members::FailedMembers;
-use crate::Node;
+use crate::{Node, node::CUT_LOAD};
 
 const CHECK_PERIOD: Duration = Duration::from_millis(200);
 
@@ -43,7 +43,10 @@
     if members.verified {
         node.on_peer_contact(members.last_contact, revision);
     }
-    let load = u16::try_from(node.queries_in_flight()).unwrap_or(u16::MAX);
+    let load = match node.is_cut() {
+        true => CUT_LOAD,
+        false => u16::try_from(node.queries_in_flight()).unwrap_or(u16::MAX).min(CUT_LOAD - 1),
+    };
     node.gossip().set_load(load);
 }
 
--- a/crates/proofs/src/child_process.rs
+++ b/crates/proofs/src/child_process.rs
@@ -87,6 +87,11 @@
         self.child.try_wait().expect("the exit status can be read")
     }
 
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process with SIGKILL and waits for its exit.
     pub fn kill(&mut self) {
         // The process may already have exited.
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -4,6 +4,7 @@
 mod call_request;
 mod dial;
 mod dial_backoff;
+mod node_reach;
 mod pool_report;
 mod pool_settings;
 mod process_probe;
@@ -14,6 +15,7 @@
 mod upstream_state;
 mod watched_stream;
 
+pub use node_reach::NodeReach;
 pub use pool_report::{PoolReport, UpstreamReport};
 pub use pool_settings::PoolSettings;
 pub use process_probe::{DialResult, ProcessProbe, dial};
--- a/crates/edge/src/reach/node_reach.rs
+++ b/crates/upstream/src/node_reach.rs
@@ -18,7 +18,7 @@
 
 /// This node's contact with upstreams.
 #[derive(Debug)]
-pub(crate) struct NodeReach {
+pub struct NodeReach {
     monitor: Mutex<ReachMonitor>,
     /// Wakes the task that probes.
     wakeup: Notify,
@@ -27,8 +27,15 @@
     probes: watch::Sender<u64>,
 }
 
+impl Default for NodeReach {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
 impl NodeReach {
-    pub(crate) fn new() -> Self {
+    /// Creates the state of a node without contact so far.
+    pub fn new() -> Self {
         Self {
             monitor: Mutex::default(),
             wakeup: Notify::new(),
@@ -38,43 +45,43 @@
     }
 
     /// Records a reply of an upstream.
-    pub(crate) fn on_reply(&self, now: TimePoint) {
+    pub fn on_reply(&self, now: TimePoint) {
         self.lock().on_reply(now);
     }
 
     /// Records that an upstream accepted a connection.
-    pub(crate) fn on_connected(&self, now: TimePoint) {
+    pub fn on_connected(&self, now: TimePoint) {
         self.lock().on_connected(now);
     }
 
     /// Records a failed attempt to reach an upstream.
-    pub(crate) fn on_failure(&self, upstream: UpstreamId, failure: ContactFailure) {
+    pub fn on_failure(&self, upstream: UpstreamId, failure: ContactFailure) {
         self.lock().on_failure(upstream, failure);
         self.wakeup.notify_one();
     }
 
     /// Lets the node probe because it is about to serve more callers.
-    pub(super) fn probe_at_once(&self) {
+    pub fn probe_at_once(&self) {
         self.lock().probe_at_once();
     }
 
     /// Lets the task that probes check whether it has to, because the known nodes have changed.
-    pub(crate) fn check(&self) {
+    pub fn check(&self) {
         self.wakeup.notify_one();
     }
 
     /// Waits until a failure is recorded or the known nodes have changed.
-    pub(super) async fn woken(&self) {
+    pub async fn woken(&self) {
         self.wakeup.notified().await;
     }
 
     /// Returns when upstreams have to be probed, and why; `known` is the number of known upstreams.
-    pub(super) fn next_probe(&self, known: usize) -> Option<(TimePoint, ProbeReason)> {
+    pub fn next_probe(&self, known: usize) -> Option<(TimePoint, ProbeReason)> {
         self.lock().next_probe(known)
     }
 
     /// Applies the result of a probe that began at `started`.
-    pub(super) fn on_probe(
+    pub fn on_probe(
         &self,
         now: TimePoint,
         started: TimePoint,
@@ -92,22 +99,22 @@
     }
 
     /// Returns the time since the latest contact with an upstream; `None` before the first one.
-    pub(crate) fn contact_age(&self, now: TimePoint) -> Option<Duration> {
+    pub fn contact_age(&self, now: TimePoint) -> Option<Duration> {
         self.lock().contact_age(now)
     }
 
     /// Returns the latest contact with an upstream; zero before the first one.
-    pub(crate) fn last_contact(&self) -> TimePoint {
+    pub fn last_contact(&self) -> TimePoint {
         self.lock().last_contact()
     }
 
     /// Returns whether this node is cut from all upstreams.
-    pub(crate) fn is_cut(&self) -> bool {
+    pub fn is_cut(&self) -> bool {
         *self.is_cut.borrow()
     }
 
     /// Waits until this node is cut from all upstreams, and calls in flight will have no reply either.
-    pub(crate) async fn wait_until_lost(&self, timer: &TimerService) {
+    pub async fn wait_until_lost(&self, timer: &TimerService) {
         let mut is_cut = self.is_cut.subscribe();
         loop {
             // No error is possible: the sender is part of `self`.
@@ -120,18 +127,18 @@
     }
 
     /// Returns whether upstreams replied on open connections just now, although new ones are refused.
-    pub(crate) fn has_kept_connections(&self, now: TimePoint) -> bool {
+    pub fn has_kept_connections(&self, now: TimePoint) -> bool {
         self.contact_age(now).is_some_and(|it| it <= KEPT_CONTACT_AGE)
     }
 
     /// Returns whether several upstreams failed and no probe has shown yet whether this node is cut.
-    pub(crate) fn is_suspect(&self, known: usize) -> bool {
+    pub fn is_suspect(&self, known: usize) -> bool {
         self.lock().is_suspect(known)
     }
 
     /// Waits for the result of a probe if one is due; returns whether this node is cut from all
     /// upstreams.
-    pub(crate) async fn settle(&self, timer: &TimerService, known: usize, limit: Duration) -> bool {
+    pub async fn settle(&self, timer: &TimerService, known: usize, limit: Duration) -> bool {
         if !self.is_cut() && self.is_suspect(known) {
             let mut probes = self.probes.subscribe();
             probes.mark_unchanged();
--- a/crates/upstream/src/upstream_pool.rs
+++ b/crates/upstream/src/upstream_pool.rs
@@ -12,12 +12,13 @@
 use mux_model::{
     CallFailure, FastHasher, FastMap, FastSet, NotRunReason, ShardIndex, TimePoint, UpstreamId,
 };
+use mux_routing::reach::ContactFailure;
 use mux_timer::TimerService;
 use slog::{Logger, info, warn};
 use tokio::runtime::Handle;
 
 use crate::{
-    CallHeader, PoolReport, PoolSettings, UpstreamReply, UpstreamStatus,
+    CallHeader, NodeReach, PoolReport, PoolSettings, UpstreamReply, UpstreamStatus,
     call_reply::{ReplyHead, check_json, read_body},
     call_request::{CallIdentity, build_call_request, build_status_request},
     dial::{DialedConnection, dial},
@@ -47,6 +48,7 @@
     timer: TimerService,
     logger: Logger,
     runtime: Handle,
+    reach: NodeReach,
     stripes: Vec<Mutex<PoolStripe>>,
 }
 
@@ -62,7 +64,14 @@
     pub fn start(settings: PoolSettings, timer: TimerService, logger: Logger) -> Self {
         let stripes = (0..STRIPE_COUNT).map(|_| Mutex::default()).collect();
         let runtime = Handle::current();
-        let inner = Arc::new(PoolInner { settings, timer, logger, runtime, stripes });
+        let inner = Arc::new(PoolInner {
+            settings,
+            timer,
+            logger,
+            runtime,
+            reach: NodeReach::new(),
+            stripes,
+        });
         inner.runtime.spawn(sweep_connections(Arc::downgrade(&inner), inner.timer.clone()));
         Self { inner }
     }
@@ -98,8 +107,15 @@
         let limit = self.inner.settings.status_timeout;
         let connection = self.acquire(upstream, self.inner.timer.now() + limit).await?;
         match self.inner.timer.timeout(limit, request_status(upstream, &connection)).await {
-            Ok(res) => res,
-            Err(_) => Err(CallFailure::DeadlinePassed),
+            Ok(Ok(status)) => {
+                self.inner.reach.on_reply(self.inner.timer.now());
+                Ok(status)
+            }
+            Ok(Err(failure)) => Err(failure),
+            Err(_) => {
+                self.inner.reach.on_failure(upstream, ContactFailure::Silent);
+                Err(CallFailure::DeadlinePassed)
+            }
         }
     }
 
@@ -129,6 +145,11 @@
         }
     }
 
+    /// Returns the contact of this node with upstreams.
+    pub fn reach(&self) -> &NodeReach {
+        &self.inner.reach
+    }
+
     /// Returns the state of the pool.
     pub fn report(&self) -> PoolReport {
         let mut upstreams = Vec::new();
@@ -141,6 +162,7 @@
 
     /// Returns the failure of a call whose connection was lost.
     async fn refine_loss(&self, upstream: UpstreamId) -> CallFailure {
+        self.inner.reach.on_failure(upstream, ContactFailure::Lost);
         let probe = self.inner.stripe(upstream).get(&upstream).map(UpstreamState::probe);
         let has_ended = match probe {
             Some(probe) => probe.refuses_connection(&self.inner.timer, upstream).await,
@@ -191,6 +213,7 @@
         let body = read_body(response.into_body(), bytes_limit);
         let body = body.await.map_err(|failure| connection.refine_failure(failure))?;
         check_json(&body)?;
+        self.inner.reach.on_reply(self.inner.timer.now());
         if connection.record_reply() {
             self.inner.record_reply(upstream);
         }
@@ -247,12 +270,18 @@
 
     fn record_dial_failure(&self, upstream: UpstreamId, error: &io::Error) {
         info!(self.logger, "upstream: failed to connect to {upstream}: {error}");
+        let failure = match error.kind() {
+            io::ErrorKind::ConnectionRefused => ContactFailure::Refused,
+            _ => ContactFailure::Lost,
+        };
+        self.reach.on_failure(upstream, failure);
         if let Some(state) = self.stripe(upstream).get_mut(&upstream) {
             state.record_dial_failure(self.timer.now(), rand::random());
         }
     }
 
     fn add_connection(&self, upstream: UpstreamId, connection: Arc<UpstreamConnection>) {
+        self.reach.on_connected(self.timer.now());
         if let Some(state) = self.stripe(upstream).get_mut(&upstream) {
             state.add_connection(connection);
         }
@@ -269,6 +298,7 @@
             for (upstream, state) in lock(stripe).iter_mut() {
                 let aborted = state.sweep(now, silence_counted_from, &self.settings);
                 if 0 < aborted {
+                    self.reach.on_failure(*upstream, ContactFailure::Silent);
                     warn!(
                         self.logger,
                         "upstream: aborted {aborted} silent connections to {upstream}"
