Probe after two failed upstreams, and test the longer way of a request

A non-idempotent request at a node that has just lost all upstreams was refused as not run if its service has two upstreams only: the node probed after three failed ones, and waits for the result of a probe only if one is due. It probes after two now; one that is down stays no reason.

--- a/crates/mustardmux/src/cli/logs_command.rs
+++ b/crates/mustardmux/src/cli/logs_command.rs
@@ -11,7 +11,7 @@
 use super::errors::CommandError;
 
 /// Prefixes of the messages that tell what a node believes about itself and its sources.
-const STATE_PREFIXES: [&str; 5] = ["node:", "config:", "store:", "relay:", "budget:"];
+const STATE_PREFIXES: [&str; 6] = ["node:", "config:", "store:", "relay:", "budget:", "reach:"];
 /// State lines that are kept for each node and message, and printed before a request.
 const STATE_LINES_PER_MESSAGE: usize = 2;
 /// Fields that each line has, printed apart from the others.
--- a/crates/mustardmux/tests/command_line.rs
+++ b/crates/mustardmux/tests/command_line.rs
@@ -125,6 +125,25 @@
     expect_that!(output.status.code(), some(eq(0)));
 }
 
+/// A forwarded request has a line at the node of its caller and one at the node that served it.
+#[gtest]
+fn lines_of_a_forwarded_request_are_printed_with_the_reach_of_their_nodes() {
+    let output = explain(&[
+        r#"{"msg":"reach: this node is cut from all upstreams","ts":"1","node":"a-1"}"#,
+        r#"{"msg":"request: answered","ts":"2","node":"a-2","id":"9c41","origin":"a-1","status":200}"#,
+        r#"{"msg":"request: answered","ts":"3","node":"a-1","id":"9c41","helpers":"a-2: whole; "}"#,
+    ]);
+
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    let expected = vec![
+        "2 a-2 request: answered; id 9c41; origin a-1; status 200",
+        "  before: 1 a-1 reach: this node is cut from all upstreams",
+        "3 a-1 request: answered; helpers a-2: whole; ; id 9c41",
+    ];
+    expect_that!(lines, eq(&expected));
+}
+
 #[gtest]
 fn request_without_a_line_is_an_error_that_says_what_to_do() {
     let output = explain(&[r#"{"msg":"request: answered","ts":"4","node":"a-1","id":"ffff"}"#]);
--- a/crates/routing/src/reach/reach_monitor.rs
+++ b/crates/routing/src/reach/reach_monitor.rs
@@ -5,7 +5,7 @@
 use mux_model::{FastMap, FastSet, TimePoint, UpstreamId};
 
 /// Number of upstreams without contact from which a node probes; fewer if fewer are known.
-const SUSPECT_UPSTREAMS: usize = 3;
+const SUSPECT_UPSTREAMS: usize = 2;
 /// Time without contact from which a node probes.
 const SILENT_TIME: Duration = Duration::from_millis(100);
 /// Pause after a probe that did not show a cut.
