--- /dev/null
+++ b/crates/edge/src/query/helped_request.rs
@@ -0,0 +1,126 @@
+//! Serves the requests of nodes that are cut from all upstreams.
+
+use std::sync::{Arc, atomic::Ordering};
+
+use http::StatusCode;
+use mux_model::RevisionNumber;
+
+use super::{
+    assisted_answer::GIVEN_UP_OUTCOME,
+    final_answer::{FinalAnswer, failure_answer},
+    request_handler::{CallerRequest, RequestHandler, RequestOrigin},
+};
+use crate::{
+    WireProtocol,
+    edge_metrics::ResultLabel,
+    edge_state::{EdgeState, StopPhase},
+    relay::{ForwardedAnswer, ForwardedRequest, NotTakenReason, to_header_lines},
+};
+
+/// Maximum number of requests of other nodes that a node serves at the same time.
+const HELPED_REQUESTS: usize = 256;
+/// Maximum number of requests of other nodes in percent of [`HELPED_REQUESTS`] from which on only
+/// requests of the most urgent routes are taken.
+const URGENT_ONLY_PERCENT: usize = 75;
+
+/// Serves a request that another node forwards because it is cut from all upstreams.
+pub(crate) async fn serve_forwarded<W: WireProtocol>(
+    edge: &Arc<EdgeState>,
+    request: ForwardedRequest,
+) -> ForwardedAnswer {
+    let answer = match take_request(edge, &request) {
+        Ok(guard) => {
+            let answer = run_forwarded::<W>(edge, request).await;
+            drop(guard);
+            answer
+        }
+        Err(refusal) => ForwardedAnswer::NotTaken { refusal, retry_after_ms: None },
+    };
+    let label = match &answer {
+        ForwardedAnswer::Final { .. } => "answered",
+        ForwardedAnswer::NotTaken { refusal, .. } => refusal.label(),
+        ForwardedAnswer::GivenUp { .. } => GIVEN_UP_OUTCOME,
+    };
+    edge.metrics.helped_requests.get_or_create(&ResultLabel { result: label }).inc();
+    answer
+}
+
+/// Counts a request of another node until it is dropped.
+struct HelpedRequestGuard<'a> {
+    edge: &'a EdgeState,
+}
+
+impl Drop for HelpedRequestGuard<'_> {
+    fn drop(&mut self) {
+        self.edge.helped_in_flight.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Decides whether this node serves a request of another one.
+fn take_request<'a>(
+    edge: &'a EdgeState,
+    request: &ForwardedRequest,
+) -> Result<HelpedRequestGuard<'a>, NotTakenReason> {
+    if edge.stop_phase() != StopPhase::Serving {
+        return Err(NotTakenReason::Stopping);
+    }
+    if edge.reach.is_cut() {
+        return Err(NotTakenReason::Cut);
+    }
+    let version = edge.route_table().map(|it| it.version());
+    if version.is_none_or(|it| it < request.version) {
+        return Err(NotTakenReason::Outdated);
+    }
+    let in_flight = edge.helped_in_flight.fetch_add(1, Ordering::Relaxed);
+    let guard = HelpedRequestGuard { edge };
+    let limit = match request.is_urgent {
+        true => HELPED_REQUESTS,
+        false => HELPED_REQUESTS * URGENT_ONLY_PERCENT / 100,
+    };
+    if limit <= in_flight {
+        return Err(NotTakenReason::Busy);
+    }
+    Ok(guard)
+}
+
+async fn run_forwarded<W: WireProtocol>(
+    edge: &Arc<EdgeState>,
+    request: ForwardedRequest,
+) -> ForwardedAnswer {
+    let Some((method, uri, headers)) = request.head() else {
+        let reason = "a forwarded request is malformed";
+        return to_forwarded(edge, failure_answer(StatusCode::BAD_REQUEST, "rejected", reason));
+    };
+    let received_at = edge.timer.now();
+    let origin = RequestOrigin::Node {
+        node: request.origin.clone(),
+        time_left: request.time_left(),
+        elapsed: request.elapsed(),
+        calls_made: request.calls_made,
+    };
+    let caller_address = request.caller;
+    let body = request.body;
+    let request = CallerRequest { method, uri, headers, body, received_at, caller_address, origin };
+    let calls_made = request.origin.calls_made();
+    let (answer, own_calls) = RequestHandler::new(edge).handle_counted::<W>(request).await;
+    if answer.outcome == GIVEN_UP_OUTCOME {
+        return ForwardedAnswer::GivenUp { calls_made: calls_made + own_calls };
+    }
+    if answer.is_not_run() {
+        let refusal = if edge.reach.is_cut() { NotTakenReason::Cut } else { NotTakenReason::Busy };
+        let retry_after_ms =
+            answer.retry_after().map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
+        return ForwardedAnswer::NotTaken { refusal, retry_after_ms };
+    }
+    to_forwarded(edge, answer)
+}
+
+fn to_forwarded(edge: &EdgeState, answer: FinalAnswer) -> ForwardedAnswer {
+    ForwardedAnswer::Final {
+        status: answer.status.as_u16(),
+        headers: to_header_lines(&answer.headers),
+        body: answer.body,
+        outcome: answer.outcome.to_owned(),
+        version: edge.route_table().map_or(RevisionNumber(0), |it| it.version()),
+    }
+}
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -3,8 +3,9 @@
 mod assisted_answer;
 mod call_driver;
 mod final_answer;
+mod helped_request;
 mod request_handler;
 
-pub(crate) use assisted_answer::serve_forwarded;
 pub(crate) use final_answer::{FinalAnswer, failure_answer};
+pub(crate) use helped_request::serve_forwarded;
 pub(crate) use request_handler::{CallerRequest, RequestHandler, RequestOrigin};
