--- a/crates/edge/src/relay/helper_table.rs
+++ b/crates/edge/src/relay/helper_table.rs
@@ -7,10 +7,11 @@
 use rand::RngExt;
 
 /// Time for which a helper that did not answer is passed over.
-const SILENT_HELPER_PENALTY: Duration = Duration::from_secs(3);
+const SILENT_HELPER_PENALTY: Duration = Duration::from_secs(1);
 /// Time for which a helper that is cut itself is passed over.
 const CUT_HELPER_PENALTY: Duration = Duration::from_secs(1);
-/// Time for which a helper at its limit is passed over.
+/// Time for which other helpers come before one that was at its limits. It may still have room for
+/// requests of other routes, and be the only one.
 const BUSY_HELPER_PENALTY: Duration = Duration::from_millis(100);
 /// Number of requests of this node at one helper from which on others are preferred. A helper may
 /// have a slow link, and serve several nodes.
@@ -33,6 +34,7 @@
 struct HelperLoad {
     in_flight: u32,
     passed_over_until: TimePoint,
+    busy_until: TimePoint,
     /// Time until which the helper is taken to reach upstreams.
     reaches_until: TimePoint,
 }
@@ -41,8 +43,8 @@
 ///
 /// Answers the cases that many nodes or a whole availability zone are cut: their requests are spread by
 /// the load that this node causes at each helper. Helpers that were found to reach upstreams come
-/// first, then those to which callers are directed, then near ones, as others may have been cut at the same moment; those that are cut, stopping,
-/// silent or at their limit are passed over for a while.
+/// first, then those to which callers are directed, then near ones, as others may have been cut at the same moment; those that are cut, stopping
+/// or silent are passed over for a while, and those at their limits come last.
 #[derive(Debug, Clone, Default)]
 pub struct HelperTable {
     loads: FastMap<NodeId, HelperLoad>,
@@ -64,7 +66,9 @@
             .map(|(it, load)| {
                 let is_full = HELPER_REQUESTS <= load.in_flight;
                 let is_verified = now < load.reaches_until;
-                ((is_full, !is_verified, !it.is_preferred, !it.is_near), load.in_flight, it)
+                let is_busy = now < load.busy_until;
+                let group = (is_busy, is_full, !is_verified, !it.is_preferred, !it.is_near);
+                (group, load.in_flight, it)
             })
             .collect();
         let best = ranked.iter().map(|(group, ..)| *group).min()?;
@@ -108,19 +112,21 @@
 
     /// Records that a helper did not take a request.
     pub fn on_refusal(&mut self, now: TimePoint, helper: &NodeId, refusal: HelperRefusal) {
+        self.loads.retain(|_, it| {
+            let is_known = now < it.passed_over_until || now < it.busy_until;
+            is_known || 0 < it.in_flight || now < it.reaches_until
+        });
+        let load = self.loads.entry(helper.clone()).or_default();
         let penalty = match refusal {
+            HelperRefusal::Busy => {
+                load.busy_until = now + BUSY_HELPER_PENALTY;
+                return;
+            }
             HelperRefusal::Silent => SILENT_HELPER_PENALTY,
             HelperRefusal::Unable => CUT_HELPER_PENALTY,
-            HelperRefusal::Busy => BUSY_HELPER_PENALTY,
         };
-        self.loads.retain(|_, it| {
-            0 < it.in_flight || now < it.passed_over_until || now < it.reaches_until
-        });
-        let load = self.loads.entry(helper.clone()).or_default();
         load.passed_over_until = now + penalty;
-        if refusal != HelperRefusal::Busy {
-            load.reaches_until = TimePoint::ZERO;
-        }
+        load.reaches_until = TimePoint::ZERO;
     }
 
     fn load(&self, helper: &NodeId) -> HelperLoad {
