Remove the closing of idle connections at the end of a cut

It never happened: the end of a cut counts as a contact, and the condition asked for none. Found by reading; no behaviour changes.

--- a/crates/edge/src/reach/probe_task.rs
+++ b/crates/edge/src/reach/probe_task.rs
@@ -102,10 +102,6 @@
         }
         Some(ReachChange::Returned(duration)) => {
             edge.metrics.node_cut.set(0);
-            if !edge.reach.has_kept_connections(now) {
-                // Upstreams may have closed them meanwhile.
-                edge.connection_pools.close_idle();
-            }
             edge.for_each_balancer(|it| it.on_reach_returned());
             set_cut(edge, false);
             info!(edge.logger, "reach: this node reaches upstreams again";
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -107,14 +107,6 @@
         state.idle.clear();
     }
 
-    /// Closes idle connections.
-    pub(super) fn close_idle(&self) {
-        let mut state = self.lock();
-        let closed = u32::try_from(state.idle.len()).unwrap_or(u32::MAX);
-        state.open = state.open.saturating_sub(closed);
-        state.idle.clear();
-    }
-
     /// Returns when the latest reply began; zero if there was none.
     pub(crate) fn last_reply_at(&self) -> TimePoint {
         self.lock().last_reply_at
--- a/crates/edge/src/upstream/connection_pools.rs
+++ b/crates/edge/src/upstream/connection_pools.rs
@@ -34,11 +34,6 @@
         self.lock().get(instance).is_some_and(|it| since < it.last_reply_at())
     }
 
-    /// Closes all idle connections.
-    pub(crate) fn close_idle(&self) {
-        self.lock().values().for_each(|it| it.close_idle());
-    }
-
     /// Removes and closes the pools of all other instances; calls in flight continue.
     pub(crate) fn keep_only<'a>(&self, instances: impl Iterator<Item = &'a InstanceId>) {
         let kept: FastSet<&InstanceId> = instances.collect();
