Part the bounds over all nodes from the rate limits of upstreams

Cause: the only mechanism that divides a bound among the nodes lies inside the rate limits that upstreams state, while warm-up bounds and quotas of workspaces need it as well.

--- a/crates/edge/src/rate_sharing.rs
+++ b/crates/edge/src/rate_sharing.rs
@@ -6,8 +6,7 @@
 };
 
 use mux_model::TimePoint;
-use mux_placement::SharingNodes;
-use mux_routing::balancer::{NodeStanding, RateShares};
+use mux_sharing::{NodeShares, NodeStanding, SharingNodes};
 use slog::info;
 
 use crate::edge_state::EdgeState;
@@ -21,7 +20,7 @@
 #[derive(Debug)]
 pub(crate) struct RateSharing {
     nodes: Mutex<SharingNodes>,
-    shares: RwLock<RateShares>,
+    shares: RwLock<NodeShares>,
     /// When the lease of this node's entry in the store ends unless it is renewed.
     announced_until: Mutex<TimePoint>,
 }
@@ -30,7 +29,7 @@
     pub(crate) fn new() -> Self {
         Self {
             nodes: Mutex::default(),
-            shares: RwLock::new(RateShares::sole_node()),
+            shares: RwLock::new(NodeShares::sole_node()),
             announced_until: Mutex::new(TimePoint::ZERO),
         }
     }
@@ -41,12 +40,12 @@
     }
 
     /// Returns the current shares.
-    pub(crate) fn shares(&self) -> RateShares {
+    pub(crate) fn shares(&self) -> NodeShares {
         self.shares.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Replaces the shares; returns whether they differ from the former ones.
-    fn replace_shares(&self, shares: &RateShares) -> bool {
+    fn replace_shares(&self, shares: &NodeShares) -> bool {
         let mut current = self.shares.write().unwrap_or_else(PoisonError::into_inner);
         let is_changed = *current != *shares;
         *current = shares.clone();
@@ -62,10 +61,12 @@
     let own = &edge.settings.node;
     let counts = {
         let mut sharing_nodes = lock(&edge.rate_sharing.nodes);
-        sharing_nodes.update(now, edge.nodes().advertised_nodes(), hold_time);
-        sharing_nodes.count_by_zone(own)
+        let registry = edge.nodes();
+        let advertised = registry.advertised_nodes().map(|it| (&it.node, &it.availability_zone));
+        sharing_nodes.update(now, advertised, hold_time);
+        sharing_nodes.count_by_zone(&own.node, &own.availability_zone)
     };
-    let shares = RateShares::new(&own.availability_zone, &counts, standing);
+    let shares = NodeShares::new(&own.availability_zone, &counts, standing);
     if !edge.rate_sharing.replace_shares(&shares) {
         return;
     }
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -5,7 +5,6 @@
 mod home_limits;
 mod home_nodes;
 mod node_registry;
-mod sharing_nodes;
 mod stable_hash;
 mod watcher_nodes;
 
@@ -14,5 +13,4 @@
 pub use home_limits::HomeLimits;
 pub use home_nodes::home_nodes;
 pub use node_registry::{NodeRecord, NodeRegistry, RelayEndpoint, RelayPeer};
-pub use sharing_nodes::SharingNodes;
 pub use watcher_nodes::watcher_nodes;
--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use mux_model::{TimePoint, UpstreamId};
+use mux_sharing::{NodeShares, NodeStanding};
 use rand::RngExt;
 
 use super::{
-    BalancerReport, LatencyEstimate, NodeStanding, PriorityArbiter, RateShares, RetryBudget,
-    RetryBudgetLimits,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits,
     tracked_upstream::{HealthTier, TrackedUpstream},
 };
 use crate::{AcquireError, CallKind};
@@ -37,7 +37,7 @@
     pub(super) nodes: u32,
     /// Time within which calls to an upstream that announced its exit have to end.
     pub(super) drain_limit: Duration,
-    pub(super) rate_shares: RateShares,
+    pub(super) rate_shares: NodeShares,
     pub(super) dial_us: f64,
     pub(super) report: BalancerReport,
 }
--- a/crates/routing/src/balancer/rate_limit.rs
+++ b/crates/routing/src/balancer/rate_limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use mux_model::TimePoint;
+use mux_sharing::{GrantLimit, GrantSchedule};
 use rand::RngExt;
 
 use crate::CallKind;
@@ -13,8 +14,6 @@
 /// Lowest rate of calls of all nodes together. Without any call, no node would learn that the limit
 /// has ended.
 const MIN_RATE_PER_S: f64 = 0.25;
-/// Longest time between two grants.
-const MAX_GRANT_PERIOD: Duration = Duration::from_secs(3_600);
 
 /// Calls of this node to an upstream under one rate limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -41,17 +40,11 @@
 }
 
 /// The rate limit that an upstream states for all nodes together, and the grants of this node.
-///
-/// A node with a share of 1 in 10 of 5 requests a second has one grant each 2 s. The phases of the
-/// nodes' grants are random, so that grants with a long period, of which each node has saved up at
-/// most one, do not fall due together after a quiet time.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RateLimit {
     /// Requests per second.
     rate: f64,
-    /// When the next grant becomes valid, for the given period of grants.
-    next_grant_at: TimePoint,
-    grant_period: Duration,
+    grants: GrantSchedule,
     stated_since: TimePoint,
     /// When the latest reply with a limit arrived.
     confirmed_at: TimePoint,
@@ -62,11 +55,11 @@
 impl RateLimit {
     /// Creates the limit of `rate` requests per second that a reply stated at `now`.
     fn new(now: TimePoint, rate: f64, share: f64) -> Self {
-        let grant_period = grant_period(rate, share);
+        // The phases of the nodes differ, so that their grants do not fall due together.
+        let phase = rand::rng().random::<f64>();
         Self {
             rate,
-            next_grant_at: now + grant_period.mul_f64(rand::rng().random::<f64>()),
-            grant_period,
+            grants: GrantSchedule::new(now, grant_limit(rate), share, Duration::ZERO, phase),
             stated_since: now,
             confirmed_at: now,
             first_calls: 0,
@@ -85,18 +78,13 @@
     /// A hedge must leave a grant for the next first call, which an upstream in need should serve
     /// rather than load that may turn out to be unnecessary.
     pub(super) fn time_to_grant(&self, now: TimePoint, share: f64, kind: CallKind) -> Duration {
-        let (granted_at, period) = self.earliest_grant(now, share);
-        match kind {
-            CallKind::Hedge => (granted_at + period).since(now),
-            CallKind::First | CallKind::Retry | CallKind::Resend => granted_at.since(now),
-        }
+        let grants = if kind == CallKind::Hedge { 2 } else { 1 };
+        self.grants.time_to_grants(now, share, grants)
     }
 
     /// Uses the earliest valid grant for a call.
     pub(super) fn use_grant(&mut self, now: TimePoint, share: f64, kind: CallKind) {
-        let (granted_at, period) = self.earliest_grant(now, share);
-        self.next_grant_at = granted_at + period;
-        self.grant_period = period;
+        self.grants.use_grant(now, share);
         match kind.is_first_arrival() {
             true => self.first_calls += 1,
             false => self.extra_calls += 1,
@@ -105,17 +93,7 @@
 
     /// Returns the latest grant, which was not used for a call after all.
     pub(super) fn return_grant(&mut self) {
-        self.next_grant_at = self.next_grant_at - self.grant_period;
-    }
-
-    /// Returns when the earliest grant that has not expired becomes valid, and the period of grants.
-    fn earliest_grant(&self, now: TimePoint, share: f64) -> (TimePoint, Duration) {
-        let period = grant_period(self.rate, share);
-        // The rate or the share may have changed since the last grant.
-        let next_grant_at = self.next_grant_at + period - self.grant_period;
-        let expired_time = now.since(next_grant_at).saturating_sub(GRANT_LIFETIME);
-        let expired_grants = (expired_time.as_secs_f64() / period.as_secs_f64()).ceil();
-        (next_grant_at + period.mul_f64(expired_grants), period)
+        self.grants.return_grant();
     }
 
     fn report(&self, now: TimePoint) -> RateLimitReport {
@@ -152,6 +130,7 @@
             }
             let report = known.report(now);
             known.rate = rate;
+            known.grants.set_limit(grant_limit(rate));
             Some(RateLimitChange::Changed(report))
         }
         (Some(known), None) if sent_at <= known.confirmed_at => None,
@@ -163,10 +142,6 @@
     }
 }
 
-/// Returns the time between two grants of a node with this share of `rate`, in requests per second.
-fn grant_period(rate: f64, share: f64) -> Duration {
-    let period_secs = 1.0 / (rate.max(MIN_RATE_PER_S) * share);
-    let max_period_secs = MAX_GRANT_PERIOD.as_secs_f64();
-    // A period below the resolution of the clock would be a division by zero elsewhere.
-    Duration::from_secs_f64(period_secs.clamp(1e-6, max_period_secs))
+fn grant_limit(rate: f64) -> GrantLimit {
+    GrantLimit { rate_per_s: rate.max(MIN_RATE_PER_S), unused_lifetime: GRANT_LIFETIME }
 }
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -6,9 +6,10 @@
 };
 
 use mux_model::{AvailabilityZone, InstanceId, TimePoint, UpstreamId};
+use mux_sharing::NodeShares;
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RateShares, RetryBudget,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RetryBudget,
     RetryBudgetLimits, UpstreamRecord,
     balancer_state::{BalancerState, SATURATED_RETRY_DELAY},
     tracked_upstream::{QuietOutcome, TrackedUpstream},
@@ -48,7 +49,7 @@
             connection_limit: None,
             nodes: 1,
             drain_limit: Duration::ZERO,
-            rate_shares: RateShares::sole_node(),
+            rate_shares: NodeShares::sole_node(),
             dial_us: INITIAL_DIAL_US,
             report: BalancerReport::default(),
         };
@@ -100,7 +101,7 @@
     }
 
     /// Sets the fractions of upstreams' rate limits that this node may use.
-    pub fn set_rate_shares(&self, rate_shares: &RateShares) {
+    pub fn set_rate_shares(&self, rate_shares: &NodeShares) {
         let mut state = self.lock();
         for upstream in &mut state.upstreams {
             upstream.rate_share = rate_shares.share(&upstream.availability_zone);
--- a/crates/routing/tests/balancer/rate_limit.rs
+++ b/crates/routing/tests/balancer/rate_limit.rs
@@ -6,8 +6,9 @@
 use mux_model::{AvailabilityZone, FastMap, InstanceId, TimePoint, UpstreamId};
 use mux_routing::{
     AcquireError, CallKind, CallOutcome,
-    balancer::{NodeStanding, RateLimitChange, RateShares, ServiceBalancer},
+    balancer::{RateLimitChange, ServiceBalancer},
 };
+use mux_sharing::{NodeShares, NodeStanding};
 
 use crate::fixtures::{
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits,
@@ -33,10 +34,10 @@
 }
 
 /// Returns the shares of one node in `zone` in a fleet with nodes in these zones.
-fn shares(zone: &str, nodes: &[(&str, u32)], standing: NodeStanding) -> RateShares {
+fn shares(zone: &str, nodes: &[(&str, u32)], standing: NodeStanding) -> NodeShares {
     let counts: FastMap<AvailabilityZone, u32> =
         nodes.iter().map(|(zone, count)| (AvailabilityZone::from(*zone), *count)).collect();
-    RateShares::new(&zone.into(), &counts, standing)
+    NodeShares::new(&zone.into(), &counts, standing)
 }
 
 /// Returns one balancer for each node of a fleet, with upstream 0 in [`OWN_ZONE`].
--- a/crates/routing/tests/balancer/retry_budget.rs
+++ b/crates/routing/tests/balancer/retry_budget.rs
@@ -2,10 +2,8 @@
 
 use googletest::prelude::*;
 use mux_model::{FastMap, TimePoint};
-use mux_routing::{
-    CallKind,
-    balancer::{NodeStanding, RateShares, RetryBudget},
-};
+use mux_routing::{CallKind, balancer::RetryBudget};
+use mux_sharing::{NodeShares, NodeStanding};
 use proptest::prelude::*;
 
 use crate::fixtures::{
@@ -198,7 +196,7 @@
         let standing = if is_counted { NodeStanding::Counted } else { NodeStanding::NotAdvertised };
         let balancer = balancer(&[record(0, OWN_ZONE), record(1, OWN_ZONE)]);
         balancer.set_limits(None, counted_nodes);
-        balancer.set_rate_shares(&RateShares::new(&OWN_ZONE.into(), &counts, standing));
+        balancer.set_rate_shares(&NodeShares::new(&OWN_ZONE.into(), &counts, standing));
         for call in 0..20 {
             let first = acquire_first(&balancer, at(call)).unwrap();
             reply(&balancer, first, call, call);
--- a/crates/routing/src/balancer/rate_shares.rs
+++ b/crates/sharing/src/node_shares.rs
@@ -1,4 +1,4 @@
-//! Division of upstreams' rate limits among the nodes.
+//! Division of bounds that hold over all nodes among these.
 
 use mux_model::{AvailabilityZone, FastMap};
 
@@ -21,19 +21,21 @@
     NotAdvertised,
 }
 
-/// The fractions of upstreams' rate limits that this node may use, by the upstreams' availability
-/// zones.
+/// The fractions of bounds that this node may use.
+///
+/// A bound that belongs to an upstream is divided by availability zone, as nearby nodes make most of
+/// the calls.
 ///
 /// Nodes do not exchange messages about their calls. Each derives its share from the list of nodes
 /// that share limits, such that the shares of all nodes with the same list add up to 1.
 #[derive(Debug, Clone, PartialEq)]
-pub struct RateShares {
+pub struct NodeShares {
     by_zone: FastMap<AvailabilityZone, f64>,
     elsewhere: f64,
     standing: NodeStanding,
 }
 
-impl RateShares {
+impl NodeShares {
     /// Returns the shares of a node that does not share limits with others.
     pub fn sole_node() -> Self {
         let standing = NodeStanding::Counted;
@@ -67,6 +69,11 @@
         self.standing
     }
 
+    /// Returns the fraction of a bound that does not belong to an upstream.
+    pub fn uniform_share(&self) -> f64 {
+        self.elsewhere
+    }
+
     /// Returns the fraction of the limit of an upstream in `zone`.
     pub fn share(&self, zone: &AvailabilityZone) -> f64 {
         self.by_zone.get(zone).copied().unwrap_or(self.elsewhere)
--- a/crates/placement/src/sharing_nodes.rs
+++ b/crates/sharing/src/sharing_nodes.rs
@@ -4,8 +4,6 @@
 
 use mux_model::{AvailabilityZone, FastMap, NodeId, TimePoint};
 
-use crate::NodeRecord;
-
 /// The nodes that callers may use: those that are advertised, or were until recently.
 ///
 /// Callers keep address answers for a while, so that a node that is no longer advertised still makes
@@ -27,15 +25,12 @@
     pub fn update<'a>(
         &mut self,
         now: TimePoint,
-        advertised: impl Iterator<Item = &'a NodeRecord>,
+        advertised: impl Iterator<Item = (&'a NodeId, &'a AvailabilityZone)>,
         hold_time: Duration,
     ) {
-        for record in advertised {
-            let node = SharingNode {
-                availability_zone: record.availability_zone.clone(),
-                last_advertised_at: now,
-            };
-            self.nodes.insert(record.node.clone(), node);
+        for (node, zone) in advertised {
+            let sharing = SharingNode { availability_zone: zone.clone(), last_advertised_at: now };
+            self.nodes.insert(node.clone(), sharing);
         }
         self.nodes.retain(|_, it| now.since(it.last_advertised_at) <= hold_time);
     }
@@ -50,14 +45,18 @@
         self.nodes.is_empty()
     }
 
-    /// Returns the number of nodes by availability zone, including the node `own`.
-    pub fn count_by_zone(&self, own: &NodeRecord) -> FastMap<AvailabilityZone, u32> {
+    /// Returns the number of nodes by availability zone, including this node, `own` in `own_zone`.
+    pub fn count_by_zone(
+        &self,
+        own: &NodeId,
+        own_zone: &AvailabilityZone,
+    ) -> FastMap<AvailabilityZone, u32> {
         let mut counts = FastMap::default();
         for node in self.nodes.values() {
             *counts.entry(node.availability_zone.clone()).or_default() += 1;
         }
-        if !self.nodes.contains_key(&own.node) {
-            *counts.entry(own.availability_zone.clone()).or_default() += 1;
+        if !self.nodes.contains_key(own) {
+            *counts.entry(own_zone.clone()).or_default() += 1;
         }
         counts
     }
