--- a/crates/proofs/src/child_process.rs
+++ b/crates/proofs/src/child_process.rs
@@ -60,6 +60,20 @@
         name: &str,
         program: Program,
         arguments: &[&str],
+    ) -> Self {
+        Self::start_path(directory, name, &program.path(), arguments)
+    }
+
+    /// Starts the program at `path` like [`Self::start`].
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started.
+    pub fn start_path(
+        directory: &WorkDirectory,
+        name: &str,
+        path: &Path,
+        arguments: &[&str],
     ) -> Self {
         let log = directory.path().join(format!("{name}.log"));
         let log = File::options()
@@ -68,7 +82,7 @@
             .open(log)
             .expect("the log file can be opened");
         let errors = log.try_clone().expect("the handle of the log file can be duplicated");
-        let child = command(&program.path())
+        let child = command(path)
             .args(arguments)
             .stdin(Stdio::null())
             .stdout(log)
