Send nothing to evacuated availability zones

Operators had no way to take an availability zone out of service: its upstreams were called until their entries vanished.

The adapter decodes `op/evacuate/ZONE` into a store key and an entry of its own, at the end of the enums, so the copy that peers read carries them too; the version of the messages between nodes becomes 3. `EvacuatedZones` keeps the orders like upstream entries: one that disappears while the store is unreliable stays until the store is current. `UpstreamRegistry` leaves the upstreams of these zones out, so that balancers, coverage, hedges and pools follow. A call that waited for a connection is checked again before it is sent, and counts as not run. All this is inactive without the setting `Bounds.EvacuateMs`. Log lines name zone, revision and upstreams; metrics show the zones, since when, and the revision. The state of routes moves to a file of its own, so that edge_state.rs does not grow.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -17,6 +17,8 @@
     registry::{Registry, Unit},
 };
 
+use crate::evacuation_metrics::EvacuationMetrics;
+
 /// Lowest bound of the latency histogram, in seconds.
 const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.002;
 /// Ratio of each bound of the latency histogram to the previous one.
@@ -133,6 +135,7 @@
     pub(crate) reach_probes: Family<ResultLabel, Counter>,
     pub(crate) forwarded_requests: Family<ResultLabel, Counter>,
     pub(crate) helped_requests: Family<ResultLabel, Counter>,
+    pub(crate) evacuations: EvacuationMetrics,
 }
 
 impl EdgeMetrics {
@@ -166,6 +169,7 @@
             reach_probes: Family::default(),
             forwarded_requests: Family::default(),
             helped_requests: Family::default(),
+            evacuations: EvacuationMetrics::default(),
         };
         metrics.register();
         metrics
@@ -251,6 +255,7 @@
         );
         registry.register("calls", "Calls to upstreams by result", self.calls.clone());
         self.balancers.register(registry);
+        self.evacuations.register(registry);
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let updates = self.relayed_updates.clone();
         registry.register("relayed_updates", "Reads of other nodes' copies by result", updates);
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -36,6 +36,16 @@
     pub drain_limit: Duration,
     /// Minimum lifetime of a lease that the store grants.
     pub min_lease_lifetime: Duration,
+    /// Time within which nothing more is sent to the upstreams of an evacuated availability zone; `None`
+    /// if evacuations are not obeyed.
+    pub evacuation: Option<Duration>,
+}
+
+impl RuntimeLimits {
+    /// Returns the time within which the strictest of the operators' changes has to take effect.
+    pub(crate) fn change_limit(&self) -> Duration {
+        self.evacuation.map_or(self.config_apply_limit, |it| it.min(self.config_apply_limit))
+    }
 }
 
 /// Settings of a node.
@@ -71,6 +81,7 @@
             ("time limit of a configuration", old.config_apply_limit != new.config_apply_limit),
             ("drain limit", old.drain_limit != new.drain_limit),
             ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
+            ("evacuation of availability zones", old.evacuation != new.evacuation),
         ];
         let others = [
             ("node", current.node != changed.node),
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,5 +1,7 @@
 //! The shared state of a node, with a separate lock for each part.
 
+mod route_state;
+
 use std::{
     sync::{
         Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
@@ -10,7 +12,7 @@
 
 use mux_config::{
     StoreReachability,
-    traffic::{ActiveRoutes, RouteRule, RouteTable, WeightedRoundRobin, WeightedService},
+    traffic::{ActiveRoutes, RouteTable, WeightedRoundRobin},
 };
 use mux_http::{ConnectionTracker, ListenerContext};
 use mux_logs::LogThrottle;
@@ -102,6 +104,8 @@
     pub(crate) fn new(settings: EdgeSettings, timer: TimerService, logger: Logger) -> Self {
         let nodes = NodeRegistry::new(settings.node.clone());
         let started_at = timer.now();
+        let mut upstreams = UpstreamRegistry::default();
+        upstreams.set_obeys_evacuations(settings.limits.evacuation.is_some());
         Self {
             limits: RwLock::new(settings.limits),
             settings,
@@ -121,7 +125,7 @@
             store_era: watch::Sender::new(None),
             store_mirror: Mutex::default(),
             active_routes: RwLock::default(),
-            upstreams: Mutex::default(),
+            upstreams: Mutex::new(upstreams),
             nodes: Mutex::new(nodes),
             rate_sharing: RateSharing::new(),
             quarantine: RequestQuarantine::new(),
@@ -154,6 +158,9 @@
             balancer.set_retry_limits(changed.limits.retry);
             balancer.set_drain_limit(changed.limits.drain_limit);
         }
+        drop(balancers);
+        self.upstreams().set_obeys_evacuations(changed.limits.evacuation.is_some());
+        self.refresh_balancers(self.timer.now());
         info!(self.logger, "node: settings read again"; "applied" => change.applied.join(", "),
             "from_next_start" => change.deferred.join(", "));
     }
@@ -376,6 +383,7 @@
         };
         let registry = self.upstreams();
         let services = registry.by_service();
+        let closed_zones = registry.closed_zones();
         for service in services.keys() {
             self.balancer(service);
         }
@@ -384,9 +392,11 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         for (service, balancer) in balancers.iter() {
             let records = services.get(service).map_or(&[][..], Vec::as_slice);
+            balancer.set_closed_zones(now, &closed_zones);
             balancer.set_upstreams(now, records);
             balancer.set_limits(connection_limits.get(service).copied(), nodes);
         }
+        self.metrics.evacuations.set(now, &registry);
         self.metrics.upstreams.set(i64::try_from(registry.len()).unwrap_or(i64::MAX));
         let eligible = services.values().flatten().map(|it| &it.instance);
         self.connection_pools.keep_only(eligible);
@@ -400,42 +410,6 @@
             self.refresh_balancers(self.timer.now());
         }
     }
-
-    /// Returns the latency estimator of a route, with the route's current latency target.
-    pub(crate) fn latency_estimator(&self, rule: &RouteRule) -> Arc<Mutex<LatencyEstimator>> {
-        let latency_estimators =
-            self.latency_estimators.read().unwrap_or_else(PoisonError::into_inner);
-        if let Some(latency_estimator) = latency_estimators.get(&rule.name) {
-            lock(latency_estimator).set_latency_target(rule.latency_target);
-            return Arc::clone(latency_estimator);
-        }
-        drop(latency_estimators);
-        let mut latency_estimators =
-            self.latency_estimators.write().unwrap_or_else(PoisonError::into_inner);
-        let latency_estimator = latency_estimators
-            .entry(rule.name.clone())
-            .or_insert_with(|| Arc::new(Mutex::new(LatencyEstimator::new(rule.latency_target))));
-        Arc::clone(latency_estimator)
-    }
-
-    /// Returns the service for the next request of a route that is split between services.
-    pub(crate) fn choose_service(
-        &self,
-        rule: &RouteRule,
-        services: &[WeightedService],
-    ) -> Option<ServiceName> {
-        let mut split_schedulers = lock(&self.split_schedulers);
-        let current = split_schedulers.get_mut(&rule.name).filter(|it| it.is_for(services));
-        let scheduler = match current {
-            Some(it) => it,
-            None => {
-                let scheduler = WeightedRoundRobin::new(services, rand::random());
-                split_schedulers.insert(rule.name.clone(), scheduler);
-                split_schedulers.get_mut(&rule.name)?
-            }
-        };
-        scheduler.choose().cloned()
-    }
 }
 
 impl ListenerContext for EdgeState {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod edge_settings;
 mod edge_state;
 mod errors;
+mod evacuation_metrics;
 mod query;
 mod rate_sharing;
 mod reach;
--- a/crates/edge/src/relay/store_mirror.rs
+++ b/crates/edge/src/relay/store_mirror.rs
@@ -173,6 +173,9 @@
         StoreChange::Written(StoreEntry::Evidence(evidence)) => {
             StoreKey::Evidence(evidence.key.clone())
         }
+        StoreChange::Written(StoreEntry::Evacuation { zone, .. }) => {
+            StoreKey::Evacuation(zone.clone())
+        }
         StoreChange::Removed(key) | StoreChange::Malformed { key, .. } => key.clone(),
     }
 }
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use mux_config::traffic::TrafficConfig;
-use mux_model::{InstanceId, NodeId, ServiceName};
+use mux_model::{AvailabilityZone, InstanceId, NodeId, ServiceName};
 use mux_placement::NodeRecord;
 use mux_quarantine::{Evidence, EvidenceKey};
 use mux_routing::balancer::UpstreamRecord;
@@ -23,6 +23,8 @@
     SpentBudget(NodeId),
     /// Evidence that a request crashes upstreams.
     Evidence(EvidenceKey),
+    /// The order to send nothing to the upstreams of an availability zone.
+    Evacuation(AvailabilityZone),
 }
 
 /// A decoded entry.
@@ -43,6 +45,13 @@
     },
     /// Evidence that a request crashes upstreams.
     Evidence(Evidence),
+    /// The order to send nothing to the upstreams of an availability zone.
+    Evacuation {
+        /// The zone.
+        zone: AvailabilityZone,
+        /// Revision of the store at which the order was written.
+        revision: u64,
+    },
 }
 
 /// The state of one entry as returned by a listing or a watch.
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -1,11 +1,14 @@
 //! Applies updates from the store to the state of the node.
 
 use mux_config::traffic::{ActivationOutcome, RouteDiff, TrafficConfig};
-use mux_model::{FastSet, InstanceId, NodeId, TimePoint};
+use mux_model::{AvailabilityZone, FastSet, InstanceId, NodeId, TimePoint};
 use mux_placement::NodeRecord;
 use mux_routing::balancer::{RecordChange, UpstreamPhase, UpstreamRecord};
 use slog::{info, warn};
 
+use super::zone_evacuations::{
+    apply_evacuation, end_evacuation, end_unlisted_evacuations, log_evacuations,
+};
 use crate::{StoreChange, StoreEntry, StoreKey, StoreRevision, edge_state::EdgeState};
 
 /// Maximum number of names in one field of a log line.
@@ -37,6 +40,8 @@
     let mut listed_instances = FastSet::default();
     let mut listed_nodes = FastSet::default();
     let mut listed_evidence = FastSet::default();
+    let mut listed_zones: FastSet<AvailabilityZone> = FastSet::default();
+    let mut evacuated = Vec::new();
     let mut is_changed = false;
     for change in changes {
         match change {
@@ -63,6 +68,13 @@
             StoreChange::Removed(StoreKey::Evidence(key)) => {
                 edge.quarantine.ledger.update(|it| it.on_removed(&key));
             }
+            StoreChange::Written(StoreEntry::Evacuation { zone, revision }) => {
+                listed_zones.insert(zone.clone());
+                if apply_evacuation(edge, now, zone.clone(), revision) {
+                    evacuated.push(zone);
+                    is_changed = true;
+                }
+            }
             StoreChange::Removed(key) => {
                 is_changed |= apply_removal(edge, &key, writer_may_be_alive)
             }
@@ -72,6 +84,7 @@
                 match key {
                     StoreKey::Upstream(instance) => _ = listed_instances.insert(instance),
                     StoreKey::Node(node) => _ = listed_nodes.insert(node),
+                    StoreKey::Evacuation(zone) => _ = listed_zones.insert(zone),
                     StoreKey::Config | StoreKey::SpentBudget(_) | StoreKey::Evidence(_) => {}
                 }
             }
@@ -83,11 +96,13 @@
         edge.quarantine.ledger.update(|it| it.on_listing(&listed_evidence));
         is_changed |= drop_unlisted_upstreams(edge, &listed_instances, writer_may_be_alive);
         is_changed |= drop_unlisted_nodes(edge, &listed_nodes, writer_may_be_alive);
+        is_changed |= end_unlisted_evacuations(edge, &listed_zones, writer_may_be_alive);
     }
     if is_changed {
         edge.refresh_balancers(now);
         edge.reach.check();
     }
+    log_evacuations(edge, &evacuated);
     // Peers are told last, so that they do not compete with this node for its processor.
     edge.mirror_revision.send_replace(edge.store_mirror().revision());
 }
@@ -165,6 +180,7 @@
             return false;
         }
         StoreKey::Node(node) => edge.nodes().on_removed(node, writer_may_be_alive),
+        StoreKey::Evacuation(zone) => return end_evacuation(edge, zone, writer_may_be_alive),
         StoreKey::SpentBudget(_) | StoreKey::Evidence(_) => return false,
     };
     info!(edge.logger, "store: entry removed"; "entry" => describe_key(key),
@@ -206,5 +222,6 @@
         StoreKey::Node(node) => format!("node {node}"),
         StoreKey::SpentBudget(node) => format!("spent budget of {node}"),
         StoreKey::Evidence(key) => format!("evidence {} {}", key.fingerprint, key.source),
+        StoreKey::Evacuation(zone) => format!("evacuation of zone {zone}"),
     }
 }
--- a/crates/edge/src/sync/missing_entries_task.rs
+++ b/crates/edge/src/sync/missing_entries_task.rs
@@ -4,6 +4,7 @@
 
 use slog::info;
 
+use super::zone_evacuations::end_missing_evacuations;
 use crate::edge_state::EdgeState;
 
 /// Period of the checks whether entries that disappeared during an outage of the store may be
@@ -24,6 +25,8 @@
         if 0 < upstreams + nodes {
             info!(edge.logger, "store: dropped entries that were not restored after an outage";
                 "upstreams" => upstreams, "nodes" => nodes);
+        }
+        if end_missing_evacuations(&edge) || 0 < upstreams + nodes {
             edge.refresh_balancers(now);
         }
     }
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -9,6 +9,7 @@
 mod spent_budget_task;
 mod store_era_task;
 mod store_reader;
+mod zone_evacuations;
 
 pub(crate) use announce_task::maintain_announcement;
 pub(crate) use evidence_task::{MAX_EXCHANGED_EVIDENCE, share_evidence};
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -295,7 +295,7 @@
     }
 
     fn pacing(&self) -> ReadPacing {
-        ReadPacing { config_apply_limit: self.edge.limits().config_apply_limit }
+        ReadPacing { config_apply_limit: self.edge.limits().change_limit() }
     }
 
     /// Returns whether callers or other nodes may depend on this node's copy.
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -131,6 +131,11 @@
         let timer = &edge.timer;
         let (mut connection, count_guard, is_new) =
             self.acquire(edge, balancer, reuse_policy).await?;
+        // The zone may have been evacuated while the call waited for the connection.
+        if balancer.is_in_closed_zone(self.upstream) {
+            edge.metrics.evacuations.withheld_calls.inc();
+            return Err(not_sent());
+        }
         let sent_at = timer.now();
         let response = match connection.send(request).await {
             Ok(response) => response,
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -34,6 +34,7 @@
             config_apply_limit: Duration::from_secs(3),
             drain_limit: Duration::from_secs(3),
             min_lease_lifetime: Duration::from_secs(1),
+            evacuation: None,
         },
         logs: LogSettings::default(),
     }
@@ -44,7 +45,7 @@
 
 #[gtest]
 fn limits_are_applied_and_other_settings_wait_for_the_next_start() {
-    let cases: [(&str, bool, Edit); 8] = [
+    let cases: [(&str, bool, Edit); 9] = [
         ("retry budget", true, |it| it.limits.retry.ratio = 0.1),
         ("maximum address lifetime", true, |it| {
             it.limits.max_address_lifetime = Duration::from_secs(2);
@@ -56,6 +57,9 @@
         ("minimum lease lifetime", true, |it| {
             it.limits.min_lease_lifetime = Duration::from_secs(2);
         }),
+        ("evacuation of availability zones", true, |it| {
+            it.limits.evacuation = Some(Duration::from_secs(5));
+        }),
         ("node", false, |it| it.node.link_mbps = 45.0),
         ("listen addresses", false, |it| it.listen.readiness.set_port(9)),
         ("logs", false, |it| it.logs.level = mux_logs::LogLevel::Warning),
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -56,7 +56,7 @@
 
 /// Version of the messages between nodes. Nodes send nothing to those with another version, whose
 /// messages they could take for others.
-const RELAY_PROTOCOL_VERSION: u32 = 2;
+const RELAY_PROTOCOL_VERSION: u32 = 3;
 
 /// Where a node answers calls of other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -201,6 +201,11 @@
         u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Returns whether this node or another known one runs in `zone`.
+    pub fn has_node_in(&self, zone: &AvailabilityZone) -> bool {
+        self.records().any(|it| it.availability_zone == *zone)
+    }
+
     /// Returns the number of nodes advertised to callers in at least one availability zone,
     /// ignoring regions; at least 1.
     pub fn advertised_count(&self) -> u32 {
--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use mux_model::{TimePoint, UpstreamId};
+use mux_model::{AvailabilityZone, FastSet, TimePoint, UpstreamId};
 use mux_sharing::{NodeShares, NodeStanding};
 use rand::RngExt;
 
@@ -35,6 +35,8 @@
     pub(super) arbiter: PriorityArbiter,
     pub(super) connection_limit: Option<u32>,
     pub(super) nodes: u32,
+    /// Availability zones that operators have evacuated.
+    pub(super) closed_zones: FastSet<AvailabilityZone>,
     /// Time within which calls to an upstream that announced its exit have to end.
     pub(super) drain_limit: Duration,
     pub(super) rate_shares: NodeShares,
--- /dev/null
+++ b/crates/routing/src/balancer/closed_zones.rs
@@ -0,0 +1,21 @@
+//! What a balancer does when availability zones are evacuated and return.
+
+use mux_model::{AvailabilityZone, FastSet, TimePoint, UpstreamId};
+
+use super::ServiceBalancer;
+
+impl ServiceBalancer {
+    /// Sets the availability zones that operators have evacuated.
+    pub fn set_closed_zones(&self, _now: TimePoint, zones: &FastSet<AvailabilityZone>) {
+        self.lock().closed_zones.clone_from(zones);
+    }
+
+    /// Returns whether the zone of `upstream` is evacuated, so that nothing may be sent to it.
+    ///
+    /// Answers calls that wait for a connection while their zone is evacuated.
+    pub fn is_in_closed_zone(&self, upstream: UpstreamId) -> bool {
+        let state = self.lock();
+        let mut known = state.upstreams.iter().filter(|it| it.id == upstream);
+        known.any(|it| state.closed_zones.contains(&it.availability_zone))
+    }
+}
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -6,6 +6,8 @@
 
 mod balancer_report;
 mod balancer_state;
+mod closed_zones;
+mod evacuated_zones;
 mod latency_estimator;
 mod priority_arbiter;
 mod query_router;
@@ -18,6 +20,7 @@
 mod upstream_registry;
 
 pub use balancer_report::BalancerReport;
+pub use evacuated_zones::{EvacuatedZones, ZoneEvacuation};
 pub use latency_estimator::{LatencyEstimate, LatencyEstimator};
 pub use priority_arbiter::PriorityArbiter;
 pub use query_router::{QueryConstraints, QueryRouter};
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use mux_model::{AvailabilityZone, InstanceId, TimePoint, UpstreamId};
+use mux_model::{AvailabilityZone, FastSet, InstanceId, TimePoint, UpstreamId};
 use mux_sharing::NodeShares;
 
 use super::{
@@ -48,6 +48,7 @@
             arbiter: PriorityArbiter::default(),
             connection_limit: None,
             nodes: 1,
+            closed_zones: FastSet::default(),
             drain_limit: Duration::ZERO,
             rate_shares: NodeShares::sole_node(),
             dial_us: INITIAL_DIAL_US,
@@ -351,7 +352,7 @@
         state.upstreams.iter_mut().rev().find(|it| it.instance == *instance).map(update)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BalancerState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, BalancerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -2,9 +2,9 @@
 
 use std::collections::VecDeque;
 
-use mux_model::{FastMap, FastSet, InstanceId, ServiceName, UpstreamId};
+use mux_model::{AvailabilityZone, FastMap, FastSet, InstanceId, ServiceName, UpstreamId};
 
-use super::{UpstreamPhase, UpstreamRecord};
+use super::{EvacuatedZones, UpstreamPhase, UpstreamRecord};
 
 /// Maximum number of dropped instances whose last record versions are remembered.
 const MAX_DROPPED_INSTANCES: usize = 4_096;
@@ -41,6 +41,9 @@
 pub struct UpstreamRegistry {
     known: FastMap<InstanceId, KnownUpstream>,
     dropped: DroppedVersions,
+    /// The evacuated zones by the entries of the store.
+    pub evacuated_zones: EvacuatedZones,
+    obeys_evacuations: bool,
 }
 
 /// Record versions of dropped instances, in the order in which they were dropped.
@@ -166,11 +169,33 @@
         known.is_some_and(|it| !std::mem::replace(&mut it.misdirected, true))
     }
 
+    /// Sets whether upstreams of evacuated zones are ineligible; the entries of zones are kept in any
+    /// case.
+    pub fn set_obeys_evacuations(&mut self, obeys_evacuations: bool) {
+        self.obeys_evacuations = obeys_evacuations;
+    }
+
+    /// Returns the zones whose upstreams are ineligible because of an evacuation.
+    pub fn closed_zones(&self) -> FastSet<AvailabilityZone> {
+        let zones = self.evacuated_zones.iter().filter(|_| self.obeys_evacuations);
+        zones.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// Returns the number of known upstreams in `zone`.
+    pub fn count_in_zone(&self, zone: &AvailabilityZone) -> usize {
+        self.known.values().filter(|it| it.record.availability_zone == *zone).count()
+    }
+
+    fn is_closed(&self, zone: &AvailabilityZone) -> bool {
+        self.obeys_evacuations && self.evacuated_zones.contains(zone)
+    }
+
     /// Returns the upstreams that are eligible for new requests, by service.
     pub fn by_service(&self) -> FastMap<ServiceName, Vec<&UpstreamRecord>> {
         let mut services: FastMap<ServiceName, Vec<&UpstreamRecord>> = FastMap::default();
         for known in self.known.values() {
-            if known.record.phase == UpstreamPhase::Serving && !known.misdirected {
+            let is_serving = known.record.phase == UpstreamPhase::Serving && !known.misdirected;
+            if is_serving && !self.is_closed(&known.record.availability_zone) {
                 services.entry(known.record.service.clone()).or_default().push(&known.record);
             }
         }
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod connections;
+mod evacuation;
 mod fixtures;
 mod latency_estimator;
 mod overload;
