--- a/crates/model/src/ids.rs
+++ b/crates/model/src/ids.rs
@@ -54,6 +54,10 @@
     /// Name of a query service.
     ServiceName
 }
+text_id! {
+    /// Name of a workspace.
+    WorkspaceName
+}
 text_id! {
     /// Idempotency key that an operator's client assigns to one configuration change.
     ChangeId
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,7 +14,7 @@
 pub use fast_map::{FastHasher, FastMap, FastSet};
 pub use ids::{
     AvailabilityZone, ChangeId, InstanceId, NodeId, NodeIncarnation, RequestId, RevisionNumber,
-    ServiceName, ShardIndex, SnapshotId, UpstreamId,
+    ServiceName, ShardIndex, SnapshotId, UpstreamId, WorkspaceName,
 };
 pub use shard_map::SnapshotMap;
 pub use time_point::TimePoint;
