--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -5,6 +5,7 @@
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
 use mux_routing::balancer::RetryBudgetLimits;
+use mux_workspaces::QuotaBounds;
 
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +40,8 @@
     /// Time within which nothing more is sent to the upstreams of an evacuated availability zone; `None`
     /// if evacuations are not obeyed.
     pub evacuation: Option<Duration>,
+    /// How far workspaces may exceed their quotas; `None` if quotas are not enforced.
+    pub quota: Option<QuotaBounds>,
 }
 
 impl RuntimeLimits {
@@ -82,6 +85,7 @@
             ("drain limit", old.drain_limit != new.drain_limit),
             ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
             ("evacuation of availability zones", old.evacuation != new.evacuation),
+            ("quota bounds", old.quota != new.quota),
         ];
         let others = [
             ("node", current.node != changed.node),
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -7,6 +7,7 @@
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
 use mux_routing::balancer::RetryBudgetLimits;
+use mux_workspaces::QuotaBounds;
 
 fn settings() -> EdgeSettings {
     let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
@@ -35,6 +36,7 @@
             drain_limit: Duration::from_secs(3),
             min_lease_lifetime: Duration::from_secs(1),
             evacuation: None,
+            quota: None,
         },
         logs: LogSettings::default(),
     }
@@ -45,7 +47,7 @@
 
 #[gtest]
 fn limits_are_applied_and_other_settings_wait_for_the_next_start() {
-    let cases: [(&str, bool, Edit); 9] = [
+    let cases: [(&str, bool, Edit); 10] = [
         ("retry budget", true, |it| it.limits.retry.ratio = 0.1),
         ("maximum address lifetime", true, |it| {
             it.limits.max_address_lifetime = Duration::from_secs(2);
@@ -60,6 +62,10 @@
         ("evacuation of availability zones", true, |it| {
             it.limits.evacuation = Some(Duration::from_secs(5));
         }),
+        ("quota bounds", true, |it| {
+            let window = Duration::from_secs(5);
+            it.limits.quota = Some(QuotaBounds { window, overage: 0.1, slack: 20.0 });
+        }),
         ("node", false, |it| it.node.link_mbps = 45.0),
         ("listen addresses", false, |it| it.listen.readiness.set_port(9)),
         ("logs", false, |it| it.logs.level = mux_logs::LogLevel::Warning),
