--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -321,6 +321,7 @@
             "id" => log_context.id.to_str().unwrap_or("(not text)"),
             "route" => &log_context.rule.name,
             "workspace" => log_context.admission.workspace_name(),
+            "rank" => log_context.admission.rank,
             "version" => log_context.version.0,
             "store_age_ms" => time_since_store_reply.as_millis() as u64,
             "status" => answer.status.as_u16(),
