Leave it to the exchange of grants to add lent ones to a quota

Cause: grants may also arrive after the round that asked for them has ended, so that the exchange adds them as they arrive. The end of the round would have added them twice.

Change: end_asking records the result only; add_borrowed adds grants. The metric borrowed_grants is left out, as admissions counts borrowed ones.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -143,7 +143,6 @@
     pub(crate) workspaces: Gauge,
     pub(crate) admissions: Family<ResultLabel, Counter>,
     pub(crate) workspace_requests: Family<WorkspaceLabels, Counter>,
-    pub(crate) borrowed_grants: Counter,
 }
 
 impl EdgeMetrics {
@@ -180,7 +179,6 @@
             workspaces: Gauge::default(),
             admissions: Family::default(),
             workspace_requests: Family::default(),
-            borrowed_grants: Counter::default(),
         };
         metrics.register();
         metrics
@@ -270,11 +268,6 @@
             "Requests of workspaces, by workspace and result",
             self.workspace_requests.clone(),
         );
-        registry.register(
-            "borrowed_grants",
-            "Grants of workspaces that other nodes lent",
-            self.borrowed_grants.clone(),
-        );
         registry.register_with_unit(
             "answer_latency",
             "Time from the request to its final answer",
--- a/crates/edge/src/workspace_quotas.rs
+++ b/crates/edge/src/workspace_quotas.rs
@@ -90,13 +90,12 @@
     let (edge, name) = (Arc::clone(edge), name.clone());
     tokio::spawn(async move {
         let borrowed = borrow_grants(&edge, &name, wanted, ASK_TIME_LIMIT).await;
-        edge.metrics.borrowed_grants.inc_by(u64::from(borrowed));
-        edge.workspace_quotas.table().end_asking(edge.timer.now(), &name, borrowed);
+        edge.workspace_quotas.table().end_asking(&name, borrowed);
         edge.workspace_quotas.round_ended.notify_waiters();
     });
 }
 
-/// Asks other nodes for grants; returns how many they lent.
+/// Asks other nodes for grants, adds those that they lend, and returns how many these are.
 ///
 /// Nodes do not lend grants of workspaces yet, so that each one uses its share only.
 async fn borrow_grants(
--- a/crates/workspaces/src/quota_table.rs
+++ b/crates/workspaces/src/quota_table.rs
@@ -182,12 +182,12 @@
         quota.begin_asking(now, available)
     }
 
-    /// Ends the round that brought `borrowed` grants.
-    pub fn end_asking(&mut self, now: TimePoint, name: &WorkspaceName, borrowed: u32) {
+    /// Ends the round that brought `borrowed` grants, which [`Self::add_borrowed`] has added as each
+    /// node lent them.
+    pub fn end_asking(&mut self, name: &WorkspaceName, borrowed: u32) {
         if let Some(quota) = self.quotas.get_mut(name) {
             quota.end_asking(borrowed);
         }
-        self.add_borrowed(now, name, borrowed);
     }
 
     /// Gives up to `wanted` grants to another node, but keeps what this one is expected to need;
--- a/crates/workspaces/tests/fleet/mod.rs
+++ b/crates/workspaces/tests/fleet/mod.rs
@@ -161,9 +161,11 @@
         let is_reached = |it: &usize| *it != node && !self.cut[*it] && !self.cut[node];
         let peers: Vec<_> = (0..nodes).map(|it| (first + it) % nodes).filter(is_reached).collect();
         for peer in peers.into_iter().take(self.peers_asked) {
-            borrowed += self.tables[peer].lend(now, name, wanted - borrowed);
+            let lent = self.tables[peer].lend(now, name, wanted - borrowed);
+            self.tables[node].add_borrowed(now, name, lent);
+            borrowed += lent;
         }
-        self.tables[node].end_asking(now, name, borrowed);
+        self.tables[node].end_asking(name, borrowed);
     }
 
     pub fn refusals(&self, name: &WorkspaceName) -> usize {
