Plan which nodes are asked for unused grants

A bound that holds over all nodes was divided by fixed shares, so that a node with most of the calls could use only its own share of it.

Borrowed grants are valid for a quarter of the lifetime of unused ones, 50 ms to 1 s, as they have been unused for a while already.

The fleet tests fail if a lender does not give up what it lends.

--- a/crates/sharing/src/grant_schedule.rs
+++ b/crates/sharing/src/grant_schedule.rs
@@ -4,10 +4,19 @@
 
 use mux_model::TimePoint;
 
+use crate::use_rate::UseRate;
+
 /// Longest time between two grants.
 const MAX_GRANT_PERIOD: Duration = Duration::from_secs(3_600);
+/// Part of the lifetime of an unused grant for which grants of other nodes remain valid. These have
+/// been unused for a while, so that a full lifetime would double what can be used at once.
+const BORROWED_LIFETIME_DIVISOR: u32 = 4;
+/// Shortest time for which grants of other nodes remain valid.
+const MIN_BORROWED_LIFETIME: Duration = Duration::from_millis(50);
 /// Longest time for which grants of other nodes remain valid, because the bound may change meanwhile.
 const MAX_BORROWED_LIFETIME: Duration = Duration::from_secs(1);
+/// Time for whose expected use a node keeps grants when it lends others.
+const KEPT_USE_PERIOD: Duration = Duration::from_millis(500);
 
 /// A bound on the rate of all nodes together.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -37,6 +46,7 @@
     period_us: i64,
     borrowed: u32,
     borrowed_until: TimePoint,
+    use_rate: UseRate,
 }
 
 impl GrantSchedule {
@@ -59,6 +69,7 @@
             period_us,
             borrowed: 0,
             borrowed_until: TimePoint::ZERO,
+            use_rate: UseRate::default(),
         }
     }
 
@@ -92,6 +103,7 @@
 
     /// Uses a grant: the earliest one of this node, or a borrowed one if none of its own is available.
     pub fn use_grant(&mut self, now: TimePoint, share: f64) {
+        self.use_rate.on_use(now);
         let borrowed = self.borrowed(now);
         if 0 < borrowed && self.own_available(now, share) == 0 {
             self.borrowed = borrowed - 1;
@@ -115,10 +127,21 @@
         lent
     }
 
+    /// Gives up to `wanted` available grants to another node, except those that this node is about to
+    /// use itself; returns how many.
+    ///
+    /// Answers nodes of which one makes most calls: the others lend all that they do not use, and each
+    /// keeps what it uses in half a second.
+    pub fn lend_unneeded(&mut self, now: TimePoint, share: f64, wanted: u32) -> u32 {
+        let kept = self.use_rate.expected_uses(now, KEPT_USE_PERIOD);
+        self.lend(now, share, wanted, kept)
+    }
+
     /// Adds grants that another node has given up.
     pub fn add_borrowed(&mut self, now: TimePoint, count: u32) {
         self.borrowed = self.borrowed(now).saturating_add(count);
-        self.borrowed_until = now + self.limit.unused_lifetime.min(MAX_BORROWED_LIFETIME);
+        let lifetime = self.limit.unused_lifetime / BORROWED_LIFETIME_DIVISOR;
+        self.borrowed_until = now + lifetime.clamp(MIN_BORROWED_LIFETIME, MAX_BORROWED_LIFETIME);
     }
 
     fn borrowed(&self, now: TimePoint) -> u32 {
--- /dev/null
+++ b/crates/sharing/tests/fleet.rs
@@ -0,0 +1,152 @@
+//! Nodes that lend each other the grants of one bound, without a network.
+
+mod simulated_fleet;
+
+use googletest::prelude::*;
+use simulated_fleet::{Fleet, FleetBound};
+
+const BOUND: FleetBound = FleetBound { rate_per_s: 100.0, unused_ms: 1_000 };
+const LOW_BOUND: FleetBound = FleetBound { rate_per_s: 5.0, unused_ms: 1_000 };
+/// Calls per second of a node that needs the whole bound.
+const PRESSURE_PER_S: f64 = 200.0;
+
+/// Nearly all calls reach one node, which must get the shares that the others leave unused.
+#[gtest]
+fn node_with_all_calls_gets_the_unused_shares() {
+    for (nodes, bound, least) in [(2, BOUND, 0.9), (9, BOUND, 0.85), (9, LOW_BOUND, 0.75)] {
+        let mut fleet = Fleet::start(nodes, bound);
+        fleet.set_demand(0, PRESSURE_PER_S);
+
+        fleet.run(12_000);
+
+        let allowed = bound.rate_per_s * 12.0;
+        expect_that!(f64::from(fleet.used_by(0)), ge(allowed * least), "{nodes} nodes, {bound:?}");
+        fleet.expect_bound_kept();
+    }
+}
+
+/// The other nodes must find their grants when they need them.
+#[gtest]
+fn nodes_with_a_few_calls_are_served_while_another_borrows() {
+    let mut fleet = Fleet::start(4, BOUND);
+    fleet.set_demand(0, PRESSURE_PER_S);
+    (1..4).for_each(|it| fleet.set_demand(it, 15.0));
+
+    fleet.run(12_000);
+
+    for node in 1..4 {
+        expect_that!(f64::from(fleet.used_by(node)), ge(15.0 * 12.0 * 0.9), "node {node}");
+    }
+    expect_that!(f64::from(fleet.used_by(0)), ge(12.0 * 25.0 * 1.5));
+    fleet.expect_bound_kept();
+}
+
+/// The calls under a bound move from zone to zone.
+#[gtest]
+fn bound_follows_calls_that_move_from_node_to_node() {
+    let mut fleet = Fleet::start(6, BOUND);
+    for node in [0, 3, 5, 1, 4, 2] {
+        fleet.set_demand(node, PRESSURE_PER_S);
+        fleet.run(2_000);
+        fleet.set_demand(node, 0.0);
+    }
+
+    expect_that!(fleet.used(), ge(960));
+    fleet.expect_bound_kept();
+}
+
+/// All nodes are short: questions bring nothing, and must not take up the nodes.
+#[gtest]
+fn nodes_that_are_all_short_ask_rarely() {
+    let mut fleet = Fleet::start(9, BOUND);
+    (0..9).for_each(|it| fleet.set_demand(it, PRESSURE_PER_S));
+    fleet.run(2_000);
+    let asked_before = fleet.asked();
+
+    fleet.run(10_000);
+
+    // Per node, a round of eight questions each 0.64 s.
+    expect_that!(fleet.asked() - asked_before, le(9 * 8 * 18));
+    expect_that!(fleet.used(), ge(1_080));
+    fleet.expect_bound_kept();
+}
+
+/// Nodes join: the shares of all become smaller.
+#[gtest]
+fn joining_nodes_do_not_raise_the_bound() {
+    let mut fleet = Fleet::start(2, BOUND);
+    fleet.set_demand(0, PRESSURE_PER_S);
+    for _ in 0..4 {
+        fleet.run(1_500);
+        fleet.join();
+    }
+    fleet.run(6_000);
+
+    expect_that!(f64::from(fleet.used_by(0)), ge(100.0 * 12.0 * 0.85));
+    fleet.expect_bound_kept();
+}
+
+/// Dead nodes take their grants with them until they are no longer counted, and do not answer.
+#[gtest]
+fn deaths_do_not_raise_the_bound_and_the_rest_is_lent() {
+    let mut fleet = Fleet::start(6, BOUND);
+    fleet.set_demand(0, PRESSURE_PER_S);
+    fleet.run(3_000);
+    (3..6).for_each(|it| fleet.kill(it));
+    let used_before = fleet.used_by(0);
+    fleet.run(3_000);
+    let with_dead = f64::from(fleet.used_by(0) - used_before);
+    fleet.forget_dead();
+    let used_before = fleet.used_by(0);
+    fleet.run(3_000);
+
+    expect_that!(with_dead, ge(3.0 * 50.0 * 0.8));
+    expect_that!(f64::from(fleet.used_by(0) - used_before), ge(3.0 * 100.0 * 0.85));
+    fleet.expect_bound_kept();
+}
+
+/// A lost message loses the grants that it carried.
+#[gtest]
+fn lost_messages_lead_to_fewer_calls_never_to_more() {
+    let mut fleet = Fleet::start(4, BOUND);
+    fleet.lose_messages(0.2);
+    fleet.set_demand(0, PRESSURE_PER_S);
+
+    fleet.run(12_000);
+
+    expect_that!(f64::from(fleet.used_by(0)), ge(12.0 * 25.0 * 1.2));
+    fleet.expect_bound_kept();
+}
+
+/// A node that wakes finds old replies, whose grants belong to a time that is over.
+#[gtest]
+fn frozen_nodes_do_not_raise_the_bound() {
+    for frozen in [0, 1] {
+        let mut fleet = Fleet::start(3, BOUND);
+        fleet.set_demand(0, PRESSURE_PER_S);
+        fleet.set_demand(2, 20.0);
+        for _ in 0..3 {
+            fleet.run(2_000);
+            fleet.freeze(frozen, 1_700);
+        }
+        fleet.run(4_000);
+
+        fleet.expect_bound_kept();
+        expect_that!(fleet.used(), ge(400), "node {frozen} frozen");
+    }
+}
+
+/// All processes are replaced at once: none of them knows what the ones before it used.
+#[gtest]
+fn restart_of_all_nodes_does_not_raise_the_bound() {
+    let mut fleet = Fleet::start(5, BOUND);
+    fleet.set_demand(0, PRESSURE_PER_S);
+    for _ in 0..3 {
+        fleet.run(3_000);
+        fleet.restart_all();
+    }
+    fleet.run(3_000);
+
+    expect_that!(f64::from(fleet.used_by(0)), ge(12.0 * 100.0 * 0.75));
+    fleet.expect_bound_kept();
+}
--- a/crates/sharing/tests/grant_schedule.rs
+++ b/crates/sharing/tests/grant_schedule.rs
@@ -38,11 +38,13 @@
 
 /// Returns the largest number of grants in any window.
 fn most_in_window(grants: &[(u64, u32)]) -> u32 {
+    // Attempts without a grant change no sum, and there are many.
+    let used: Vec<_> = grants.iter().filter(|(_, count)| 0 < *count).collect();
     let in_window = |from: u64| {
-        let within = grants.iter().filter(|(at, _)| (from..from + WINDOW_MS).contains(at));
+        let within = used.iter().filter(|(at, _)| (from..from + WINDOW_MS).contains(at));
         within.map(|(_, count)| count).sum()
     };
-    grants.iter().map(|(from, _)| in_window(*from)).max().unwrap_or_default()
+    used.iter().map(|(from, _)| in_window(*from)).max().unwrap_or_default()
 }
 
 /// A quiet time followed by pressure at all nodes must not release more than the saved grants.
@@ -139,3 +141,19 @@
 
     expect_that!(schedule.time_to_grants(at(0), 1.0, 1), ge(Duration::from_secs(3_000)));
 }
+
+/// A node that uses its share keeps what it needs; one without calls has no use for its grants.
+#[gtest]
+fn lender_keeps_what_it_uses_itself() {
+    let mut schedule = fleet(1, limit(10.0, 2_000), Duration::ZERO).remove(0);
+    expect_that!(schedule.lend_unneeded(at(20_000), 1.0, 100), eq(21));
+    for now in (22_000..30_000).step_by(250) {
+        schedule.use_grant(at(now), 1.0);
+    }
+    let available = schedule.available(at(30_000), 1.0);
+
+    let lent = schedule.lend_unneeded(at(30_000), 1.0, 100);
+
+    // It used four grants per second.
+    expect_that!(lent, eq(available - 2));
+}
