Let balancers lend and miss grants of rate limits

Balancers count the calls that pass over an upstream for want of a grant, give up grants that they do not need, and take those of other nodes. Hedges do not count as missing grants. A node without an edge part to move them behaves as before.

--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -71,6 +71,7 @@
         estimate: &LatencyEstimate,
         max_latency: Duration,
     ) -> Result<UpstreamId, AcquireError> {
+        self.record_missing_grants(now, excluded, kind);
         let chosen = match self.choose(now, excluded, kind, estimate, max_latency) {
             Ok(it) => it,
             Err(error) => {
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -12,6 +12,7 @@
 mod rate_limit;
 mod retry_budget;
 mod service_balancer;
+mod shared_grants;
 mod spent_budget_markers;
 mod tracked_upstream;
 mod upstream_record;
--- a/crates/routing/src/balancer/rate_limit.rs
+++ b/crates/routing/src/balancer/rate_limit.rs
@@ -1,6 +1,6 @@
 //! The rate limit that an upstream states in its replies, and this node's share of it.
 
-use std::time::Duration;
+use std::{mem, time::Duration};
 
 use mux_model::TimePoint;
 use mux_sharing::{GrantLimit, GrantSchedule};
@@ -50,6 +50,8 @@
     confirmed_at: TimePoint,
     first_calls: u64,
     extra_calls: u64,
+    /// Calls that found no grant since [`Self::take_missing`] was last called.
+    missing: u32,
 }
 
 impl RateLimit {
@@ -64,6 +66,7 @@
             confirmed_at: now,
             first_calls: 0,
             extra_calls: 0,
+            missing: 0,
         }
     }
 
@@ -96,6 +99,26 @@
         self.grants.return_grant();
     }
 
+    /// Records that a call found no grant.
+    pub(super) fn on_missing(&mut self) {
+        self.missing = self.missing.saturating_add(1);
+    }
+
+    /// Returns the number of calls that found no grant since the last time.
+    pub(super) fn take_missing(&mut self) -> u32 {
+        mem::take(&mut self.missing)
+    }
+
+    /// Gives up to `wanted` grants that this node does not need to another one; returns how many.
+    pub(super) fn lend(&mut self, now: TimePoint, share: f64, wanted: u32) -> u32 {
+        self.grants.lend_unneeded(now, share, wanted)
+    }
+
+    /// Adds grants that another node has given up.
+    pub(super) fn add_borrowed(&mut self, now: TimePoint, count: u32) {
+        self.grants.add_borrowed(now, count);
+    }
+
     fn report(&self, now: TimePoint) -> RateLimitReport {
         RateLimitReport {
             rate: self.rate,
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -341,7 +341,7 @@
         state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(update)
     }
 
-    fn with_instance<T>(
+    pub(super) fn with_instance<T>(
         &self,
         instance: &InstanceId,
         update: impl FnOnce(&mut TrackedUpstream) -> T,
@@ -351,7 +351,7 @@
         state.upstreams.iter_mut().rev().find(|it| it.instance == *instance).map(update)
     }
 
-    fn lock(&self) -> MutexGuard<'_, BalancerState> {
+    pub(super) fn lock(&self) -> MutexGuard<'_, BalancerState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -127,7 +127,7 @@
     leaving_since: Option<TimePoint>,
     /// End of the time for which the upstream asked for no calls.
     quiet_until: TimePoint,
-    rate_limit: Option<RateLimit>,
+    pub(super) rate_limit: Option<RateLimit>,
     pub(super) availability_zone: AvailabilityZone,
     /// Fraction of the upstream's rate limit that this node may use.
     pub(super) rate_share: f64,
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -191,6 +191,11 @@
         self.known.get(instance).map(|it| it.record.upstream)
     }
 
+    /// Returns the service of an instance; `None` if it is not known.
+    pub fn service(&self, instance: &InstanceId) -> Option<&ServiceName> {
+        self.known.get(instance).map(|it| &it.record.service)
+    }
+
     /// Returns the number of known upstreams.
     pub fn len(&self) -> usize {
         self.known.len()
--- a/crates/routing/tests/balancer/rate_limit.rs
+++ b/crates/routing/tests/balancer/rate_limit.rs
@@ -8,7 +8,7 @@
     AcquireError, CallKind, CallOutcome,
     balancer::{RateLimitChange, ServiceBalancer},
 };
-use mux_sharing::{NodeShares, NodeStanding};
+use mux_sharing::{BoundKey, NodeShares, NodeStanding};
 
 use crate::fixtures::{
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits,
@@ -272,3 +272,27 @@
 
     expect_that!(uncounted, approx_eq(counted / 4.0));
 }
+
+/// One node makes all calls: the others lend it what they do not use, and the upstream gets its rate.
+#[gtest]
+fn rate_limit_grants_move_to_the_node_that_misses_them() {
+    let nodes = [(OWN_ZONE, 4)];
+    let balancers = fleet(&nodes);
+    balancers.iter().for_each(|it| state_limit(it, 0, 0, 20.0));
+    let key = BoundKey::UpstreamRate(InstanceId::from("i-0"));
+    let mut calls = Vec::new();
+
+    for now in (1_000..13_000).step_by(ATTEMPT_PERIOD_MS as usize) {
+        calls.extend(try_call(&balancers[0], now).then_some(now));
+        for (missing, count) in balancers[0].take_missing_grants() {
+            expect_that!(missing, eq(&key));
+            let lenders = balancers[1..].iter();
+            let lent = lenders.map(|it| it.lend_grants(at(now), &key, count)).sum();
+            balancers[0].add_borrowed(at(now), &key, lent);
+        }
+    }
+
+    expect_that!(calls.len(), ge(200));
+    // One and a half times the rate, and five requests.
+    expect_that!(most_in_window(&calls), le(125));
+}
