Lend unused grants of rate limits to the nodes that miss them

A node that received most requests could use only its own share of the rate that an upstream stated, while the shares of other nodes stayed unused.

crates/edge/src/sharing takes the place of rate_sharing.rs: it refreshes the shares, asks advertised nodes of the same build with the new relay call borrow_grants, and answers that call. A question names the rate that the upstream stated, because a node without calls to it does not know the limit, and so has nothing to lend. RELAY_PROTOCOL_VERSION is 3.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -55,6 +55,12 @@
     pub(crate) change: &'static str,
 }
 
+/// Label of metrics by kind of bound that holds over all nodes.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct BoundLabel {
+    pub(crate) kind: &'static str,
+}
+
 type LatencyFamily = Family<RouteLabel, Histogram, fn() -> Histogram>;
 
 /// Sums of the counters of all balancers since the start; updated before each export.
@@ -127,6 +133,9 @@
     pub(crate) rate_limited_upstreams: Gauge,
     pub(crate) reply_buffer_bytes: Gauge,
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
+    pub(crate) grants_asked: Family<BoundLabel, Counter>,
+    pub(crate) grants_lent: Family<BoundLabel, Counter>,
+    pub(crate) grants_received: Family<BoundLabel, Counter>,
     pub(crate) store_era: Gauge,
     pub(crate) store_restores: Counter,
     pub(crate) node_cut: Gauge,
@@ -160,6 +169,9 @@
             rate_limited_upstreams: Gauge::default(),
             reply_buffer_bytes: Gauge::default(),
             rate_share: Gauge::default(),
+            grants_asked: Family::default(),
+            grants_lent: Family::default(),
+            grants_received: Family::default(),
             store_era: Gauge::default(),
             store_restores: Counter::default(),
             node_cut: Gauge::default(),
@@ -215,6 +227,14 @@
             "Fraction of the rate limits of upstreams in its own zone that this node may use",
             self.rate_share.clone(),
         );
+        let grants = [
+            ("grants_asked", "Grants that other nodes were asked for", &self.grants_asked),
+            ("grants_lent", "Grants given up to other nodes", &self.grants_lent),
+            ("grants_received", "Grants received from other nodes", &self.grants_received),
+        ];
+        for (name, help, family) in grants {
+            registry.register(name, format!("{help}, by kind of bound"), family.clone());
+        }
         registry.register(
             "reply_buffer_bytes",
             "Memory used by the bodies of upstreams' replies",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -2,7 +2,7 @@
 
 use std::{
     sync::{
-        Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock,
+        Arc, Mutex, MutexGuard, PoisonError, RwLock,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     time::Duration,
@@ -10,14 +10,14 @@
 
 use mux_config::{
     StoreReachability,
-    traffic::{ActiveRoutes, RouteRule, RouteTable, WeightedRoundRobin, WeightedService},
+    traffic::{ActiveRoutes, RouteTable},
 };
 use mux_http::{ConnectionTracker, ListenerContext};
 use mux_logs::LogThrottle;
-use mux_model::{FastMap, FastSet, InstanceId, ServiceName, TimePoint};
+use mux_model::{InstanceId, ServiceName, TimePoint};
 use mux_placement::NodeRegistry;
 use mux_quarantine::CrashLedger;
-use mux_routing::balancer::{LatencyEstimator, RetryBudget, ServiceBalancer, UpstreamRegistry};
+use mux_routing::balancer::{ServiceBalancer, UpstreamRegistry};
 use mux_timer::TimerService;
 use mux_upstream::NodeReach;
 use slog::{Logger, info, warn};
@@ -26,10 +26,12 @@
 use crate::{
     ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
     StoreRevision,
+    balancer_table::BalancerTable,
     edge_metrics::{EdgeMetrics, StoreCallLabel},
-    rate_sharing::{RateSharing, refresh_rate_shares},
+    quarantine_state::RequestQuarantine,
     relay::HelperLinks,
-    request_quarantine::RequestQuarantine,
+    route_states::RouteStates,
+    sharing::{GrantSharing, StandingInputs},
     upstream::{ConnectionPools, ReplyBuffers},
 };
 
@@ -78,7 +80,7 @@
     active_routes: RwLock<ActiveRoutes>,
     upstreams: Mutex<UpstreamRegistry>,
     nodes: Mutex<NodeRegistry>,
-    pub(crate) rate_sharing: RateSharing,
+    pub(crate) sharing: GrantSharing,
     pub(crate) quarantine: RequestQuarantine,
     pub(crate) reach: NodeReach,
     pub(crate) helpers: HelperLinks,
@@ -88,20 +90,15 @@
     /// Reachability of the store as reported by the node whose copy this node reads; `None` while
     /// this node reads the store itself.
     relayed_reachability: Mutex<Option<StoreReachability>>,
-    balancers: RwLock<FastMap<ServiceName, Arc<ServiceBalancer>>>,
-    connection_limits: RwLock<FastMap<ServiceName, u32>>,
-    latency_estimators: RwLock<FastMap<String, Arc<Mutex<LatencyEstimator>>>>,
-    split_schedulers: Mutex<FastMap<String, WeightedRoundRobin>>,
-    started_at: TimePoint,
-    /// Services for which the previous process of this node had spent a large part of its share of
-    /// the retry budget; unset until the store's entries have been listed for the first time.
-    inherited_spent_services: OnceLock<FastSet<ServiceName>>,
+    pub(crate) balancers: BalancerTable,
+    pub(crate) routes: RouteStates,
 }
 
 impl EdgeState {
     pub(crate) fn new(settings: EdgeSettings, timer: TimerService, logger: Logger) -> Self {
         let nodes = NodeRegistry::new(settings.node.clone());
-        let started_at = timer.now();
+        let zone = settings.node.availability_zone.clone();
+        let balancers = BalancerTable::new(zone, timer.now());
         Self {
             limits: RwLock::new(settings.limits),
             settings,
@@ -123,19 +120,15 @@
             active_routes: RwLock::default(),
             upstreams: Mutex::default(),
             nodes: Mutex::new(nodes),
-            rate_sharing: RateSharing::new(),
+            sharing: GrantSharing::new(),
             quarantine: RequestQuarantine::new(),
             reach: NodeReach::new(),
             helpers: HelperLinks::default(),
             helped_in_flight: AtomicUsize::new(0),
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
-            balancers: RwLock::default(),
-            connection_limits: RwLock::default(),
-            latency_estimators: RwLock::default(),
-            split_schedulers: Mutex::default(),
-            started_at,
-            inherited_spent_services: OnceLock::new(),
+            balancers,
+            routes: RouteStates::default(),
         }
     }
 
@@ -149,11 +142,10 @@
         let current = EdgeSettings { limits: self.limits(), ..self.settings.clone() };
         let change = SettingsChange::between(&current, changed);
         *self.limits.write().unwrap_or_else(PoisonError::into_inner) = changed.limits;
-        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        for balancer in balancers.values() {
-            balancer.set_retry_limits(changed.limits.retry);
-            balancer.set_drain_limit(changed.limits.drain_limit);
-        }
+        self.balancers.for_each(|it| {
+            it.set_retry_limits(changed.limits.retry);
+            it.set_drain_limit(changed.limits.drain_limit);
+        });
         info!(self.logger, "node: settings read again"; "applied" => change.applied.join(", "),
             "from_next_start" => change.deferred.join(", "));
     }
@@ -180,11 +172,6 @@
         update(&mut self.active_routes.write().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the connection limits of all services.
-    pub(crate) fn set_connection_limits(&self, connection_limits: FastMap<ServiceName, u32>) {
-        *self.connection_limits.write().unwrap_or_else(PoisonError::into_inner) = connection_limits;
-    }
-
     /// Returns whether this node has an entry in the store.
     pub(crate) fn is_announced(&self) -> bool {
         self.is_announced.load(Ordering::Relaxed)
@@ -197,8 +184,7 @@
 
     /// Calls `update` for each balancer.
     pub(crate) fn for_each_balancer(&self, update: impl FnMut(&Arc<ServiceBalancer>)) {
-        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        balancers.values().for_each(update);
+        self.balancers.for_each(update);
     }
 
     pub(crate) fn upstreams(&self) -> MutexGuard<'_, UpstreamRegistry> {
@@ -303,30 +289,14 @@
 
     /// Returns the balancer of a service, creating it if necessary.
     pub(crate) fn balancer(&self, service: &ServiceName) -> Arc<ServiceBalancer> {
-        if let Some(balancer) =
-            self.balancers.read().unwrap_or_else(PoisonError::into_inner).get(service)
-        {
-            return Arc::clone(balancer);
-        }
-        let mut balancers = self.balancers.write().unwrap_or_else(PoisonError::into_inner);
-        let balancer = balancers.entry(service.clone()).or_insert_with(|| {
-            let zone = self.settings.node.availability_zone.clone();
-            let is_spent = self.inherited_spent_services().is_some_and(|it| it.contains(service));
-            let retry_budget = RetryBudget::started(self.started_at, is_spent);
-            let limits = self.limits();
-            let balancer = ServiceBalancer::with_retry_budget(limits.retry, zone, retry_budget);
-            balancer.set_drain_limit(limits.drain_limit);
-            balancer.set_rate_shares(&self.rate_sharing.shares());
-            Arc::new(balancer)
-        });
-        Arc::clone(balancer)
+        self.balancers.get_or_create(service, || (self.limits(), self.sharing.shares()))
     }
 
     /// Sets the services for which the previous process of this node had spent a large part of its
     /// share of the retry budget; only the first call has an effect.
     pub(crate) fn set_inherited_spent_services(&self, services: Vec<ServiceName>) {
         let count = services.len();
-        let is_first = self.inherited_spent_services.set(services.into_iter().collect()).is_ok();
+        let is_first = self.balancers.set_inherited_spent_services(services);
         if is_first && 0 < count {
             info!(self.logger,
                 "budget: the previous process had spent a large part of its retry budget shares";
@@ -334,41 +304,47 @@
         }
     }
 
-    /// Returns the services for which the previous process of this node had spent a large part of
-    /// its share of the retry budget; `None` until the store's entries have been listed for the
-    /// first time.
-    pub(crate) fn inherited_spent_services(&self) -> Option<&FastSet<ServiceName>> {
-        self.inherited_spent_services.get()
-    }
-
-    /// Returns the spent fractions of this node's shares of the retry budgets, by service.
-    pub(crate) fn spent_fractions(&self, now: TimePoint) -> Vec<(ServiceName, f64)> {
-        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        balancers
-            .iter()
-            .map(|(service, balancer)| (service.clone(), balancer.spent_fraction(now)))
-            .collect()
-    }
-
     /// Returns all metrics in the text exposition format.
     pub(crate) fn render_metrics(&self) -> String {
-        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        self.metrics.balancers.set(balancers.values().map(|it| it.report()));
-        let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
+        let mut reports = Vec::new();
+        let mut rate_limited = 0;
+        self.balancers.for_each(|it| {
+            reports.push(it.report());
+            rate_limited += it.rate_limited_upstreams();
+        });
+        self.metrics.balancers.set(reports.into_iter());
         let (suspects, quarantined) = self.quarantine.ledger.update(|it| it.counts());
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
         self.metrics.reply_buffer_bytes.set(buffered_bytes);
         self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
-        drop(balancers);
         self.metrics.render()
     }
 
+    /// Updates this node's shares of the bounds that hold over all nodes; to be called periodically, and
+    /// when the known nodes have changed.
+    pub(crate) fn refresh_shares(&self, now: TimePoint) {
+        let inputs = StandingInputs {
+            is_announced: self.is_announced(),
+            store_reply_age: self.store_reachability().time_since_reply(now),
+            max_address_lifetime: self.limits().max_address_lifetime,
+        };
+        let Some((shares, nodes)) = self.sharing.refresh(now, &self.nodes(), inputs) else {
+            return;
+        };
+        self.balancers.for_each(|it| it.set_rate_shares(&shares));
+        let own_zone_share = shares.share(&self.settings.node.availability_zone);
+        self.metrics.rate_share.set(own_zone_share);
+        info!(self.logger, "node: share of upstreams' rate limits changed";
+            "own_zone_percent" => (own_zone_share * 100.0).round() as u64,
+            "nodes" => nodes, "standing" => format!("{:?}", shares.standing()));
+    }
+
     /// Updates all balancers and gauges with the registered upstreams, connection limits and number
     /// of nodes, and closes the connection pools of instances that are no longer eligible for requests.
     pub(crate) fn refresh_balancers(&self, now: TimePoint) {
-        refresh_rate_shares(self, now);
+        self.refresh_shares(now);
         let nodes = {
             let registry = self.nodes();
             self.metrics.nodes.set(i64::from(registry.node_count()));
@@ -379,14 +355,7 @@
         for service in services.keys() {
             self.balancer(service);
         }
-        let connection_limits =
-            self.connection_limits.read().unwrap_or_else(PoisonError::into_inner);
-        let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
-        for (service, balancer) in balancers.iter() {
-            let records = services.get(service).map_or(&[][..], Vec::as_slice);
-            balancer.set_upstreams(now, records);
-            balancer.set_limits(connection_limits.get(service).copied(), nodes);
-        }
+        self.balancers.update(now, &services, nodes);
         self.metrics.upstreams.set(i64::try_from(registry.len()).unwrap_or(i64::MAX));
         let eligible = services.values().flatten().map(|it| &it.instance);
         self.connection_pools.keep_only(eligible);
@@ -400,42 +369,6 @@
             self.refresh_balancers(self.timer.now());
         }
     }
-
-    /// Returns the latency estimator of a route, with the route's current latency target.
-    pub(crate) fn latency_estimator(&self, rule: &RouteRule) -> Arc<Mutex<LatencyEstimator>> {
-        let latency_estimators =
-            self.latency_estimators.read().unwrap_or_else(PoisonError::into_inner);
-        if let Some(latency_estimator) = latency_estimators.get(&rule.name) {
-            lock(latency_estimator).set_latency_target(rule.latency_target);
-            return Arc::clone(latency_estimator);
-        }
-        drop(latency_estimators);
-        let mut latency_estimators =
-            self.latency_estimators.write().unwrap_or_else(PoisonError::into_inner);
-        let latency_estimator = latency_estimators
-            .entry(rule.name.clone())
-            .or_insert_with(|| Arc::new(Mutex::new(LatencyEstimator::new(rule.latency_target))));
-        Arc::clone(latency_estimator)
-    }
-
-    /// Returns the service for the next request of a route that is split between services.
-    pub(crate) fn choose_service(
-        &self,
-        rule: &RouteRule,
-        services: &[WeightedService],
-    ) -> Option<ServiceName> {
-        let mut split_schedulers = lock(&self.split_schedulers);
-        let current = split_schedulers.get_mut(&rule.name).filter(|it| it.is_for(services));
-        let scheduler = match current {
-            Some(it) => it,
-            None => {
-                let scheduler = WeightedRoundRobin::new(services, rand::random());
-                split_schedulers.insert(rule.name.clone(), scheduler);
-                split_schedulers.get_mut(&rule.name)?
-            }
-        };
-        scheduler.choose().cloned()
-    }
 }
 
 impl ListenerContext for EdgeState {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -4,17 +4,20 @@
 //! The wire protocol and the format of the store's entries are defined by an adapter, which
 //! implements [`WireProtocol`] and [`ClusterStore`].
 
+mod balancer_table;
 mod caller;
 mod edge_metrics;
 mod edge_settings;
 mod edge_state;
 mod errors;
+mod quarantine_state;
 mod query;
-mod rate_sharing;
 mod reach;
 mod relay;
 mod request_quarantine;
+mod route_states;
 mod run_edge;
+mod sharing;
 mod store;
 mod sync;
 mod upstream;
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -283,7 +283,8 @@
                     (std::slice::from_ref(service), AcceptedReplies::AnyButServerError, None)
                 }
                 RouteTarget::Split(weighted_services) => {
-                    let Some(chosen) = self.edge.choose_service(rule, weighted_services) else {
+                    let Some(chosen) = self.edge.routes.choose_service(rule, weighted_services)
+                    else {
                         let remaining = timing.deadline.since(self.edge.timer.now());
                         let reason = "no part of the route takes requests";
                         return (
@@ -310,7 +311,7 @@
         let router = QueryRouter::new(
             SnapshotId(version.0),
             balancers,
-            self.edge.latency_estimator(rule),
+            self.edge.routes.latency_estimator(rule),
             constraints,
         );
         let coverage = shard_set.map_or(1.0, |it| it.minimum_coverage);
--- a/crates/edge/src/relay/relay_client.rs
+++ b/crates/edge/src/relay/relay_client.rs
@@ -18,8 +18,8 @@
 };
 
 use super::{
-    ForwardedAnswer, ForwardedRequest, RelayedUpdate, relay_protocol::RelayProtocolClient,
-    relay_server::MESSAGE_BYTES_LIMIT,
+    ForwardedAnswer, ForwardedRequest, GrantRequest, RelayedUpdate,
+    relay_protocol::RelayProtocolClient, relay_server::MESSAGE_BYTES_LIMIT,
 };
 use crate::StoreRevision;
 
@@ -38,6 +38,13 @@
     NoReply(String),
 }
 
+impl RelayError {
+    /// Returns the error of a call without a reply within `limit`.
+    pub(crate) fn no_reply_within(limit: Duration) -> Self {
+        Self::NoReply(format!("none within {} ms", limit.as_millis()))
+    }
+}
+
 impl fmt::Display for RelayError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -127,6 +134,20 @@
         self.call(limit, |context| self.client.run_request(context, request)).await
     }
 
+    /// Asks the peer for grants; returns how many of each bound it lent, in the order of the
+    /// requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RelayError::NoReply`] if no reply was received within `limit`.
+    pub(crate) async fn borrow_grants(
+        &self,
+        requests: Vec<GrantRequest>,
+        limit: Duration,
+    ) -> Result<Vec<u32>, RelayError> {
+        self.call(limit, |context| self.client.borrow_grants(context, requests)).await
+    }
+
     async fn call<T, C: Future<Output = Result<T, RpcError>>>(
         &self,
         limit: Duration,
@@ -134,7 +155,7 @@
     ) -> Result<T, RelayError> {
         match self.timer.timeout(limit, start(context_with_timeout(limit))).await {
             Ok(result) => result.map_err(|error| RelayError::NoReply(error.to_string())),
-            Err(_) => Err(RelayError::NoReply(format!("none within {} ms", limit.as_millis()))),
+            Err(_) => Err(RelayError::no_reply_within(limit)),
         }
     }
 }
--- a/crates/edge/src/relay/relay_protocol.rs
+++ b/crates/edge/src/relay/relay_protocol.rs
@@ -3,6 +3,7 @@
 use mux_config::ReachabilityReport;
 use mux_model::InstanceId;
 use mux_quarantine::Evidence;
+use mux_sharing::BoundKey;
 use serde::{Deserialize, Serialize};
 
 use super::{
@@ -22,6 +23,17 @@
     pub reachability: ReachabilityReport,
 }
 
+/// A question for grants of one bound.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub(crate) struct GrantRequest {
+    pub(crate) key: BoundKey,
+    /// Number of grants.
+    pub(crate) wanted: u32,
+    /// The rate limit that the upstream stated to the asking node, in requests per second; `None` for
+    /// other bounds.
+    pub(crate) stated_rate: Option<f64>,
+}
+
 /// Calls between nodes.
 #[tarpc::service]
 pub(crate) trait RelayProtocol {
@@ -38,4 +50,8 @@
     /// Serves a caller's request for a node that is cut from all upstreams. The call is cancelled if
     /// the caller leaves.
     async fn run_request(request: ForwardedRequest) -> ForwardedAnswer;
+
+    /// Gives up unneeded grants of bounds that hold over all nodes; returns how many of each, in the
+    /// order of the requests. A reply that is lost loses them.
+    async fn borrow_grants(requests: Vec<GrantRequest>) -> Vec<u32>;
 }
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -13,10 +13,12 @@
     tokio_serde::formats::Bincode,
 };
 
-use super::{ForwardedAnswer, ForwardedRequest, RelayedUpdate, relay_protocol::RelayProtocol};
+use super::{
+    ForwardedAnswer, ForwardedRequest, GrantRequest, RelayedUpdate, relay_protocol::RelayProtocol,
+};
 use crate::{
     StoreRevision, WireProtocol, edge_state::EdgeState, query::serve_forwarded,
-    reach::probe_instances, sync::MAX_EXCHANGED_EVIDENCE,
+    reach::probe_instances, sharing::lend_all, sync::MAX_EXCHANGED_EVIDENCE,
 };
 
 /// Largest message between nodes, in bytes.
@@ -115,4 +117,8 @@
     async fn run_request(self, _: Context, request: ForwardedRequest) -> ForwardedAnswer {
         serve_forwarded::<W>(&self.edge, request).await
     }
+
+    async fn borrow_grants(self, _: Context, requests: Vec<GrantRequest>) -> Vec<u32> {
+        lend_all(&self.edge, &requests)
+    }
 }
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -17,6 +17,7 @@
     edge_state::{EdgeState, StopPhase},
     reach::watch_reach,
     relay::RelayServer,
+    sharing::{maintain_borrowing, maintain_shares},
     sync,
 };
 
@@ -95,7 +96,8 @@
     tokio::spawn(sync::follow_store_era(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::read_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
-    tokio::spawn(sync::maintain_rate_shares(Arc::clone(&edge)));
+    tokio::spawn(maintain_shares(Arc::clone(&edge)));
+    tokio::spawn(maintain_borrowing(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(watch_reach(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
--- /dev/null
+++ b/crates/edge/src/sharing/mod.rs
@@ -0,0 +1,15 @@
+//! Bounds that hold over all nodes: this node's shares of them, and the grants that nodes lend each
+//! other.
+
+mod borrow_task;
+mod bound_owners;
+mod grant_sharing;
+mod peer_links;
+mod share_task;
+
+#[allow(unused_imports, reason = "used by the quotas of workspaces, which are another part")]
+pub(crate) use borrow_task::borrow_grants;
+pub(crate) use borrow_task::maintain_borrowing;
+pub(crate) use bound_owners::lend_all;
+pub(crate) use grant_sharing::{GrantSharing, StandingInputs};
+pub(crate) use share_task::maintain_shares;
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -87,7 +87,7 @@
     if let Some(HeldLease { lease, lifetime, is_announced: true }) = *held {
         let started = edge.timer.now();
         edge.record_store_call("renew", store.renew(lease).await)?;
-        edge.rate_sharing.set_announced_until(started + lifetime);
+        edge.sharing.set_announced_until(started + lifetime);
         return Ok(());
     }
     if held.is_none() {
@@ -95,7 +95,7 @@
         let started = edge.timer.now();
         let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.limits().min_lease_lifetime);
         let lease = edge.record_store_call("grant", store.grant(lifetime).await)?;
-        edge.rate_sharing.set_announced_until(started + lifetime);
+        edge.sharing.set_announced_until(started + lifetime);
         *held = Some(HeldLease { lease, lifetime, is_announced: false });
     }
     // If the entry cannot be written, the lease is kept for the next attempt, or for its revocation
--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -10,10 +10,8 @@
 use slog::{info, warn};
 
 use crate::{
-    ClusterStore,
-    edge_state::EdgeState,
-    relay::RelayConnection,
-    request_quarantine::{TrialClaim, end_trial},
+    ClusterStore, edge_state::EdgeState, quarantine_state::TrialClaim, relay::RelayConnection,
+    request_quarantine::end_trial,
 };
 
 /// Maximum number of changes in one call to the store.
--- a/crates/edge/src/sync/spent_budget_task.rs
+++ b/crates/edge/src/sync/spent_budget_task.rs
@@ -20,7 +20,7 @@
     let mut known_era = None;
     loop {
         edge.timer.sleep(edge.timer.until_wall_clock_multiple(CHECK_PERIOD)).await;
-        let Some(inherited) = edge.inherited_spent_services() else {
+        let Some(inherited) = edge.balancers.inherited_spent_services() else {
             continue;
         };
         let markers = markers.get_or_insert_with(|| SpentBudgetMarkers::new(inherited.clone()));
@@ -29,7 +29,9 @@
             markers.on_store_restored();
         }
         known_era = era;
-        let Some(services) = markers.pending_update(&edge.spent_fractions(edge.timer.now())) else {
+        let Some(services) =
+            markers.pending_update(&edge.balancers.spent_fractions(edge.timer.now()))
+        else {
             continue;
         };
         let written = store.mark_spent(&edge.settings.node.node, &services).await;
--- a/crates/placement/src/node_registry.rs
+++ b/crates/placement/src/node_registry.rs
@@ -56,7 +56,7 @@
 
 /// Version of the messages between nodes. Nodes send nothing to those with another version, whose
 /// messages they could take for others.
-const RELAY_PROTOCOL_VERSION: u32 = 2;
+const RELAY_PROTOCOL_VERSION: u32 = 3;
 
 /// Where a node answers calls of other nodes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/routing/src/balancer/rate_limit.rs
+++ b/crates/routing/src/balancer/rate_limit.rs
@@ -75,6 +75,11 @@
         self.confirmed_at
     }
 
+    /// Returns the limit that the upstream stated, in requests per second.
+    pub(super) fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// Returns the time until a call is granted to a node with this share of the rate; zero if one is
     /// granted now.
     ///
--- a/crates/routing/src/balancer/shared_grants.rs
+++ b/crates/routing/src/balancer/shared_grants.rs
@@ -7,6 +7,31 @@
 use crate::CallKind;
 
 impl ServiceBalancer {
+    /// Returns the rate limit that an upstream stated to this node, in requests per second; `None` for
+    /// other bounds, which all nodes read from the store.
+    pub fn stated_rate(&self, key: &BoundKey) -> Option<f64> {
+        let BoundKey::UpstreamRate(instance) = key else {
+            return None;
+        };
+        self.with_instance(instance, |it| it.rate_limit.map(|limit| limit.rate()))?
+    }
+
+    /// Records the rate limit of an upstream that another node learnt from a reply; returns whether
+    /// this node knew none.
+    ///
+    /// Answers an upstream whose calls are all made by one node: the others do not know its limit, and
+    /// so have no grants that they could lend. A limit that has ended meanwhile ends with the next reply.
+    pub fn learn_rate_limit(&self, now: TimePoint, key: &BoundKey, rate: f64) -> bool {
+        let BoundKey::UpstreamRate(instance) = key else {
+            return false;
+        };
+        let is_valid = rate.is_finite() && 0.0 <= rate;
+        let learnt = self.with_instance(instance, |it| {
+            is_valid && it.rate_limit.is_none() && it.on_rate_limit(now, now, Some(rate)).is_some()
+        });
+        learnt.unwrap_or_default()
+    }
+
     /// Gives up to `wanted` grants of an upstream's bound, which this node does not need, to another
     /// node; returns how many.
     pub fn lend_grants(&self, now: TimePoint, key: &BoundKey, wanted: u32) -> u32 {
@@ -32,6 +57,11 @@
         });
     }
 
+    /// Returns whether an upstream has a bound that holds over all nodes.
+    pub fn has_shared_bounds(&self) -> bool {
+        self.lock().upstreams.iter().any(|it| it.is_active && it.is_rate_limited())
+    }
+
     /// Returns the number of calls that found no grant since the last time, by bound.
     pub fn take_missing_grants(&self) -> Vec<(BoundKey, u32)> {
         let mut missing = Vec::new();
