Ask for more grants while borrowed ones are used up soon

A round that follows within 40 ms of a satisfied one asks for twice as many grants, within 120 ms for as many. The longest pause is 320 ms, ended rounds let the next begin in the same step, and idle bounds are forgotten in time.

--- a/crates/sharing/src/borrow_planner.rs
+++ b/crates/sharing/src/borrow_planner.rs
@@ -1,6 +1,6 @@
 //! Decides when a node asks others for unused grants, which nodes, and for how many.
 
-use std::{hash::Hash, time::Duration};
+use std::{hash::Hash, mem, time::Duration};
 
 use mux_model::{FastMap, NodeId, TimePoint};
 
@@ -8,12 +8,17 @@
 const MAX_BOUNDS: usize = 1_024;
 /// Time after the latest shortage from which on a bound is forgotten.
 const BOUND_MEMORY: Duration = Duration::from_secs(5);
-/// Period of the searches for bounds to forget while there are too many.
+/// Period of the searches for bounds to forget.
 const FORGET_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which a shortage shows that grants are still needed.
 const SHORTAGE_LIFETIME: Duration = Duration::from_millis(100);
 /// Maximum number of grants that one round asks for.
 const MAX_WANTED_GRANTS: u32 = 128;
+/// Time within which the grants of a round were used up if the next shortage follows: the next round
+/// asks for twice as many. It is shorter than the validity of borrowed grants.
+const FAST_USE_PERIOD: Duration = Duration::from_millis(40);
+/// Time within which the next round asks for as many grants as the one before.
+const STEADY_USE_PERIOD: Duration = Duration::from_millis(120);
 /// Number of peers that are asked at the same time for grants of one bound.
 const PARALLEL_PEERS: u32 = 3;
 /// Maximum number of calls in flight to one peer; further bounds wait and share the next call.
@@ -27,7 +32,7 @@
 /// Pause after a round without any grant; doubles with each further one.
 const EMPTY_DELAY: Duration = Duration::from_millis(40);
 /// Maximum pause after a round without any grant.
-const MAX_EMPTY_DELAY: Duration = Duration::from_millis(640);
+const MAX_EMPTY_DELAY: Duration = Duration::from_millis(320);
 /// Time for which a peer that did not reply is not asked.
 const SILENT_PEER_PENALTY: Duration = Duration::from_secs(1);
 /// Age of a call above which the grants of its reply are not used. A process that was frozen finds
@@ -64,6 +69,8 @@
     empty_rounds: u32,
     resume_at: TimePoint,
     received: u64,
+    /// Number of grants of the latest round, and when it ended, if it brought all of them.
+    satisfied: Option<(u32, TimePoint)>,
 }
 
 /// One search for the grants of a bound, which asks each peer at most once.
@@ -139,9 +146,10 @@
     /// Returns the calls to make now; `peers` are the nodes that can be asked, in the order in which
     /// to ask them. Each call has to be followed by [`Self::on_reply`] or [`Self::on_no_reply`].
     pub fn plan_calls(&mut self, now: TimePoint, peers: &[NodeId]) -> Vec<BorrowCall<K>> {
-        for shortage in self.bounds.values_mut() {
-            shortage.begin_round(now);
-        }
+        self.forget_idle(now);
+        // A round that has ended lets the next one begin at once.
+        self.end_rounds(now, peers);
+        self.bounds.values_mut().for_each(|it| it.begin_round(now));
         let mut calls = Vec::new();
         for peer in peers {
             let standing = self.peers.get(peer).copied().unwrap_or_default();
@@ -164,13 +172,7 @@
                 calls.push(BorrowCall { peer: peer.clone(), wanted, planned_at: now });
             }
         }
-        let standings = &self.peers;
-        let may_ask =
-            |it: &NodeId| standings.get(it).is_none_or(|standing| standing.silent_until <= now);
-        for shortage in self.bounds.values_mut() {
-            shortage
-                .end_round(now, |asked| peers.iter().any(|it| may_ask(it) && !asked.contains(it)));
-        }
+        self.end_rounds(now, peers);
         calls
     }
 
@@ -211,6 +213,17 @@
         standing.silent_until = now + SILENT_PEER_PENALTY;
     }
 
+    /// Ends the rounds that have what they wanted, or no peer left to ask.
+    fn end_rounds(&mut self, now: TimePoint, peers: &[NodeId]) {
+        let standings = &self.peers;
+        let may_ask =
+            |it: &NodeId| standings.get(it).is_none_or(|standing| standing.silent_until <= now);
+        for shortage in self.bounds.values_mut() {
+            shortage
+                .end_round(now, |asked| peers.iter().any(|it| may_ask(it) && !asked.contains(it)));
+        }
+    }
+
     fn end_call(&mut self, call: &BorrowCall<K>) {
         self.calls_in_flight = self.calls_in_flight.saturating_sub(1);
         if let Some(standing) = self.peers.get_mut(&call.peer) {
@@ -237,6 +250,7 @@
             empty_rounds: 0,
             resume_at: now,
             received: 0,
+            satisfied: None,
         }
     }
 
@@ -250,12 +264,23 @@
     fn begin_round(&mut self, now: TimePoint) {
         let is_needed = 0 < self.missing && now.since(self.missing_at) <= SHORTAGE_LIFETIME;
         if self.round.is_none() && self.resume_at <= now && is_needed {
-            let wanted = std::mem::take(&mut self.missing);
+            let missing = mem::take(&mut self.missing);
+            let wanted = missing.max(self.expected_use(now)).min(MAX_WANTED_GRANTS);
             let round = BorrowRound { wanted, received: 0, asked: Vec::new(), calls_in_flight: 0 };
             self.round = Some(round);
         }
     }
 
+    /// Returns the number of grants to expect from how soon those of the latest round were used up, so
+    /// that a lasting need leads to few rounds.
+    fn expected_use(&self, now: TimePoint) -> u32 {
+        match self.satisfied {
+            Some((wanted, at)) if now.since(at) < FAST_USE_PERIOD => wanted.saturating_mul(2),
+            Some((wanted, at)) if now.since(at) < STEADY_USE_PERIOD => wanted,
+            _ => 0,
+        }
+    }
+
     /// Ends a round that has what it wanted, or has asked all peers.
     fn end_round(&mut self, now: TimePoint, has_unasked: impl FnOnce(&[NodeId]) -> bool) {
         let Some(round) = &self.round else {
@@ -272,6 +297,7 @@
         };
         self.empty_rounds = if round.received == 0 { self.empty_rounds + 1 } else { 0 };
         self.resume_at = now + pause;
+        self.satisfied = is_satisfied.then_some((round.wanted, now));
         self.round = None;
     }
 
