--- a/crates/edge/src/edge_state/route_state.rs
+++ b/crates/edge/src/route_states.rs
@@ -1,14 +1,19 @@
-//! State that a node keeps for each route.
+//! What a node keeps for each route.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 
 use mux_config::traffic::{RouteRule, WeightedRoundRobin, WeightedService};
-use mux_model::ServiceName;
+use mux_model::{FastMap, ServiceName};
 use mux_routing::balancer::LatencyEstimator;
 
-use super::{EdgeState, lock};
+/// Latency estimators and schedulers by the name of the route.
+#[derive(Debug, Default)]
+pub(crate) struct RouteStates {
+    latency_estimators: RwLock<FastMap<String, Arc<Mutex<LatencyEstimator>>>>,
+    split_schedulers: Mutex<FastMap<String, WeightedRoundRobin>>,
+}
 
-impl EdgeState {
+impl RouteStates {
     /// Returns the latency estimator of a route, with the route's current latency target.
     pub(crate) fn latency_estimator(&self, rule: &RouteRule) -> Arc<Mutex<LatencyEstimator>> {
         let latency_estimators =
@@ -45,3 +50,7 @@
         scheduler.choose().cloned()
     }
 }
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -136,7 +136,7 @@
             if let Some(table) = edge.route_table() {
                 record_workspaces(edge, &table, &removed);
             }
-            edge.set_connection_limits(config.connection_limits.clone());
+            edge.balancers.set_connection_limits(config.connection_limits.clone());
             let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
             edge.metrics.config_version.set(version);
             true
--- a/crates/edge/src/workspace_quotas.rs
+++ b/crates/edge/src/workspace_quotas.rs
@@ -7,11 +7,12 @@
 
 use mux_config::traffic::{RouteTable, TrafficConfig};
 use mux_model::{TimePoint, WorkspaceName};
+use mux_sharing::BoundKey;
 use mux_workspaces::QuotaTable;
 use slog::{info, warn};
 use tokio::sync::Notify;
 
-use crate::{edge_metrics::WorkspaceLabels, edge_state::EdgeState};
+use crate::{edge_metrics::WorkspaceLabels, edge_state::EdgeState, sharing::borrow_grants};
 
 /// Time limit of a round in which other nodes are asked for grants.
 const ASK_TIME_LIMIT: Duration = Duration::from_millis(30);
@@ -77,7 +78,7 @@
 /// Applies the current limits and share of this node; to be called periodically, and when the known
 /// nodes have changed.
 pub(crate) fn refresh_quotas(edge: &EdgeState, now: TimePoint) {
-    let share = edge.rate_sharing.shares().uniform_share();
+    let share = edge.sharing.shares().uniform_share();
     edge.workspace_quotas.table().set_share(now, edge.limits().quota, share);
 }
 
@@ -89,20 +90,9 @@
     };
     let (edge, name) = (Arc::clone(edge), name.clone());
     tokio::spawn(async move {
-        let borrowed = borrow_grants(&edge, &name, wanted, ASK_TIME_LIMIT).await;
+        let key = BoundKey::Workspace(name.clone());
+        let borrowed = borrow_grants(&edge, &key, wanted, ASK_TIME_LIMIT).await;
         edge.workspace_quotas.table().end_asking(&name, borrowed);
         edge.workspace_quotas.round_ended.notify_waiters();
     });
 }
-
-/// Asks other nodes for grants, adds those that they lend, and returns how many these are.
-///
-/// Nodes do not lend grants of workspaces yet, so that each one uses its share only.
-async fn borrow_grants(
-    _edge: &EdgeState,
-    _name: &WorkspaceName,
-    _wanted: u32,
-    _limit: Duration,
-) -> u32 {
-    0
-}
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -342,7 +342,7 @@
         state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(update)
     }
 
-    fn with_instance<T>(
+    pub(super) fn with_instance<T>(
         &self,
         instance: &InstanceId,
         update: impl FnOnce(&mut TrackedUpstream) -> T,
--- a/crates/workspaces/src/workspace_quota.rs
+++ b/crates/workspaces/src/workspace_quota.rs
@@ -15,10 +15,10 @@
 /// Time for which a node keeps grants for its own requests instead of lending them.
 const KEPT_TIME: Duration = Duration::from_millis(50);
 /// A node asks others for grants when it has fewer than it is expected to need within this time.
-const LOW_TIME: Duration = Duration::from_millis(100);
+const LOW_TIME: Duration = Duration::from_millis(40);
 /// A node asks others for the grants that it is expected to need within this time. Grants of others
-/// remain valid for 1 s.
-const REFILL_TIME: Duration = Duration::from_millis(200);
+/// expire soon, so that a longer time would waste some.
+const REFILL_TIME: Duration = Duration::from_millis(60);
 
 /// This node's grants under the quota of one workspace, and its exchange of grants with others.
 #[derive(Debug)]
