Return load to an evacuated zone in steps

At the end of an evacuation all nodes would send the whole load of a zone at once, to upstreams whose caches and connections are empty.

The choice of an upstream moves to a file of its own.

--- a/crates/routing/src/balancer/closed_zones.rs
+++ b/crates/routing/src/balancer/closed_zones.rs
@@ -5,9 +5,10 @@
 use super::ServiceBalancer;
 
 impl ServiceBalancer {
-    /// Sets the availability zones that operators have evacuated.
-    pub fn set_closed_zones(&self, _now: TimePoint, zones: &FastSet<AvailabilityZone>) {
-        self.lock().closed_zones.clone_from(zones);
+    /// Sets the availability zones that operators have evacuated; load returns in steps to those that
+    /// are no longer among them. To be called before [`Self::set_upstreams`], if both change.
+    pub fn set_closed_zones(&self, now: TimePoint, zones: &FastSet<AvailabilityZone>) {
+        self.lock().zones.set_closed(now, zones);
     }
 
     /// Returns whether the zone of `upstream` is evacuated, so that nothing may be sent to it.
@@ -16,6 +17,6 @@
     pub fn is_in_closed_zone(&self, upstream: UpstreamId) -> bool {
         let state = self.lock();
         let mut known = state.upstreams.iter().filter(|it| it.id == upstream);
-        known.any(|it| state.closed_zones.contains(&it.availability_zone))
+        known.any(|it| state.zones.is_closed(&it.availability_zone))
     }
 }
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -16,8 +16,10 @@
 mod service_balancer;
 mod spent_budget_markers;
 mod tracked_upstream;
+mod upstream_choice;
 mod upstream_record;
 mod upstream_registry;
+mod zone_return;
 
 pub use balancer_report::BalancerReport;
 pub use evacuated_zones::{EvacuatedZones, ZoneEvacuation};
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -5,7 +5,7 @@
     time::Duration,
 };
 
-use mux_model::{AvailabilityZone, FastSet, InstanceId, TimePoint, UpstreamId};
+use mux_model::{AvailabilityZone, InstanceId, TimePoint, UpstreamId};
 use mux_sharing::NodeShares;
 
 use super::{
@@ -13,6 +13,7 @@
     RetryBudgetLimits, UpstreamRecord,
     balancer_state::{BalancerState, SATURATED_RETRY_DELAY},
     tracked_upstream::{QuietOutcome, TrackedUpstream},
+    zone_return::ZoneStates,
 };
 use crate::{AcquireError, CallKind, CallOutcome};
 
@@ -48,7 +49,7 @@
             arbiter: PriorityArbiter::default(),
             connection_limit: None,
             nodes: 1,
-            closed_zones: FastSet::default(),
+            zones: ZoneStates::default(),
             drain_limit: Duration::ZERO,
             rate_shares: NodeShares::sole_node(),
             dial_us: INITIAL_DIAL_US,
@@ -81,6 +82,7 @@
             upstream.rate_share = state.rate_shares.share(&upstream.availability_zone);
             state.upstreams.push(upstream);
         }
+        state.zones.on_listed();
         state.upstreams.retain(|it| it.is_active || !it.is_idle() || it.must_be_remembered(now));
     }
 
