Bound the calls to cold upstreams over all nodes

A cold upstream crashes well above the rate that it sustains, and nodes called it by its measured latency only. A whole zone or all replicas of a shard may be cold together.

`WarmupLeftMs` of an upstream's entry, `X-Warmup-Ms` of any reply, and `WarmupS` and `WarmupPerS` of a service are decoded. While an upstream is cold, `WarmUp` holds a `GrantSchedule` with this node's part of the rate, used like a rate limit in the choice of an upstream. Grants that may pile up take an eighth of the margin of the bound. Calls of the second before a node learns that an upstream is cold count as granted. Upstreams of a returned zone count as cold for the whole period until a newer entry or a reply says otherwise. Older statements do not shorten a warm-up. The balancer lends and adds grants for these bounds. Without `Bounds.WarmupOverage` and `Bounds.WarmupSlack`, or with a rate of 0, upstreams are called as before.

--- a/crates/config/src/traffic/mod.rs
+++ b/crates/config/src/traffic/mod.rs
@@ -11,5 +11,5 @@
 pub use route_diff::RouteDiff;
 pub use route_rule::{ExecutionSemantics, RouteRule, RouteTarget, ShardSet, WeightedService};
 pub use route_table::RouteTable;
-pub use traffic_config::{RequestLimits, TrafficConfig};
+pub use traffic_config::{RequestLimits, TrafficConfig, WarmUpLimit};
 pub use weighted_round_robin::WeightedRoundRobin;
--- a/crates/config/src/traffic/traffic_config.rs
+++ b/crates/config/src/traffic/traffic_config.rs
@@ -20,6 +20,15 @@
     pub idle_timeout: Duration,
 }
 
+/// What a cold upstream of a service sustains.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WarmUpLimit {
+    /// Time for which an upstream is cold after its start.
+    pub period: Duration,
+    /// Requests per second that it sustains in this time, from all nodes together; above 0.
+    pub rate_per_s: f64,
+}
+
 /// One version of the configuration of routes and limits.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TrafficConfig {
@@ -31,4 +40,6 @@
     pub connection_limits: FastMap<ServiceName, u32>,
     /// Limits of callers' requests.
     pub request_limits: RequestLimits,
+    /// Limits of cold upstreams, by service; without one, calls are not bounded.
+    pub warm_up_limits: FastMap<ServiceName, WarmUpLimit>,
 }
--- a/crates/config/tests/traffic_routes.rs
+++ b/crates/config/tests/traffic_routes.rs
@@ -28,6 +28,7 @@
         version: RevisionNumber(version),
         routes,
         connection_limits: FastMap::default(),
+        warm_up_limits: FastMap::default(),
         request_limits: RequestLimits {
             header_bytes: 16_384,
             body_bytes: 262_144,
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -17,7 +17,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::evacuation_metrics::EvacuationMetrics;
+use crate::{evacuation_metrics::EvacuationMetrics, warm_up_metrics::WarmUpMetrics};
 
 /// Lowest bound of the latency histogram, in seconds.
 const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.002;
@@ -67,6 +67,7 @@
     budget_refusals: Gauge,
     saturated: Gauge,
     rate_limited_calls: Gauge,
+    cold_calls: Gauge,
 }
 
 impl BalancerGauges {
@@ -79,6 +80,7 @@
             sum.budget_refusals += report.budget_refusals;
             sum.saturated += report.saturated;
             sum.rate_limited_calls += report.rate_limited_calls;
+            sum.cold_calls += report.cold_calls;
         }
         let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.first_calls.set(to_gauge(sum.first_calls));
@@ -86,6 +88,7 @@
         self.budget_refusals.set(to_gauge(sum.budget_refusals));
         self.saturated.set(to_gauge(sum.saturated));
         self.rate_limited_calls.set(to_gauge(sum.rate_limited_calls));
+        self.cold_calls.set(to_gauge(sum.cold_calls));
     }
 
     fn register(&self, registry: &mut Registry) {
@@ -99,6 +102,7 @@
                 "Calls to upstreams that stated a rate limit",
                 &self.rate_limited_calls,
             ),
+            ("cold_calls", "Calls to cold upstreams under a bound", &self.cold_calls),
         ];
         for (name, help, gauge) in rows {
             registry.register(name, help, gauge.clone());
@@ -136,6 +140,7 @@
     pub(crate) forwarded_requests: Family<ResultLabel, Counter>,
     pub(crate) helped_requests: Family<ResultLabel, Counter>,
     pub(crate) evacuations: EvacuationMetrics,
+    pub(crate) warm_ups: WarmUpMetrics,
 }
 
 impl EdgeMetrics {
@@ -170,6 +175,7 @@
             forwarded_requests: Family::default(),
             helped_requests: Family::default(),
             evacuations: EvacuationMetrics::default(),
+            warm_ups: WarmUpMetrics::default(),
         };
         metrics.register();
         metrics
@@ -256,6 +262,7 @@
         registry.register("calls", "Calls to upstreams by result", self.calls.clone());
         self.balancers.register(registry);
         self.evacuations.register(registry);
+        self.warm_ups.register(registry);
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let updates = self.relayed_updates.clone();
         registry.register("relayed_updates", "Reads of other nodes' copies by result", updates);
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -4,7 +4,7 @@
 
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
-use mux_routing::balancer::RetryBudgetLimits;
+use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
 
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,6 +39,8 @@
     /// Time within which nothing more is sent to the upstreams of an evacuated availability zone; `None`
     /// if evacuations are not obeyed.
     pub evacuation: Option<Duration>,
+    /// Margin of the bound on calls to cold upstreams; `None` if they are not bounded.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 impl RuntimeLimits {
@@ -82,6 +84,7 @@
             ("drain limit", old.drain_limit != new.drain_limit),
             ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
             ("evacuation of availability zones", old.evacuation != new.evacuation),
+            ("bound on calls to cold upstreams", old.warm_up != new.warm_up),
         ];
         let others = [
             ("node", current.node != changed.node),
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -1,6 +1,7 @@
 //! The shared state of a node, with a separate lock for each part.
 
 mod route_state;
+mod service_limits;
 
 use std::{
     sync::{
@@ -35,6 +36,8 @@
     upstream::{ConnectionPools, ReplyBuffers},
 };
 
+use service_limits::ServiceLimits;
+
 /// Idle time-out of callers' connections until the operators' configuration has been read.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Maximum number of log lines about single requests in one [`REQUEST_LOG_PERIOD`].
@@ -91,7 +94,7 @@
     /// this node reads the store itself.
     relayed_reachability: Mutex<Option<StoreReachability>>,
     balancers: RwLock<FastMap<ServiceName, Arc<ServiceBalancer>>>,
-    connection_limits: RwLock<FastMap<ServiceName, u32>>,
+    service_limits: RwLock<ServiceLimits>,
     latency_estimators: RwLock<FastMap<String, Arc<Mutex<LatencyEstimator>>>>,
     split_schedulers: Mutex<FastMap<String, WeightedRoundRobin>>,
     started_at: TimePoint,
@@ -135,7 +138,7 @@
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
             balancers: RwLock::default(),
-            connection_limits: RwLock::default(),
+            service_limits: RwLock::default(),
             latency_estimators: RwLock::default(),
             split_schedulers: Mutex::default(),
             started_at,
@@ -187,11 +190,6 @@
         update(&mut self.active_routes.write().unwrap_or_else(PoisonError::into_inner))
     }
 
-    /// Replaces the connection limits of all services.
-    pub(crate) fn set_connection_limits(&self, connection_limits: FastMap<ServiceName, u32>) {
-        *self.connection_limits.write().unwrap_or_else(PoisonError::into_inner) = connection_limits;
-    }
-
     /// Returns whether this node has an entry in the store.
     pub(crate) fn is_announced(&self) -> bool {
         self.is_announced.load(Ordering::Relaxed)
@@ -362,6 +360,9 @@
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         self.metrics.balancers.set(balancers.values().map(|it| it.report()));
         let rate_limited: usize = balancers.values().map(|it| it.rate_limited_upstreams()).sum();
+        let now = self.timer.now();
+        let cold: Vec<_> = balancers.values().flat_map(|it| it.warm_up_reports(now)).collect();
+        self.metrics.warm_ups.set(&cold);
         let (suspects, quarantined) = self.quarantine.ledger.update(|it| it.counts());
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
@@ -387,14 +388,15 @@
         for service in services.keys() {
             self.balancer(service);
         }
-        let connection_limits =
-            self.connection_limits.read().unwrap_or_else(PoisonError::into_inner);
+        let service_limits = self.service_limits.read().unwrap_or_else(PoisonError::into_inner);
+        let warm_up = self.limits().warm_up;
         let balancers = self.balancers.read().unwrap_or_else(PoisonError::into_inner);
         for (service, balancer) in balancers.iter() {
             let records = services.get(service).map_or(&[][..], Vec::as_slice);
             balancer.set_closed_zones(now, &closed_zones);
+            balancer.set_warm_up_rule(now, service_limits.warm_up_rule(service, warm_up));
             balancer.set_upstreams(now, records);
-            balancer.set_limits(connection_limits.get(service).copied(), nodes);
+            balancer.set_limits(service_limits.connections(service), nodes);
         }
         self.metrics.evacuations.set(now, &registry);
         self.metrics.upstreams.set(i64::try_from(registry.len()).unwrap_or(i64::MAX));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod store;
 mod sync;
 mod upstream;
+mod warm_up_metrics;
 mod wire;
 
 pub use edge_settings::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
@@ -35,5 +36,5 @@
 pub use upstream::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub use wire::{
     AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind,
-    ReplyMetadata, RequestMetadata, RequestMetadataError, WireProtocol,
+    ReplyMetadata, RequestMetadata, RequestMetadataError, WarmUpStatement, WireProtocol,
 };
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -96,6 +96,7 @@
     tokio::spawn(sync::read_store(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_rate_shares(Arc::clone(&edge)));
+    tokio::spawn(sync::log_warm_ups(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(watch_reach(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -121,7 +121,7 @@
                 "services" => config.connection_limits.len(),
                 "added" => join_names(&diff.added), "removed" => join_names(&diff.removed),
                 "changed" => join_names(&diff.changed));
-            edge.set_connection_limits(config.connection_limits.clone());
+            edge.set_service_limits(config);
             let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
             edge.metrics.config_version.set(version);
             true
--- a/crates/edge/src/sync/mod.rs
+++ b/crates/edge/src/sync/mod.rs
@@ -9,6 +9,7 @@
 mod spent_budget_task;
 mod store_era_task;
 mod store_reader;
+mod warm_up_task;
 mod zone_evacuations;
 
 pub(crate) use announce_task::maintain_announcement;
@@ -19,3 +20,4 @@
 pub(crate) use spent_budget_task::maintain_spent_budget_markers;
 pub(crate) use store_era_task::follow_store_era;
 pub(crate) use store_reader::read_store;
+pub(crate) use warm_up_task::log_warm_ups;
--- a/crates/edge/src/upstream/announcements.rs
+++ b/crates/edge/src/upstream/announcements.rs
@@ -7,12 +7,12 @@
 use slog::{info, warn};
 
 use crate::{
-    QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind, ReplyMetadata,
+    QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind, ReplyMetadata, WarmUpStatement,
     edge_metrics::ChangeLabel, edge_state::EdgeState,
 };
 
 /// Records what `instance` announces in a reply to a call sent at `sent_at`: that it is about to exit,
-/// wants no calls, or limits the rate of calls.
+/// wants no calls, limits the rate of calls, or is cold.
 ///
 /// The reply may answer a call that its query no longer needs, or carry another request's id; it
 /// shows the state of the upstream all the same.
@@ -34,6 +34,7 @@
             "instance" => instance.as_str());
     }
     record_rate_limit(edge, balancer, instance, metadata, sent_at);
+    record_warm_up(edge, balancer, instance, metadata, sent_at);
     match &metadata.quiet_request {
         None => {}
         Some(QuietRequest::Malformed(text)) => {
@@ -101,6 +102,29 @@
         "extra_calls" => report.extra_calls, "suppressed_lines" => suppressed);
 }
 
+fn record_warm_up(
+    edge: &EdgeState,
+    balancer: &ServiceBalancer,
+    instance: &InstanceId,
+    metadata: &ReplyMetadata,
+    sent_at: TimePoint,
+) {
+    let now = edge.timer.now();
+    match &metadata.warm_up {
+        None => {}
+        Some(WarmUpStatement::TimeLeft(time_left)) => {
+            balancer.record_warm_up(now, instance, sent_at, *time_left);
+        }
+        Some(WarmUpStatement::Malformed(text)) => {
+            let Some(suppressed) = edge.request_log.allow(now) else {
+                return;
+            };
+            warn!(edge.logger, "upstream: malformed warm-up time ignored";
+                "instance" => instance.as_str(), "value" => text, "suppressed_lines" => suppressed);
+        }
+    }
+}
+
 fn millis(duration: Duration) -> u64 {
     u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/edge/src/wire.rs
+++ b/crates/edge/src/wire.rs
@@ -66,6 +66,15 @@
     Malformed(String),
 }
 
+/// How much longer an upstream stays cold, according to its reply.
+#[derive(Debug, Clone, PartialEq)]
+pub enum WarmUpStatement {
+    /// Time until it is warm; zero if it is.
+    TimeLeft(Duration),
+    /// The time cannot be decoded, or is absurd.
+    Malformed(String),
+}
+
 /// The request that a reply belongs to, according to its head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReplyIdentity {
@@ -94,6 +103,8 @@
     pub quiet_request: Option<QuietRequest>,
     /// Rate limit of the upstream; `None` if it states none.
     pub rate_limit: Option<RateLimitStatement>,
+    /// How much longer the upstream stays cold; `None` if it does not say.
+    pub warm_up: Option<WarmUpStatement>,
 }
 
 /// A caller's request for the addresses of nodes.
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -6,7 +6,7 @@
 use mux_edge::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
-use mux_routing::balancer::RetryBudgetLimits;
+use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
 
 fn settings() -> EdgeSettings {
     let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
@@ -35,6 +35,7 @@
             drain_limit: Duration::from_secs(3),
             min_lease_lifetime: Duration::from_secs(1),
             evacuation: None,
+            warm_up: None,
         },
         logs: LogSettings::default(),
     }
@@ -45,7 +46,7 @@
 
 #[gtest]
 fn limits_are_applied_and_other_settings_wait_for_the_next_start() {
-    let cases: [(&str, bool, Edit); 9] = [
+    let cases: [(&str, bool, Edit); 10] = [
         ("retry budget", true, |it| it.limits.retry.ratio = 0.1),
         ("maximum address lifetime", true, |it| {
             it.limits.max_address_lifetime = Duration::from_secs(2);
@@ -60,6 +61,9 @@
         ("evacuation of availability zones", true, |it| {
             it.limits.evacuation = Some(Duration::from_secs(5));
         }),
+        ("bound on calls to cold upstreams", true, |it| {
+            it.limits.warm_up = Some(WarmUpBounds { overage: 1.5, slack: 5.0 });
+        }),
         ("node", false, |it| it.node.link_mbps = 45.0),
         ("listen addresses", false, |it| it.listen.readiness.set_port(9)),
         ("logs", false, |it| it.logs.level = mux_logs::LogLevel::Warning),
--- a/crates/routing/src/balancer/balancer_report.rs
+++ b/crates/routing/src/balancer/balancer_report.rs
@@ -19,4 +19,6 @@
     pub saturated: u64,
     /// Calls to upstreams that stated a rate limit.
     pub rate_limited_calls: u64,
+    /// Calls to cold upstreams under a bound.
+    pub cold_calls: u64,
 }
--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -6,7 +6,7 @@
 use mux_sharing::{NodeShares, NodeStanding};
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits,
+    BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits, WarmUpRule,
     tracked_upstream::TrackedUpstream, zone_return::ZoneStates,
 };
 use crate::{AcquireError, CallKind};
@@ -29,6 +29,8 @@
     pub(super) connection_limit: Option<u32>,
     pub(super) nodes: u32,
     pub(super) zones: ZoneStates,
+    /// The bound on calls to cold upstreams; `None` if they are not bounded.
+    pub(super) warm_up_rule: Option<WarmUpRule>,
     /// Time within which calls to an upstream that announced its exit have to end.
     pub(super) drain_limit: Duration,
     pub(super) rate_shares: NodeShares,
@@ -87,6 +89,7 @@
         }
         let upstream = &mut self.upstreams[chosen];
         self.report.rate_limited_calls += u64::from(upstream.is_rate_limited());
+        self.report.cold_calls += u64::from(upstream.warm_up.is_bounded(now));
         upstream.start_call(now, kind);
         Ok(upstream.id)
     }
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -7,6 +7,7 @@
 mod balancer_report;
 mod balancer_state;
 mod closed_zones;
+mod cold_upstreams;
 mod evacuated_zones;
 mod latency_estimator;
 mod priority_arbiter;
@@ -19,6 +20,7 @@
 mod upstream_choice;
 mod upstream_record;
 mod upstream_registry;
+mod warm_up;
 mod zone_return;
 
 pub use balancer_report::BalancerReport;
@@ -33,3 +35,4 @@
 pub use tracked_upstream::QuietOutcome;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
+pub use warm_up::{WarmUpBounds, WarmUpReport, WarmUpRule};
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -50,6 +50,7 @@
             connection_limit: None,
             nodes: 1,
             zones: ZoneStates::default(),
+            warm_up_rule: None,
             drain_limit: Duration::ZERO,
             rate_shares: NodeShares::sole_node(),
             dial_us: INITIAL_DIAL_US,
@@ -61,6 +62,7 @@
     /// Replaces the set of upstreams for new calls; calls in flight to removed upstreams continue.
     pub fn set_upstreams(&self, now: TimePoint, records: &[&UpstreamRecord]) {
         let mut state = self.lock();
+        let rule = state.warm_up_rule;
         for upstream in &mut state.upstreams {
             upstream.is_active = false;
         }
@@ -69,6 +71,7 @@
             let same_address = known.find(|it| it.id == record.upstream);
             if let Some(upstream) = same_address {
                 upstream.update_record(record);
+                upstream.update_warm_up(now, record, rule.as_ref());
                 continue;
             }
             let same_zone = record.availability_zone == self.zone;
@@ -80,8 +83,13 @@
                 upstream.adopt_announcements(previous);
             }
             upstream.rate_share = state.rate_shares.share(&upstream.availability_zone);
+            upstream.update_warm_up(now, record, rule.as_ref());
             state.upstreams.push(upstream);
         }
+        let BalancerState { zones, upstreams, .. } = &mut *state;
+        let returned =
+            upstreams.iter_mut().filter(|it| zones.has_old_records(&it.availability_zone));
+        returned.for_each(|it| it.warm_up.assume_cold(now, rule.as_ref(), it.rate_share));
         state.zones.on_listed();
         state.upstreams.retain(|it| it.is_active || !it.is_idle() || it.must_be_remembered(now));
     }
@@ -344,7 +352,7 @@
         state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(update)
     }
 
-    fn with_instance<T>(
+    pub(super) fn with_instance<T>(
         &self,
         instance: &InstanceId,
         update: impl FnOnce(&mut TrackedUpstream) -> T,
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -8,8 +8,9 @@
 use mux_model::{AvailabilityZone, InstanceId, TimePoint, UpstreamId};
 
 use super::{
-    RateLimitChange, UpstreamRecord,
+    RateLimitChange, UpstreamRecord, WarmUpRule,
     rate_limit::{RateLimit, update_rate_limit},
+    warm_up::WarmUp,
 };
 use crate::CallKind;
 
@@ -94,6 +95,9 @@
     /// End of the time for which the upstream asked for no calls.
     quiet_until: TimePoint,
     rate_limit: Option<RateLimit>,
+    pub(super) warm_up: WarmUp,
+    /// Version and warm-up time of the latest record that was applied.
+    applied_record: Option<((u64, u64), Duration)>,
     pub(super) availability_zone: AvailabilityZone,
     /// Fraction of the upstream's rate limit that this node may use.
     pub(super) rate_share: f64,
@@ -133,6 +137,8 @@
             leaving_since: None,
             quiet_until: TimePoint::ZERO,
             rate_limit: None,
+            warm_up: WarmUp::default(),
+            applied_record: None,
             availability_zone: record.availability_zone.clone(),
             rate_share: 1.0,
         }
@@ -144,6 +150,8 @@
             self.leaving_since = previous.leaving_since;
             self.quiet_until = previous.quiet_until;
             self.rate_limit = previous.rate_limit;
+            self.warm_up = previous.warm_up.clone();
+            self.applied_record = previous.applied_record;
         }
     }
 
@@ -156,6 +164,21 @@
             self.leaving_since = None;
             self.quiet_until = TimePoint::ZERO;
             self.rate_limit = None;
+            self.warm_up = WarmUp::default();
+        }
+    }
+
+    /// Applies the warm-up time of a record that differs from the one applied last. A record that is
+    /// listed again does not show that the upstream is cold again.
+    pub(super) fn update_warm_up(
+        &mut self,
+        now: TimePoint,
+        record: &UpstreamRecord,
+        rule: Option<&WarmUpRule>,
+    ) {
+        let applied = Some((record.version(), record.warm_up_left));
+        if std::mem::replace(&mut self.applied_record, applied) != applied {
+            self.warm_up.on_entry(now, record.warm_up_left, rule, self.rate_share);
         }
     }
 
@@ -186,9 +209,12 @@
         update_rate_limit(&mut self.rate_limit, now, sent_at, rate, self.rate_share)
     }
 
-    /// Returns the time until the rate limit allows a call of this node; `None` if it allows one now.
+    /// Returns the time until the rate limit and the bound of a cold upstream allow a call of this node;
+    /// `None` if they allow one now.
     pub(super) fn time_to_grant(&self, now: TimePoint, kind: CallKind) -> Option<Duration> {
-        let time = self.rate_limit.as_ref()?.time_to_grant(now, self.rate_share, kind);
+        let limit = self.rate_limit.as_ref();
+        let time = limit.map_or(Duration::ZERO, |it| it.time_to_grant(now, self.rate_share, kind));
+        let time = time.max(self.warm_up.time_to_grant(now, self.rate_share, kind));
         (!time.is_zero()).then_some(time)
     }
 
@@ -217,7 +243,10 @@
     pub(super) fn must_be_remembered(&self, now: TimePoint) -> bool {
         let is_recent = |it: TimePoint| now.since(it) < ANNOUNCEMENT_MEMORY;
         let is_rate_limited = self.rate_limit.is_some_and(|it| is_recent(it.confirmed_at()));
-        self.leaving_since.is_some_and(is_recent) || is_rate_limited || now < self.quiet_until
+        self.leaving_since.is_some_and(is_recent)
+            || is_rate_limited
+            || now < self.quiet_until
+            || self.warm_up.is_cold(now)
     }
 
     pub(super) fn in_flight(&self) -> u32 {
@@ -237,6 +266,7 @@
         if let Some(limit) = &mut self.rate_limit {
             limit.use_grant(now, self.rate_share, kind);
         }
+        self.warm_up.on_call(now, self.rate_share);
     }
 
     /// Releases the connection of the call that started at `started`.
@@ -255,6 +285,7 @@
         if let Some(limit) = &mut self.rate_limit {
             limit.return_grant();
         }
+        self.warm_up.return_grant();
     }
 
     /// Forgets failures that had their cause at this node.
--- a/crates/routing/src/balancer/upstream_record.rs
+++ b/crates/routing/src/balancer/upstream_record.rs
@@ -1,5 +1,7 @@
 //! Records that upstreams publish about themselves in the key-value store.
 
+use std::time::Duration;
+
 use mux_model::{AvailabilityZone, InstanceId, ServiceName, UpstreamId};
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +33,8 @@
     pub started_ms: u64,
     /// Sequence number of the record since the start of the process.
     pub sequence: u64,
+    /// Time for which the instance stays cold, counted from the writing of the record.
+    pub warm_up_left: Duration,
 }
 
 impl UpstreamRecord {
--- a/crates/routing/src/balancer/zone_return.rs
+++ b/crates/routing/src/balancer/zone_return.rs
@@ -63,6 +63,12 @@
         self.returns.get(zone).map_or(1.0, |it| it.load_share(now))
     }
 
+    /// Returns whether the upstreams of `zone` that are listed now were registered before its return, so
+    /// that their records do not show whether they are cold.
+    pub(super) fn has_old_records(&self, zone: &AvailabilityZone) -> bool {
+        self.returns.get(zone).is_some_and(|it| !it.is_listed)
+    }
+
     /// Records that the upstreams of all open zones have been listed.
     pub(super) fn on_listed(&mut self) {
         self.returns.values_mut().for_each(|it| it.is_listed = true);
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -79,8 +79,8 @@
         /// Time until the first of them accepts calls again.
         retry_after: Duration,
     },
-    /// Every candidate that is not excluded, removed or leaving states a rate limit, and this node has
-    /// used its share of it; some may want no calls at all for a longer time.
+    /// Every candidate that is not excluded, removed or leaving states a rate limit or is cold, and this
+    /// node has used its share of what it takes; some may want no calls at all for a longer time.
     RateLimited {
         /// Time until the first of them allows a call of this node.
         retry_after: Duration,
@@ -97,7 +97,9 @@
             }
             Self::ReplyTooLate => "reply expected too late",
             Self::Quiet { .. } => "upstreams asked for no calls for a while",
-            Self::RateLimited { .. } => "share of the upstreams' rate limits used up",
+            Self::RateLimited { .. } => {
+                "share of the upstreams' rate limits or warm-up bounds used up"
+            }
         })
     }
 }
--- a/crates/routing/tests/balancer/fixtures.rs
+++ b/crates/routing/tests/balancer/fixtures.rs
@@ -36,6 +36,7 @@
         phase: UpstreamPhase::Serving,
         started_ms: 1_000,
         sequence: 1,
+        warm_up_left: Duration::ZERO,
     }
 }
 
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -12,3 +12,4 @@
 mod registry;
 mod retry_budget;
 mod spent_budget_markers;
+mod warm_up;
