Spread the grants of nodes for cold upstreams evenly

The phase now follows from the place of the node among the advertised ones: evenly within a zone, the zones between one another. The rule of a service carries it.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -36,7 +36,7 @@
     upstream::{ConnectionPools, ReplyBuffers},
 };
 
-use service_limits::ServiceLimits;
+use service_limits::{ServiceLimits, own_place};
 
 /// Idle time-out of callers' connections until the operators' configuration has been read.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -377,10 +377,10 @@
     /// of nodes, and closes the connection pools of instances that are no longer eligible for requests.
     pub(crate) fn refresh_balancers(&self, now: TimePoint) {
         refresh_rate_shares(self, now);
-        let nodes = {
+        let (nodes, place) = {
             let registry = self.nodes();
             self.metrics.nodes.set(i64::from(registry.node_count()));
-            registry.advertised_count()
+            (registry.advertised_count(), own_place(&registry))
         };
         let registry = self.upstreams();
         let services = registry.by_service();
@@ -394,7 +394,7 @@
         for (service, balancer) in balancers.iter() {
             let records = services.get(service).map_or(&[][..], Vec::as_slice);
             balancer.set_closed_zones(now, &closed_zones);
-            balancer.set_warm_up_rule(now, service_limits.warm_up_rule(service, warm_up));
+            balancer.set_warm_up_rule(now, service_limits.warm_up_rule(service, warm_up, place));
             balancer.set_upstreams(now, records);
             balancer.set_limits(service_limits.connections(service), nodes);
         }
--- a/crates/edge/src/edge_state/service_limits.rs
+++ b/crates/edge/src/edge_state/service_limits.rs
@@ -1,10 +1,11 @@
 //! Limits of the services' upstreams that the operators' configuration states.
 
-use std::sync::PoisonError;
+use std::{collections::BTreeSet, sync::PoisonError};
 
 use mux_config::traffic::{TrafficConfig, WarmUpLimit};
 use mux_model::{FastMap, ServiceName};
-use mux_routing::balancer::{WarmUpBounds, WarmUpRule};
+use mux_placement::NodeRegistry;
+use mux_routing::balancer::{NodePlace, WarmUpBounds, WarmUpRule};
 
 use super::EdgeState;
 
@@ -27,9 +28,29 @@
         &self,
         service: &ServiceName,
         bounds: Option<WarmUpBounds>,
+        place: NodePlace,
     ) -> Option<WarmUpRule> {
         let WarmUpLimit { period, rate_per_s } = *self.warm_up.get(service)?;
-        Some(WarmUpRule { period, rate_per_s, bounds: bounds? })
+        Some(WarmUpRule { period, rate_per_s, bounds: bounds?, phase: place.phase() })
+    }
+}
+
+/// Returns the place of this node among the advertised ones, and itself.
+pub(super) fn own_place(nodes: &NodeRegistry) -> NodePlace {
+    let own = nodes.own_record();
+    let places: BTreeSet<_> = nodes
+        .advertised_nodes()
+        .chain([own])
+        .map(|it| (it.availability_zone.as_str(), it.node.as_str()))
+        .collect();
+    let own_zone = own.availability_zone.as_str();
+    let zones: BTreeSet<_> = places.iter().map(|(zone, _)| *zone).collect();
+    let in_own_zone = places.iter().filter(|(zone, _)| *zone == own_zone);
+    NodePlace {
+        rank: in_own_zone.clone().filter(|(_, node)| *node < own.node.as_str()).count(),
+        nodes: in_own_zone.count(),
+        zone_rank: zones.iter().filter(|it| **it < own_zone).count(),
+        zones: zones.len(),
     }
 }
 
--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -35,4 +35,4 @@
 pub use tracked_upstream::QuietOutcome;
 pub use upstream_record::{UpstreamPhase, UpstreamRecord};
 pub use upstream_registry::{RecordChange, UpstreamRegistry};
-pub use warm_up::{WarmUpBounds, WarmUpReport, WarmUpRule};
+pub use warm_up::{NodePlace, WarmUpBounds, WarmUpReport, WarmUpRule};
--- a/crates/routing/src/balancer/warm_up.rs
+++ b/crates/routing/src/balancer/warm_up.rs
@@ -4,7 +4,6 @@
 
 use mux_model::{InstanceId, TimePoint};
 use mux_sharing::{GrantLimit, GrantSchedule};
-use rand::RngExt;
 
 use crate::CallKind;
 
@@ -42,6 +41,11 @@
     pub rate_per_s: f64,
     /// The margin.
     pub bounds: WarmUpBounds,
+    /// Part of the period between two grants of this node after which the first one falls due; 0 to 1.
+    ///
+    /// Most nodes learn of a cold upstream at about the same time, so that evenly spread phases keep their
+    /// grants from falling due together.
+    pub phase: f64,
 }
 
 impl WarmUpRule {
@@ -56,6 +60,28 @@
     }
 }
 
+/// The place of a node among those that share bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodePlace {
+    /// Rank of the node in its availability zone, from 0.
+    pub rank: usize,
+    /// Number of nodes in the zone.
+    pub nodes: usize,
+    /// Rank of the zone, from 0.
+    pub zone_rank: usize,
+    /// Number of zones.
+    pub zones: usize,
+}
+
+impl NodePlace {
+    /// Returns the phase of the grants of the node, from 0 to 1. The nodes of a zone, which have equal
+    /// shares, are spread evenly, and those of different zones lie between one another.
+    pub fn phase(&self) -> f64 {
+        let zone_offset = (self.zone_rank as f64 + 0.5) / self.zones.max(1) as f64;
+        ((self.rank as f64 + zone_offset) / self.nodes.max(1) as f64).min(1.0)
+    }
+}
+
 /// Use of the bound of one cold upstream by this node.
 #[derive(Debug, Clone, PartialEq)]
 pub struct WarmUpReport {
@@ -215,12 +241,10 @@
     fn new_grants(&self, now: TimePoint, rule: &WarmUpRule, share: f64) -> WarmUpGrants {
         let used_s = f64::from(self.recent_calls.count(now)) / (rule.rate_per_s * share);
         let used = Duration::try_from_secs_f64(used_s).unwrap_or(BOUND_WINDOW).min(BOUND_WINDOW);
-        // The phases of the nodes differ, so that their grants do not fall due together.
-        let phase = rand::rng().random::<f64>();
         let limit = rule.grant_limit();
         WarmUpGrants {
             rule: *rule,
-            schedule: GrantSchedule::new(now + used, limit, share, Duration::ZERO, phase),
+            schedule: GrantSchedule::new(now + used, limit, share, Duration::ZERO, rule.phase),
             since: now,
             calls: 0,
             held_back: Cell::new(0),
--- a/crates/routing/tests/balancer/warm_up.rs
+++ b/crates/routing/tests/balancer/warm_up.rs
@@ -6,7 +6,7 @@
 use mux_model::{AvailabilityZone, FastMap, FastSet, InstanceId, TimePoint, UpstreamId};
 use mux_routing::{
     AcquireError, CallKind, CallOutcome,
-    balancer::{ServiceBalancer, UpstreamRecord, WarmUpBounds, WarmUpRule},
+    balancer::{NodePlace, ServiceBalancer, UpstreamRecord, WarmUpBounds, WarmUpRule},
 };
 use mux_sharing::{NodeShares, NodeStanding};
 
@@ -26,7 +26,7 @@
 type Calls = FastMap<UpstreamId, Vec<u64>>;
 
 fn rule(rate_per_s: f64) -> WarmUpRule {
-    WarmUpRule { period: PERIOD, rate_per_s, bounds: BOUNDS }
+    WarmUpRule { period: PERIOD, rate_per_s, bounds: BOUNDS, phase: 0.0 }
 }
 
 fn bound(rate_per_s: f64) -> f64 {
@@ -42,11 +42,24 @@
     let counts = [OWN_ZONE, OTHER_ZONE].into_iter().zip(nodes);
     let counts: FastMap<AvailabilityZone, u32> =
         counts.map(|(zone, count)| (AvailabilityZone::from(zone), count)).collect();
-    let zones = counts.iter().flat_map(|(zone, count)| (0..*count).map(move |_| zone.clone()));
-    let balancers = zones.map(|zone| {
+    let places = [OWN_ZONE, OTHER_ZONE].into_iter().zip(nodes).enumerate().flat_map(
+        |(zone_rank, (zone, nodes))| {
+            let place = move |rank: u32| NodePlace {
+                rank: rank as usize,
+                nodes: nodes as usize,
+                zone_rank,
+                zones: 2,
+            };
+            (0..nodes).map(move |rank| (AvailabilityZone::from(zone), place(rank)))
+        },
+    );
+    let balancers = places.map(|(zone, place)| {
         let balancer = ServiceBalancer::new(limits(), zone.clone());
         balancer.set_rate_shares(&NodeShares::new(&zone, &counts, NodeStanding::Counted));
-        balancer.set_warm_up_rule(TimePoint::ZERO, Some(rule(rate_per_s)));
+        balancer.set_warm_up_rule(
+            TimePoint::ZERO,
+            Some(WarmUpRule { phase: place.phase(), ..rule(rate_per_s) }),
+        );
         balancer.set_upstreams(TimePoint::ZERO, &records.iter().collect::<Vec<_>>());
         balancer
     });
