--- a/crates/edge/src/balancer_table.rs
+++ b/crates/edge/src/balancer_table.rs
@@ -3,10 +3,27 @@
 use std::sync::{Arc, OnceLock, PoisonError, RwLock, RwLockReadGuard};
 
 use mux_model::{AvailabilityZone, FastMap, FastSet, ServiceName, TimePoint};
-use mux_routing::balancer::{RetryBudget, ServiceBalancer, UpstreamRecord};
+use mux_routing::balancer::{
+    NodePlace, RetryBudget, ServiceBalancer, UpstreamRecord, WarmUpBounds,
+};
 use mux_sharing::NodeShares;
 
-use crate::RuntimeLimits;
+use crate::{RuntimeLimits, service_limits::ServiceLimits};
+
+/// What the balancers need to know of the upstreams and nodes.
+#[derive(Debug)]
+pub(crate) struct BalancerUpdate<'a> {
+    /// The upstreams that are eligible for new requests, by service.
+    pub(crate) services: &'a FastMap<ServiceName, Vec<&'a UpstreamRecord>>,
+    /// The evacuated availability zones.
+    pub(crate) closed_zones: &'a FastSet<AvailabilityZone>,
+    /// Number of nodes that callers may use.
+    pub(crate) nodes: u32,
+    /// Place of this node among them.
+    pub(crate) place: NodePlace,
+    /// Margin of the bound on calls to cold upstreams; `None` if they are not bounded.
+    pub(crate) warm_up: Option<WarmUpBounds>,
+}
 
 /// The balancers by service.
 #[derive(Debug)]
@@ -15,7 +32,7 @@
     /// When the process started.
     started_at: TimePoint,
     balancers: RwLock<FastMap<ServiceName, Arc<ServiceBalancer>>>,
-    connection_limits: RwLock<FastMap<ServiceName, u32>>,
+    service_limits: RwLock<ServiceLimits>,
     /// Services for which the previous process of this node had spent a large part of its share of
     /// the retry budget; unset until the store's entries have been listed for the first time.
     inherited_spent_services: OnceLock<FastSet<ServiceName>>,
@@ -28,7 +45,7 @@
             own_zone,
             started_at,
             balancers: RwLock::default(),
-            connection_limits: RwLock::default(),
+            service_limits: RwLock::default(),
             inherited_spent_services: OnceLock::new(),
         }
     }
@@ -61,27 +78,21 @@
         self.read().values().for_each(update);
     }
 
-    /// Replaces the connection limits of all services.
-    pub(crate) fn set_connection_limits(&self, connection_limits: FastMap<ServiceName, u32>) {
-        *self.connection_limits.write().unwrap_or_else(PoisonError::into_inner) = connection_limits;
+    /// Replaces the limits of all services.
+    pub(crate) fn set_service_limits(&self, limits: ServiceLimits) {
+        *self.service_limits.write().unwrap_or_else(PoisonError::into_inner) = limits;
     }
 
-    /// Updates all balancers with the upstreams of each service, the evacuated zones, the connection
-    /// limits and the number of nodes that callers may use.
-    pub(crate) fn update(
-        &self,
-        now: TimePoint,
-        services: &FastMap<ServiceName, Vec<&UpstreamRecord>>,
-        closed_zones: &FastSet<AvailabilityZone>,
-        nodes: u32,
-    ) {
-        let connection_limits =
-            self.connection_limits.read().unwrap_or_else(PoisonError::into_inner);
+    /// Updates all balancers.
+    pub(crate) fn update(&self, now: TimePoint, update: &BalancerUpdate<'_>) {
+        let limits = self.service_limits.read().unwrap_or_else(PoisonError::into_inner);
         for (service, balancer) in self.read().iter() {
-            let records = services.get(service).map_or(&[][..], Vec::as_slice);
-            balancer.set_closed_zones(now, closed_zones);
+            let records = update.services.get(service).map_or(&[][..], Vec::as_slice);
+            let rule = limits.warm_up_rule(service, update.warm_up, update.place);
+            balancer.set_closed_zones(now, update.closed_zones);
+            balancer.set_warm_up_rule(now, rule);
             balancer.set_upstreams(now, records);
-            balancer.set_limits(connection_limits.get(service).copied(), nodes);
+            balancer.set_limits(limits.connections(service), update.nodes);
         }
     }
 
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -17,7 +17,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::evacuation_metrics::EvacuationMetrics;
+use crate::{evacuation_metrics::EvacuationMetrics, warm_up_metrics::WarmUpMetrics};
 
 /// Lowest bound of the latency histogram, in seconds.
 const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.002;
@@ -80,6 +80,7 @@
     budget_refusals: Gauge,
     saturated: Gauge,
     rate_limited_calls: Gauge,
+    cold_calls: Gauge,
 }
 
 impl BalancerGauges {
@@ -92,6 +93,7 @@
             sum.budget_refusals += report.budget_refusals;
             sum.saturated += report.saturated;
             sum.rate_limited_calls += report.rate_limited_calls;
+            sum.cold_calls += report.cold_calls;
         }
         let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.first_calls.set(to_gauge(sum.first_calls));
@@ -99,6 +101,7 @@
         self.budget_refusals.set(to_gauge(sum.budget_refusals));
         self.saturated.set(to_gauge(sum.saturated));
         self.rate_limited_calls.set(to_gauge(sum.rate_limited_calls));
+        self.cold_calls.set(to_gauge(sum.cold_calls));
     }
 
     fn register(&self, registry: &mut Registry) {
@@ -112,6 +115,7 @@
                 "Calls to upstreams that stated a rate limit",
                 &self.rate_limited_calls,
             ),
+            ("cold_calls", "Calls to cold upstreams under a bound", &self.cold_calls),
         ];
         for (name, help, gauge) in rows {
             registry.register(name, help, gauge.clone());
@@ -155,6 +159,7 @@
     pub(crate) workspaces: Gauge,
     pub(crate) admissions: Family<ResultLabel, Counter>,
     pub(crate) workspace_requests: Family<WorkspaceLabels, Counter>,
+    pub(crate) warm_ups: WarmUpMetrics,
 }
 
 impl EdgeMetrics {
@@ -195,6 +200,7 @@
             workspaces: Gauge::default(),
             admissions: Family::default(),
             workspace_requests: Family::default(),
+            warm_ups: WarmUpMetrics::default(),
         };
         metrics.register();
         metrics
@@ -301,6 +307,7 @@
         registry.register("calls", "Calls to upstreams by result", self.calls.clone());
         self.balancers.register(registry);
         self.evacuations.register(registry);
+        self.warm_ups.register(registry);
         registry.register("store_calls", "Calls to the store", self.store_calls.clone());
         let updates = self.relayed_updates.clone();
         registry.register("relayed_updates", "Reads of other nodes' copies by result", updates);
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -4,7 +4,7 @@
 
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
-use mux_routing::balancer::RetryBudgetLimits;
+use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
 use mux_workspaces::QuotaBounds;
 
 /// Addresses that a node listens on.
@@ -42,6 +42,8 @@
     pub evacuation: Option<Duration>,
     /// How far workspaces may exceed their quotas; `None` if quotas are not enforced.
     pub quota: Option<QuotaBounds>,
+    /// Margin of the bound on calls to cold upstreams; `None` if they are not bounded.
+    pub warm_up: Option<WarmUpBounds>,
 }
 
 impl RuntimeLimits {
@@ -86,6 +88,7 @@
             ("minimum lease lifetime", old.min_lease_lifetime != new.min_lease_lifetime),
             ("evacuation of availability zones", old.evacuation != new.evacuation),
             ("quota bounds", old.quota != new.quota),
+            ("bound on calls to cold upstreams", old.warm_up != new.warm_up),
         ];
         let others = [
             ("node", current.node != changed.node),
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -26,11 +26,12 @@
 use crate::{
     ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
     StoreRevision,
-    balancer_table::BalancerTable,
+    balancer_table::{BalancerTable, BalancerUpdate},
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     quarantine_state::RequestQuarantine,
     relay::HelperLinks,
     route_states::RouteStates,
+    service_limits::own_place,
     sharing::{GrantSharing, StandingInputs},
     upstream::{ConnectionPools, ReplyBuffers},
     workspace_quotas::WorkspaceQuotas,
@@ -315,11 +316,15 @@
     pub(crate) fn render_metrics(&self) -> String {
         let mut reports = Vec::new();
         let mut rate_limited = 0;
+        let mut cold = Vec::new();
+        let now = self.timer.now();
         self.balancers.for_each(|it| {
             reports.push(it.report());
             rate_limited += it.rate_limited_upstreams();
+            cold.extend(it.warm_up_reports(now));
         });
         self.metrics.balancers.set(reports.into_iter());
+        self.metrics.warm_ups.set(&cold);
         let (suspects, quarantined) = self.quarantine.ledger.update(|it| it.counts());
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
@@ -352,10 +357,10 @@
     /// of nodes, and closes the connection pools of instances that are no longer eligible for requests.
     pub(crate) fn refresh_balancers(&self, now: TimePoint) {
         self.refresh_shares(now);
-        let nodes = {
+        let (nodes, place) = {
             let registry = self.nodes();
             self.metrics.nodes.set(i64::from(registry.node_count()));
-            registry.advertised_count()
+            (registry.advertised_count(), own_place(&registry))
         };
         let registry = self.upstreams();
         let services = registry.by_service();
@@ -363,7 +368,14 @@
         for service in services.keys() {
             self.balancer(service);
         }
-        self.balancers.update(now, &services, &closed_zones, nodes);
+        let update = BalancerUpdate {
+            services: &services,
+            closed_zones: &closed_zones,
+            nodes,
+            place,
+            warm_up: self.limits().warm_up,
+        };
+        self.balancers.update(now, &update);
         self.metrics.evacuations.set(now, &registry);
         self.metrics.upstreams.set(i64::try_from(registry.len()).unwrap_or(i64::MAX));
         let eligible = services.values().flatten().map(|it| &it.instance);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,10 +18,12 @@
 mod request_quarantine;
 mod route_states;
 mod run_edge;
+mod service_limits;
 mod sharing;
 mod store;
 mod sync;
 mod upstream;
+mod warm_up_metrics;
 mod wire;
 mod workspace_quotas;
 
@@ -39,5 +41,5 @@
 pub use upstream::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub use wire::{
     AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind,
-    ReplyMetadata, RequestMetadata, RequestMetadataError, WireProtocol,
+    ReplyMetadata, RequestMetadata, RequestMetadataError, WarmUpStatement, WireProtocol,
 };
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -98,6 +98,7 @@
     tokio::spawn(sync::drop_missing_entries(Arc::clone(&edge)));
     tokio::spawn(maintain_shares(Arc::clone(&edge)));
     tokio::spawn(maintain_borrowing(Arc::clone(&edge)));
+    tokio::spawn(sync::log_warm_ups(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(watch_reach(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
--- a/crates/edge/src/sharing/borrow_task.rs
+++ b/crates/edge/src/sharing/borrow_task.rs
@@ -65,13 +65,13 @@
 
 /// Records the calls to upstreams that found no grant; returns whether any upstream has a bound.
 fn record_shortages(edge: &EdgeState) -> bool {
+    let now = edge.timer.now();
     let mut has_bounds = false;
     let mut missing = Vec::new();
     edge.for_each_balancer(|it| {
-        has_bounds |= it.has_shared_bounds();
+        has_bounds |= it.has_shared_bounds(now);
         missing.extend(it.take_missing_grants());
     });
-    let now = edge.timer.now();
     let mut planner = edge.sharing.planner();
     for (key, count) in missing {
         planner.on_shortage(now, &key, count);
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -12,6 +12,7 @@
 use crate::{
     StoreChange, StoreEntry, StoreKey, StoreRevision,
     edge_state::EdgeState,
+    service_limits::ServiceLimits,
     workspace_quotas::{record_workspaces, refresh_quotas, set_workspaces},
 };
 
@@ -136,7 +137,7 @@
             if let Some(table) = edge.route_table() {
                 record_workspaces(edge, &table, &removed);
             }
-            edge.balancers.set_connection_limits(config.connection_limits.clone());
+            edge.balancers.set_service_limits(ServiceLimits::of_config(config));
             let version = i64::try_from(config.version.0).unwrap_or(i64::MAX);
             edge.metrics.config_version.set(version);
             true
