--- /dev/null
+++ b/crates/query/tests/crashing_queries.rs
@@ -0,0 +1,330 @@
+//! Number of upstreams that one repeated query ends: several nodes, without a network.
+
+#![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
+
+mod fixtures;
+
+use std::{collections::BTreeMap, mem, num::NonZeroU32, sync::Mutex, time::Duration};
+
+use fixtures::{PlanScript, upstream_number};
+use googletest::prelude::*;
+use mux_model::{CallFailure, CallId, ServiceName, ShardIndex, TimePoint, UpstreamId};
+use mux_quarantine::{
+    CRASH_LIMIT, CrashLedger, Evidence, EvidenceKey, EvidenceSource, EvidenceUpdate, IDLE_LIFETIME,
+    RequestAdmission, RequestFingerprint, UpstreamProcess,
+};
+use mux_query::{FanOut, FanOutAction};
+use mux_routing::{AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, UpstreamHint};
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
+const SHARDS: u32 = 10;
+const REPLICAS: u32 = 3;
+const NODES: usize = 7;
+/// Upstreams that one request may end: two for each shard and ten.
+const MAX_ENDS: usize = 2 * SHARDS as usize + 10;
+/// Upstreams that one attempt may end: the first call and a hedge of each shard, and one retry.
+const MAX_ENDS_OF_ATTEMPT: usize = 2 * SHARDS as usize + 1;
+const CALL_MS: (u64, u64) = (3, 110);
+/// Calls that end their upstreams after they have been hedged.
+const HEDGED_CALL_MS: (u64, u64) = (60, 110);
+/// Pause of the caller between two attempts.
+const PAUSE_MS: (u64, u64) = (20, 400);
+const DOWNTIME: Duration = Duration::from_millis(3_500);
+const HEDGE_DELAY: Duration = Duration::from_millis(37);
+/// Time from the end of a process until its node has probed it.
+const PROBE: Duration = Duration::from_millis(2);
+/// Time from new evidence until its node writes it, and from the write until all nodes know it.
+const SHARING_DELAY: Duration = Duration::from_millis(320);
+const STORE_DELAY: Duration = Duration::from_millis(100);
+const RUN_TIME: Duration = Duration::from_secs(60);
+
+enum Event {
+    Attempt {
+        node: usize,
+    },
+    /// A call has run to its end, if its upstream's process has not ended before.
+    Run {
+        upstream: UpstreamId,
+        process: u64,
+    },
+    Lost {
+        attempt: usize,
+        call: CallId,
+        upstream: UpstreamId,
+        process: u64,
+    },
+    Wake {
+        attempt: usize,
+    },
+    Share {
+        node: usize,
+    },
+    Shared {
+        node: usize,
+        update: EvidenceUpdate,
+    },
+}
+
+struct Attempt {
+    node: usize,
+    fan_out: FanOut,
+    shards: BTreeMap<CallId, ShardIndex>,
+    is_trial: bool,
+}
+
+/// Routes calls to upstreams that are up.
+struct UpRouter {
+    down_until: Mutex<Vec<TimePoint>>,
+}
+
+impl ReplicaRouter for UpRouter {
+    fn admit(&self, _: TimePoint) -> std::result::Result<(), QueryRefusal> {
+        Ok(())
+    }
+
+    fn finish(&self, _: TimePoint) {}
+
+    fn acquire(
+        &self,
+        now: TimePoint,
+        candidates: &[UpstreamId],
+        excluded: &[UpstreamId],
+        _: CallKind,
+    ) -> std::result::Result<UpstreamId, AcquireError> {
+        let down_until = self.down_until.lock().unwrap();
+        let is_up = |it: &UpstreamId| down_until[upstream_number(it) as usize] <= now;
+        let usable = candidates.iter().find(|it| !excluded.contains(it) && is_up(it));
+        usable.copied().ok_or(AcquireError::NoReplica)
+    }
+
+    fn release(&self, _: TimePoint, _: UpstreamId, _: CallOutcome) {}
+
+    fn hedge_delay(&self, _: TimePoint) -> Option<Duration> {
+        Some(HEDGE_DELAY)
+    }
+
+    fn observe(&self, _: TimePoint, _: UpstreamId, _: UpstreamHint) {}
+}
+
+/// Nodes that share evidence through a store, upstreams, and one caller of a crashing query.
+struct Fleet {
+    now: TimePoint,
+    rng: SmallRng,
+    events: BTreeMap<(TimePoint, usize), Event>,
+    event_count: usize,
+    ledgers: Vec<CrashLedger>,
+    attempts: Vec<Attempt>,
+    router: UpRouter,
+    /// Number of ended processes of each upstream.
+    processes: Vec<u64>,
+    running: Vec<(usize, CallId, UpstreamId, u64)>,
+    call_ms: (u64, u64),
+    max_attempts: usize,
+}
+
+impl Fleet {
+    fn new(seed: u64, call_ms: (u64, u64), max_attempts: usize) -> Self {
+        let count = (SHARDS * REPLICAS) as usize;
+        Self {
+            now: TimePoint::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+            events: BTreeMap::new(),
+            event_count: 0,
+            ledgers: vec![CrashLedger::new(IDLE_LIFETIME); NODES],
+            attempts: Vec::new(),
+            router: UpRouter { down_until: Mutex::new(vec![TimePoint::ZERO; count]) },
+            processes: vec![0; count],
+            running: Vec::new(),
+            call_ms,
+            max_attempts,
+        }
+    }
+
+    fn ends(&self) -> usize {
+        self.processes.iter().sum::<u64>() as usize
+    }
+
+    fn schedule(&mut self, delay: Duration, event: Event) {
+        self.event_count += 1;
+        self.events.insert((self.now + delay, self.event_count), event);
+    }
+
+    fn pause(&mut self, range: (u64, u64)) -> Duration {
+        Duration::from_millis(self.rng.random_range(range.0..=range.1))
+    }
+
+    fn run(&mut self) {
+        self.schedule(Duration::ZERO, Event::Attempt { node: 0 });
+        while let Some(((at, _), event)) = self.events.pop_first() {
+            self.now = at;
+            if RUN_TIME <= at.since(TimePoint::ZERO) {
+                return;
+            }
+            match event {
+                Event::Attempt { node } => self.begin_attempt(node),
+                Event::Run { upstream, process } => self.end_process(upstream, process),
+                Event::Lost { attempt, call, upstream, process } => {
+                    self.lose(attempt, call, upstream, process);
+                }
+                Event::Wake { attempt } => {
+                    self.step(attempt, |it, now, router, actions| it.on_wake(now, router, actions));
+                }
+                Event::Share { node } => {
+                    let update = self.ledgers[node].pending_update(at, 32);
+                    self.schedule(STORE_DELAY, Event::Shared { node, update });
+                }
+                Event::Shared { node, update } => {
+                    self.ledgers[node].on_update_stored(at, &update);
+                    for (evidence, _) in &update.writes {
+                        self.ledgers.iter_mut().for_each(|it| it.on_stored(at, evidence.clone()));
+                    }
+                }
+            }
+        }
+    }
+
+    fn begin_attempt(&mut self, node: usize) {
+        let (is_suspect, is_trial) = match self.ledgers[node].admit(self.now, fingerprint()) {
+            RequestAdmission::Clear => (false, false),
+            RequestAdmission::Suspect => (true, false),
+            RequestAdmission::Quarantined { trial: Some(trial) } => {
+                let now = self.now;
+                self.ledgers.iter_mut().for_each(|it| it.on_stored(now, trial.clone()));
+                (true, true)
+            }
+            RequestAdmission::Quarantined { trial: None } => return self.repeat(),
+        };
+        let replicas = |shard: u32| (0..REPLICAS).map(|it| shard * REPLICAS + it).collect();
+        let millis = self.now.as_micros() / 1_000;
+        let plan = PlanScript {
+            shards: (0..SHARDS).map(replicas).collect(),
+            coverage_target: 0.7,
+            coverage_minimum: 0.7,
+            max_calls: NonZeroU32::new(3),
+            is_suspect,
+            latency_target_ms: millis + 150,
+            deadline_ms: millis + 2_000,
+            ..PlanScript::default()
+        };
+        let fan_out = FanOut::new(plan.plan());
+        self.attempts.push(Attempt { node, fan_out, shards: BTreeMap::new(), is_trial });
+        self.step(self.attempts.len() - 1, |it, now, router, actions| {
+            it.start(now, router, actions)
+        });
+    }
+
+    /// Lets the caller repeat its query at another node.
+    fn repeat(&mut self) {
+        if self.max_attempts <= self.attempts.len() {
+            return;
+        }
+        let delay = self.pause(PAUSE_MS);
+        let node = self.rng.random_range(0..NODES);
+        self.schedule(delay, Event::Attempt { node });
+    }
+
+    fn step(
+        &mut self,
+        attempt: usize,
+        event: impl FnOnce(&mut FanOut, TimePoint, &UpRouter, &mut Vec<FanOutAction>),
+    ) {
+        let mut actions = Vec::new();
+        event(&mut self.attempts[attempt].fan_out, self.now, &self.router, &mut actions);
+        for action in actions {
+            match action {
+                FanOutAction::Send { call, shard, upstream, .. } => {
+                    self.attempts[attempt].shards.insert(call, shard);
+                    let process = self.processes[upstream_number(&upstream) as usize];
+                    self.running.push((attempt, call, upstream, process));
+                    let delay = self.pause(self.call_ms);
+                    self.schedule(delay, Event::Run { upstream, process });
+                }
+                FanOutAction::WakeAt(at) => {
+                    self.schedule(at.since(self.now), Event::Wake { attempt });
+                }
+                FanOutAction::Finish(_) => {
+                    let Attempt { node, is_trial, .. } = self.attempts[attempt];
+                    if is_trial {
+                        self.ledgers[node].end_trial(self.now, fingerprint());
+                    }
+                    self.repeat();
+                }
+                FanOutAction::Cancel(_) => {}
+            }
+        }
+    }
+
+    fn end_process(&mut self, upstream: UpstreamId, process: u64) {
+        let idx = upstream_number(&upstream) as usize;
+        if self.processes[idx] != process {
+            return;
+        }
+        self.processes[idx] += 1;
+        self.router.down_until.lock().unwrap()[idx] = self.now + DOWNTIME;
+        for (attempt, call, it, started) in mem::take(&mut self.running) {
+            if it == upstream && started == process {
+                self.schedule(PROBE, Event::Lost { attempt, call, upstream, process });
+            } else {
+                self.running.push((attempt, call, it, started));
+            }
+        }
+    }
+
+    /// Handles a lost call as the drivers do.
+    fn lose(&mut self, attempt: usize, call: CallId, upstream: UpstreamId, process: u64) {
+        let Attempt { node, fan_out, shards, .. } = &mut self.attempts[attempt];
+        let (node, service) = (*node, format!("s-{}", shards[&call].0).into());
+        // A call that outlives its query is evidence as well.
+        if fan_out.is_evidence(call) || fan_out.is_finished() {
+            let evidence = crash(upstream, process, service, self.now);
+            self.ledgers[node].record(self.now, evidence);
+            if CRASH_LIMIT <= self.ledgers[node].crashes(fingerprint()) {
+                fan_out.contain();
+            }
+            self.schedule(SHARING_DELAY, Event::Share { node });
+        }
+        self.step(attempt, |it, now, router, actions| {
+            it.on_failure(now, router, call, CallFailure::UpstreamEnded, Duration::ZERO, actions);
+        });
+    }
+}
+
+fn fingerprint() -> RequestFingerprint {
+    RequestFingerprint::of_parts(&[b"caller", b"/all/crash"])
+}
+
+fn crash(upstream: UpstreamId, process: u64, service: ServiceName, now: TimePoint) -> Evidence {
+    let process = UpstreamProcess { instance: upstream.to_string().into(), started_ms: process };
+    let key = EvidenceKey { fingerprint: fingerprint(), source: EvidenceSource::Crash(process) };
+    Evidence { key, service, observed_ms: now.as_micros() / 1_000 }
+}
+
+/// Returns the largest number of ends with any of 200 seeds.
+fn most_ends(call_ms: (u64, u64), max_attempts: usize) -> usize {
+    let ends = (0..200).map(|seed| {
+        let mut fleet = Fleet::new(seed, call_ms, max_attempts);
+        fleet.run();
+        fleet.ends()
+    });
+    ends.max().unwrap()
+}
+
+/// Hedges and retries of the first attempt, before its first end is known and afterwards.
+#[gtest]
+fn one_attempt_ends_at_most_two_upstreams_for_each_shard_and_one() {
+    expect_that!(most_ends(CALL_MS, 1), le(MAX_ENDS_OF_ATTEMPT));
+    expect_that!(most_ends(HEDGED_CALL_MS, 1), le(MAX_ENDS_OF_ATTEMPT));
+}
+
+/// Attempts at other nodes follow, while the upstreams are down and after they have come back, and
+/// then trials.
+#[gtest]
+fn repeated_query_ends_at_most_two_upstreams_for_each_shard_and_ten() {
+    expect_that!(most_ends(CALL_MS, usize::MAX), le(MAX_ENDS));
+}
+
+/// The first attempt has already reached two upstreams of each shard when an end becomes known.
+#[gtest]
+fn repeated_query_stays_within_the_bound_if_its_calls_are_hedged_before_they_end_upstreams() {
+    expect_that!(most_ends(HEDGED_CALL_MS, usize::MAX), le(MAX_ENDS));
+}
