Let a query reach one further upstream after a crash until one answers

Hedges that waited for a slot or the budget were sent after a crash; held shards were called all at once when the canary failed without one; lost connections were made again beside the canary; a shard whose hedge crashed waited for itself until the deadline. A suspect request called all shards after half of its latency target, so that each attempt and each trial whose canary ended later took ten upstreams.

Change: after a crash each further call of a query, for whatever reason, waits for the answer of one canary; a canary that fails is followed by one other shard. A suspect request adds one canary at a time, with doubled waits. A query over four shards or more without any reply is hedged at one shard at a time.

--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -12,7 +12,7 @@
 use mux_routing::{CallOutcome, ReplicaRouter};
 
 use crate::{
-    AttemptContainment, CallReply, CrashReaction, FanOutAction, FanOutPlan, FanOutStopReason,
+    AttemptContainment, CallReply, FanOutAction, FanOutPlan, FanOutStopReason,
     call_table::{CallTable, ShardPhase},
     coverage_thresholds::CoverageThresholds,
     fan_out::waiting::WaitingShard,
@@ -44,8 +44,12 @@
     containment: AttemptContainment,
     /// Shards that are called once the canary of the containment has ended.
     held_shards: Vec<ShardIndex>,
-    /// When the held shards of a suspect request are called although the canary has not replied.
+    /// When another shard of a suspect request is called although the canary has not replied.
     canary_limit: TimePoint,
+    /// Time for which the next canary of a suspect request is waited for.
+    canary_wait: Duration,
+    /// Time before which a query without any reply sends no further hedge.
+    next_lone_hedge: TimePoint,
 }
 
 /// Numbers of shards that can no longer return a result, by cause.
@@ -86,6 +90,8 @@
             containment: AttemptContainment::new(plan.is_suspect),
             held_shards: Vec::new(),
             canary_limit: TimePoint::MAX,
+            canary_wait: Duration::ZERO,
+            next_lone_hedge: TimePoint::ZERO,
             plan,
         }
     }
@@ -156,6 +162,7 @@
         router.release(now, upstream, CallOutcome::Replied(latency));
         self.verdict = self.verdict.combine(Verdict::MayHaveRun);
         self.answered_shards += 1;
+        self.record_survival(reply.shard);
         self.table.shard_mut(reply.shard).phase = ShardPhase::Answered(reply.body);
         self.cancel_shard(now, router, reply.shard, actions);
         if !self.try_finish(now, router, actions) {
@@ -182,17 +189,19 @@
         router.release(now, state.upstream, CallOutcome::Failed(failure, latency));
         self.verdict = self.verdict.combine(failure.verdict());
         self.record_failure(call, shard, failure);
-        let mut is_held = false;
-        if failure == CallFailure::UpstreamEnded {
-            // A hedge would reach a further upstream.
-            self.hedge_delay = None;
-            is_held = self.containment.on_crash(now, shard, sent_at) == CrashReaction::Hold;
-        }
-        if is_held {
-            self.held_shards.push(shard);
-        } else if self.table.shard(shard).open_calls == 0 {
-            self.retry_or_fail(now, router, shard, failure, actions);
-        }
+        let reaction = match failure {
+            CallFailure::UpstreamEnded => {
+                // A hedge would reach a further upstream.
+                self.hedge_delay = None;
+                self.containment.on_crash(now, shard, sent_at)
+            }
+            CallFailure::UpstreamError => {
+                self.record_survival(shard);
+                self.containment.on_further_call(shard)
+            }
+            _ => self.containment.on_further_call(shard),
+        };
+        self.replace_call(now, router, shard, failure, reaction, actions);
         self.release_held_shards(now, router, actions);
         self.advance(now, router, actions);
     }
@@ -203,12 +212,6 @@
         self.hedge_delay = None;
     }
 
-    /// Returns whether the end of the upstream's process during `call` counts as evidence against the
-    /// request; to be asked before the failure is handled.
-    pub fn is_evidence(&self, call: CallId) -> bool {
-        self.table.open_call(call).is_some_and(|it| self.containment.is_evidence(it.sent_at))
-    }
-
     /// Runs the work scheduled by the latest [`FanOutAction::WakeAt`]; safe to call at any time.
     pub fn on_wake<R: ReplicaRouter>(
         &mut self,
--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -1,7 +1,5 @@
 //! Hedging of slow calls: another replica of the shard is called.
 
-use std::time::Duration;
-
 use mux_model::{CallId, TimePoint};
 use mux_routing::{AcquireError, CallKind, ReplicaRouter};
 
@@ -9,6 +7,9 @@
 
 /// Maximum number of open calls to one shard.
 const MAX_OPEN_CALLS: u32 = 3;
+/// Number of shards from which on a query without any reply is hedged at one shard at a time. With
+/// fewer shards, all calls may be slow by chance.
+const MIN_SHARDS_FOR_LONE_HEDGES: u32 = 4;
 
 impl FanOut {
     /// Hedges each call that is due.
@@ -34,13 +35,24 @@
         let delay = self.hedge_delay?;
         while let Some(state) = self.table.call(self.hedge_cursor) {
             if state.open {
-                return Some(state.sent_at + delay);
+                return Some((state.sent_at + delay).max(self.lone_hedge_limit()));
             }
             self.hedge_cursor.0 += 1;
         }
         None
     }
 
+    /// Returns the time before which no hedge is sent.
+    ///
+    /// If no shard of many has replied, the request may crash the upstreams that run it, or all of them
+    /// are slow; hedges of all shards would double the damage. A silent zone is found by the first
+    /// hedge, whose reply allows the others at once.
+    fn lone_hedge_limit(&self) -> TimePoint {
+        let is_lone =
+            self.answered_shards == 0 && MIN_SHARDS_FOR_LONE_HEDGES <= self.thresholds.total;
+        if is_lone { self.next_lone_hedge } else { TimePoint::ZERO }
+    }
+
     /// Hedges `slow_call`, which may be a hedge itself, unless its shard has the maximum of open
     /// calls.
     ///
@@ -56,12 +68,21 @@
         let Some(shard) = self.table.open_call(slow_call).map(|it| it.shard) else {
             return;
         };
+        // Hedges that waited for a slot or the budget are due after a crash as well.
+        let Some(delay) = self.hedge_delay else {
+            return;
+        };
         if MAX_OPEN_CALLS <= self.table.shard(shard).open_calls {
             return;
         }
+        let limit = self.lone_hedge_limit();
+        if now < limit {
+            return self.wait_for_hedge(now, shard, slow_call, limit.since(now));
+        }
         match self.acquire(now, router, shard, CallKind::Hedge) {
             Ok(upstream) => {
                 let call = self.table.open(now, shard, upstream);
+                self.next_lone_hedge = now + delay;
                 self.send(call, actions);
             }
             Err(
@@ -70,8 +91,7 @@
                 self.wait_for_hedge(now, shard, slow_call, retry_after);
             }
             Err(AcquireError::BudgetExhausted) => {
-                let retry_after = self.hedge_delay.unwrap_or(Duration::MAX);
-                self.wait_for_hedge(now, shard, slow_call, retry_after);
+                self.wait_for_hedge(now, shard, slow_call, delay);
             }
             Err(
                 AcquireError::NoReplica | AcquireError::ReplyTooLate | AcquireError::Quiet { .. },
--- a/crates/query/src/fan_out/waiting.rs
+++ b/crates/query/src/fan_out/waiting.rs
@@ -94,7 +94,10 @@
         actions: &mut Vec<FanOutAction>,
     ) {
         match waiting.slow_call {
-            None => self.call_shard(now, router, waiting.shard, actions),
+            None if self.may_call_waiting(waiting.shard) => {
+                self.call_shard(now, router, waiting.shard, actions);
+            }
+            None => {}
             Some(slow_call) => self.hedge(now, router, slow_call, actions),
         }
     }
