Pass evidence on to other nodes at once after a strong sign

Evidence waits 0.3 s and then for the store, so that a caller that repeats its request at another node within that time takes an upstream of each shard again. Beside that, the claim of a trial was forgotten for lack of room when many processes had ended.

Change: the ends of upstreams of two shards in one attempt, of a repeated call, or under a suspect request are a strong sign; the evidence goes to up to 16 peers at once by the existing exchange, once in 0.1 s at most, and waits for the probe if the node may be cut itself. In larger fleets peers pass it on once. From the second crash on, the store gets it without the 0.3 s, in the same one call in 0.1 s. Nodes of the own interface send it with the next exchange. SuspectRequest has a file of its own.

--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -22,7 +22,7 @@
     WireProtocol,
     edge_metrics::ResultLabel,
     edge_state::EdgeState,
-    request_quarantine::record_crash,
+    request_quarantine::{record_crash, record_strong_sign},
     upstream::{CallError, CallResult, CallSpec, CallTemplate, UpstreamReply, spawn_call},
 };
 
@@ -242,13 +242,17 @@
 
     /// Handles that the process of an upstream ended during a call.
     fn on_crash(&self, fan_out: &mut FanOut, record: &CallRecord, instance: &InstanceId) {
-        if !fan_out.is_evidence(record.call) {
-            return;
+        let is_strong_sign = fan_out.is_strong_sign(record.call);
+        let fingerprint = self.template.fingerprint();
+        if fan_out.is_evidence(record.call) {
+            let service = self.service(record.shard);
+            let crashes = record_crash(self.edge, fingerprint, service, instance);
+            if CRASH_LIMIT <= crashes {
+                fan_out.contain();
+            }
         }
-        let service = self.service(record.shard);
-        let crashes = record_crash(self.edge, self.template.fingerprint(), service, instance);
-        if CRASH_LIMIT <= crashes {
-            fan_out.contain();
+        if is_strong_sign {
+            record_strong_sign(self.edge, fingerprint);
         }
     }
 
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -15,8 +15,11 @@
 
 use super::{ForwardedAnswer, ForwardedRequest, RelayedUpdate, relay_protocol::RelayProtocol};
 use crate::{
-    StoreRevision, WireProtocol, edge_state::EdgeState, query::serve_forwarded,
-    reach::probe_instances, sync::MAX_EXCHANGED_EVIDENCE,
+    StoreRevision, WireProtocol,
+    edge_state::EdgeState,
+    query::serve_forwarded,
+    reach::probe_instances,
+    sync::{MAX_EXCHANGED_EVIDENCE, forward_notice},
 };
 
 /// Largest message between nodes, in bytes.
@@ -99,13 +102,15 @@
 
     async fn exchange_evidence(self, _: Context, evidence: Vec<Evidence>) -> Vec<Evidence> {
         let now = self.edge.timer.now();
-        self.edge.quarantine.ledger.update(|ledger| {
+        let own = self.edge.quarantine.ledger.update(|ledger| {
             let own = ledger.summary(MAX_EXCHANGED_EVIDENCE);
             for evidence in evidence.into_iter().take(MAX_EXCHANGED_EVIDENCE) {
                 ledger.on_peer_evidence(now, evidence);
             }
             own
-        })
+        });
+        forward_notice(&self.edge);
+        own
     }
 
     async fn reach_upstreams(self, _: Context, instances: Vec<InstanceId>) -> Vec<bool> {
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -35,6 +35,8 @@
     pub(crate) ledger: SharedLedger,
     /// Wakes the task that shares evidence.
     pub(crate) evidence_added: Notify,
+    /// Wakes the task that passes evidence on to peers.
+    pub(crate) notice_due: Notify,
     claims: mpsc::Sender<TrialClaim>,
     /// The receiver of the claims, until the task that shares evidence takes it.
     pending_claims: Mutex<Option<mpsc::Receiver<TrialClaim>>>,
@@ -46,6 +48,7 @@
         Self {
             ledger: SharedLedger::new(IDLE_LIFETIME.mul_f64(1.0 + rand::random::<f64>())),
             evidence_added: Notify::new(),
+            notice_due: Notify::new(),
             claims,
             pending_claims: Mutex::new(Some(pending_claims)),
         }
@@ -114,6 +117,7 @@
         it.crashes(fingerprint)
     });
     edge.quarantine.evidence_added.notify_one();
+    edge.quarantine.notice_due.notify_one();
     if let Some(suppressed) = edge.request_log.allow(now) {
         warn!(edge.logger, "quarantine: evidence against a request";
             "fingerprint" => fingerprint.to_string(), "service" => service.as_str(),
@@ -123,6 +127,12 @@
     crashes
 }
 
+/// Records a strong sign that a request crashes upstreams: other nodes learn its evidence at once.
+pub(crate) fn record_strong_sign(edge: &EdgeState, fingerprint: RequestFingerprint) {
+    edge.quarantine.ledger.update(|it| it.mark_urgent(fingerprint));
+    edge.quarantine.notice_due.notify_one();
+}
+
 /// Ends the trial of a request that this node made.
 pub(crate) fn end_trial(edge: &EdgeState, fingerprint: RequestFingerprint) {
     let now = edge.timer.now();
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -99,6 +99,7 @@
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(watch_reach(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
+    tokio::spawn(sync::pass_on_evidence(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
     signals.wait(&edge, reload).await;
     stop(&edge).await;
--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -22,7 +22,7 @@
 const SHARING_PERIOD: Duration = Duration::from_secs(1);
 /// Time from new evidence to the check for evidence to share.
 const NEW_EVIDENCE_DELAY: Duration = Duration::from_millis(320);
-/// Pause between two calls to the store if one does not hold all changes.
+/// Pause between two calls to the store if one does not hold all changes, or evidence is due at once.
 const FURTHER_CHANGES_DELAY: Duration = Duration::from_millis(100);
 /// Period of the checks for evidence to forget.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(5);
@@ -48,16 +48,26 @@
         return;
     };
     let mut sharing = EvidenceSharing::new(Arc::clone(&edge), store);
-    let mut check_at = edge.timer.now() + SHARING_PERIOD;
+    let mut checked_at = edge.timer.now();
+    let mut check_at = checked_at + SHARING_PERIOD;
     loop {
         tokio::select! {
             Some(claim) = claims.recv() => sharing.claim(claim).await,
             () = edge.quarantine.evidence_added.notified() => {
-                check_at = check_at.min(edge.timer.now() + NEW_EVIDENCE_DELAY);
+                let now = edge.timer.now();
+                let is_due = edge.quarantine.ledger.update(|it| it.has_due_evidence(now));
+                let next = if is_due {
+                    now.max(checked_at + FURTHER_CHANGES_DELAY)
+                } else {
+                    now + NEW_EVIDENCE_DELAY
+                };
+                check_at = check_at.min(next);
             }
             () = edge.timer.sleep_until(check_at) => {
                 let now = edge.timer.now();
-                check_at = now + sharing.check(now).await;
+                let delay = sharing.check(now).await;
+                checked_at = edge.timer.now();
+                check_at = checked_at + delay;
             }
         }
     }
--- a/crates/node/src/dispatch/fan_out_driver.rs
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -165,11 +165,8 @@
                 fan_out.on_reply(now, router, completion.call, reply, latency, actions);
             }
             Err(failure) => {
-                if failure == CallFailure::UpstreamEnded && fan_out.is_evidence(completion.call) {
-                    let crashes = self.node.record_crash(self.command, report.upstream);
-                    if CRASH_LIMIT <= crashes {
-                        fan_out.contain();
-                    }
+                if failure == CallFailure::UpstreamEnded {
+                    self.on_crash(fan_out, completion.call, report.upstream);
                 }
                 fan_out.on_failure(now, router, completion.call, failure, latency, actions);
                 let missing = matches!(
@@ -184,4 +181,18 @@
             }
         }
     }
+
+    /// Handles that the process of an upstream ended during a call.
+    fn on_crash(&self, fan_out: &mut FanOut, call: CallId, upstream: UpstreamId) {
+        let is_strong_sign = fan_out.is_strong_sign(call);
+        if fan_out.is_evidence(call) {
+            let crashes = self.node.record_crash(self.command, upstream);
+            if CRASH_LIMIT <= crashes {
+                fan_out.contain();
+            }
+        }
+        if is_strong_sign {
+            self.node.record_strong_sign(self.command);
+        }
+    }
 }
--- a/crates/node/src/node/quarantine.rs
+++ b/crates/node/src/node/quarantine.rs
@@ -79,6 +79,12 @@
         crashes
     }
 
+    /// Records a strong sign that a query crashes upstreams: other nodes learn its evidence with the next
+    /// exchange.
+    pub(crate) fn record_strong_sign(&self, command: &QueryCommand) {
+        self.quarantine.update(|it| it.mark_urgent(fingerprint(command)));
+    }
+
     /// Records that all shards answered a query.
     pub(crate) fn record_answer(&self, command: &QueryCommand) {
         let now = self.timer.now();
--- a/crates/node/src/sync/evidence_task.rs
+++ b/crates/node/src/sync/evidence_task.rs
@@ -4,6 +4,7 @@
 
 use futures::future::join_all;
 use mux_model::{FastSet, TimePoint};
+use mux_quarantine::Evidence;
 use rand::seq::IndexedRandom;
 
 use crate::{Node, peer::MAX_EXCHANGED_EVIDENCE};
@@ -37,18 +38,23 @@
     if node.quarantine().is_empty() {
         return;
     }
-    let update = node.quarantine().update(|it| it.pending_update(now, MAX_EXCHANGED_EVIDENCE));
-    if update.writes.is_empty() && update.withdrawals.is_empty() {
+    let (update, notice) = node.quarantine().update(|it| {
+        let update = it.pending_update(now, MAX_EXCHANGED_EVIDENCE);
+        (update, it.take_notice(MAX_EXCHANGED_EVIDENCE))
+    });
+    let writes = update.writes.iter().map(|(it, _)| it);
+    let evidence: FastSet<&Evidence> = writes.chain(&notice).collect();
+    if evidence.is_empty() && update.withdrawals.is_empty() {
         return;
     }
-    let services: FastSet<_> = update.writes.iter().map(|(it, _)| &it.service).collect();
+    let services: FastSet<_> = evidence.iter().map(|it| &it.service).collect();
     let mut peers: Vec<_> = services.into_iter().flat_map(|it| node.home_peers(it)).collect();
     if !update.withdrawals.is_empty() {
         peers = node.member_peers();
     }
     peers.sort_unstable();
     peers.dedup();
-    let evidence: Vec<_> = update.writes.iter().map(|(it, _)| it.clone()).collect();
+    let evidence: Vec<_> = evidence.into_iter().cloned().collect();
     let calls = peers.into_iter().map(|peer| {
         node.peers().exchange_evidence(peer, evidence.clone(), update.withdrawals.clone())
     });
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -5,31 +5,23 @@
 use mux_model::{FastMap, FastSet, ServiceName, TimePoint};
 
 use crate::{
-    Evidence, EvidenceKey, EvidenceSource, RequestFingerprint, recent_answers::RecentAnswers,
+    Evidence, EvidenceKey, EvidenceSource, RequestFingerprint,
+    recent_answers::RecentAnswers,
+    suspect_request::{KnownEvidence, SuspectRequest},
 };
 
-/// Number of crashes, one after the other, for which a request is quarantined.
-pub const CRASH_LIMIT: usize = 3;
-/// Time between the ends of two processes below which they count as one crash: upstreams that share a
-/// rack or a power supply fall together, and a frequent request may run on all of them.
-const CRASH_GAP_MS: u64 = 250;
 /// Maximum number of requests with evidence that are remembered.
 pub const MAX_REQUESTS: usize = 2_048;
-/// Maximum number of pieces of evidence of one request; those that add no crash get half of it.
-const MAX_EVIDENCE_PER_REQUEST: usize = 12;
 /// Maximum number of pieces of evidence that wait for their withdrawal from the store.
 const MAX_WITHDRAWALS: usize = 4_096;
-/// Time from a crash until it is shared. Most requests that only ran on an upstream which crashed are
-/// answered by another one meanwhile.
+/// Time from the first crash of a request until it is shared. Most requests that only ran on an upstream
+/// which crashed are answered by another one meanwhile.
 const SHARING_DELAY: Duration = Duration::from_millis(300);
 /// Shortest time without an attempt or new evidence after which a request is forgotten.
 pub const IDLE_LIFETIME: Duration = Duration::from_secs(600);
 /// Time after which the evidence against a request that still comes is shared again, so that other
 /// nodes do not forget it.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(240);
-/// Time from the latest evidence to the next trial, by the number of trials that ended in a crash. After
-/// the last one, a request gets no further ones.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
 /// Time after which a trial without a result no longer keeps other nodes from the next one.
 const TRIAL_LIFETIME: Duration = Duration::from_secs(30);
 /// Time from a trial that reached no upstream to the next one of the same node.
@@ -60,63 +52,10 @@
     pub withdrawals: Vec<EvidenceKey>,
 }
 
-#[derive(Debug, Clone)]
-struct KnownEvidence {
-    evidence: Evidence,
-    learnt_at: TimePoint,
-    /// Whether the store is known to hold the evidence.
-    is_shared: bool,
-}
-
-#[derive(Debug, Clone)]
-struct SuspectRequest {
-    evidence: Vec<KnownEvidence>,
-    last_activity: TimePoint,
-    /// When evidence was last seen to be written to the store.
-    renewed_at: TimePoint,
-    /// When this node may claim a trial again.
-    next_trial_at: TimePoint,
-}
-
-impl SuspectRequest {
-    /// Returns the number of crashes, of which those within [`CRASH_GAP_MS`] count as one.
-    fn crashes(&self) -> usize {
-        let crashes = self.evidence.iter().map(|it| &it.evidence).filter(|it| is_crash(it));
-        let mut times: Vec<u64> = crashes.map(|it| it.observed_ms).collect();
-        times.sort_unstable();
-        let mut latest = None;
-        let is_new = |time: &&u64| {
-            let is_new = latest.is_none_or(|it: u64| it.saturating_add(CRASH_GAP_MS) <= **time);
-            latest = latest.filter(|_| !is_new).or(Some(**time));
-            is_new
-        };
-        times.iter().filter(is_new).count()
-    }
-
-    fn trial(&self, number: u32) -> Option<&KnownEvidence> {
-        let source = EvidenceSource::Trial(number);
-        self.evidence.iter().find(|it| it.evidence.key.source == source)
-    }
-
-    fn is_quarantined(&self) -> bool {
-        CRASH_LIMIT <= self.crashes()
-    }
-
-    /// Returns the number of the trial that is due.
-    fn due_trial(&self, now: TimePoint) -> Option<u32> {
-        let crashes = self.crashes();
-        let delay = TRIAL_DELAYS.get(crashes.checked_sub(CRASH_LIMIT)?)?;
-        let latest = self.evidence.iter().map(|it| it.learnt_at).max()?;
-        let number = u32::try_from(crashes).unwrap_or(u32::MAX);
-        let is_due = latest + *delay <= now && self.next_trial_at <= now;
-        (is_due && self.trial(number).is_none()).then_some(number)
-    }
-}
-
 /// The evidence against requests that is known to this node, its own and that of other nodes.
 ///
 /// A request that was at an upstream when its process ended is a suspect until an upstream of that
-/// service has answered it. After [`CRASH_LIMIT`] crashes without such an answer it is quarantined. As
+/// service has answered it. After [`CRASH_LIMIT`](crate::CRASH_LIMIT) crashes without such an answer it is quarantined. As
 /// requests that only ran on upstreams which fell for other reasons may get there too, there are
 /// trials, which all nodes share: a reply ends the quarantine, and after two that end in a crash there
 /// are no further ones.
@@ -217,7 +156,32 @@
 
     /// Records evidence that another node sent, which the store may lack.
     pub fn on_peer_evidence(&mut self, now: TimePoint, evidence: Evidence) {
+        let fingerprint = evidence.key.fingerprint;
         self.insert(now, evidence, false);
+        self.mark_urgent(fingerprint);
+    }
+
+    /// Makes the evidence against a request, if there is any, due to be passed on to peers at once: there
+    /// is a strong sign that it crashes upstreams.
+    ///
+    /// Answers a caller that repeats its request at another node before the store has the evidence.
+    pub fn mark_urgent(&mut self, fingerprint: RequestFingerprint) {
+        if let Some(request) = self.requests.get_mut(&fingerprint) {
+            request.is_urgent = true;
+        }
+    }
+
+    /// Returns up to `limit` pieces of evidence against urgent requests that were not passed on to peers,
+    /// and takes them for passed on.
+    pub fn take_notice(&mut self, limit: usize) -> Vec<Evidence> {
+        let urgent = self.requests.values_mut().filter(|it| it.is_urgent);
+        let evidence = urgent.flat_map(|it| &mut it.evidence);
+        let pending = evidence.filter(|it| !it.is_passed_on && it.evidence.is_crash());
+        let notice = pending.take(limit).map(|it| {
+            it.is_passed_on = true;
+            it.evidence.clone()
+        });
+        notice.collect()
     }
 
     /// Records evidence that the store holds.
@@ -287,14 +251,30 @@
     /// connections because it was cut from all upstreams.
     pub fn retract_crashes_since(&mut self, since: TimePoint) {
         self.requests.retain(|_, request| {
-            request.evidence.retain(|it| {
-                let is_crash = matches!(it.evidence.key.source, EvidenceSource::Crash(_));
-                it.is_shared || !is_crash || it.learnt_at < since
-            });
+            request
+                .evidence
+                .retain(|it| it.is_shared || !it.evidence.is_crash() || it.learnt_at < since);
             !request.evidence.is_empty()
         });
     }
 
+    /// Returns whether the store lacks evidence that has to be shared now.
+    pub fn has_due_evidence(&self, now: TimePoint) -> bool {
+        self.due_evidence(now).next().is_some()
+    }
+
+    /// Returns the evidence that the store lacks and that has to be shared now, with the number of pieces
+    /// against the same request.
+    fn due_evidence(&self, now: TimePoint) -> impl Iterator<Item = (usize, &KnownEvidence)> {
+        let with_counts = self.requests.values().flat_map(|request| {
+            let delay = if 1 < request.crashes() { Duration::ZERO } else { SHARING_DELAY };
+            request.evidence.iter().map(move |it| (request.evidence.len(), delay, it))
+        });
+        let due =
+            with_counts.filter(move |(_, delay, it)| !it.is_shared && it.learnt_at + *delay <= now);
+        due.map(|(count, _, it)| (count, it))
+    }
+
     /// Returns up to `limit` changes that the store lacks; evidence against requests that crashed most
     /// processes comes first.
     pub fn pending_update(&mut self, now: TimePoint, limit: usize) -> EvidenceUpdate {
@@ -304,12 +284,7 @@
                 request.evidence.iter_mut().for_each(|it| it.is_shared = false);
             }
         }
-        let mut writes: Vec<_> = self
-            .requests
-            .values()
-            .flat_map(|request| request.evidence.iter().map(|it| (request.evidence.len(), it)))
-            .filter(|(_, it)| !it.is_shared && it.learnt_at + SHARING_DELAY <= now)
-            .collect();
+        let mut writes: Vec<_> = self.due_evidence(now).collect();
         writes.sort_by_key(|(count, it)| (Reverse(*count), it.learnt_at));
         let writes: Vec<_> = writes
             .into_iter()
@@ -364,8 +339,10 @@
     }
 
     fn insert(&mut self, now: TimePoint, evidence: Evidence, is_shared: bool) {
+        // All nodes read what the store holds.
+        let is_passed_on = is_shared;
         let fingerprint = evidence.key.fingerprint;
-        if is_crash(&evidence) && self.answers.contains(now, fingerprint, &evidence.service) {
+        if evidence.is_crash() && self.answers.contains(now, fingerprint, &evidence.service) {
             if is_shared {
                 self.withdrawals.push(evidence.key);
                 self.withdrawals.truncate(MAX_WITHDRAWALS);
@@ -375,28 +352,12 @@
         if !self.requests.contains_key(&fingerprint) && MAX_REQUESTS <= self.requests.len() {
             self.evict_one();
         }
-        let request = self.requests.entry(fingerprint).or_insert_with(|| SuspectRequest {
-            evidence: Vec::new(),
-            last_activity: now,
-            renewed_at: now,
-            next_trial_at: now,
-        });
+        let request = self.requests.entry(fingerprint).or_insert_with(|| SuspectRequest::new(now));
         request.last_activity = now;
         if is_shared {
             request.renewed_at = now;
         }
-        let known = request.evidence.iter_mut().find(|it| it.evidence.key == evidence.key);
-        if let Some(known) = known {
-            known.is_shared |= is_shared;
-            return;
-        }
-        let (count, crashes) = (request.evidence.len(), request.crashes());
-        request.evidence.push(KnownEvidence { evidence, learnt_at: now, is_shared });
-        let adds_crash = crashes < request.crashes();
-        let limit = MAX_EVIDENCE_PER_REQUEST / if adds_crash { 1 } else { 2 };
-        if limit <= count {
-            request.evidence.pop();
-        }
+        request.insert(KnownEvidence { evidence, learnt_at: now, is_shared, is_passed_on });
     }
 
     /// Forgets the request with the fewest crashes, and of these the one that was idle for longest.
@@ -433,7 +394,3 @@
         }
     }
 }
-
-fn is_crash(evidence: &Evidence) -> bool {
-    matches!(evidence.key.source, EvidenceSource::Crash(_))
-}
--- a/crates/quarantine/src/evidence.rs
+++ b/crates/quarantine/src/evidence.rs
@@ -67,3 +67,10 @@
     /// When it was observed, in milliseconds of Unix time by the clock of the observer.
     pub observed_ms: u64,
 }
+
+impl Evidence {
+    /// Returns whether the evidence is the crash of a process.
+    pub fn is_crash(&self) -> bool {
+        matches!(self.key.source, EvidenceSource::Crash(_))
+    }
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -8,11 +8,13 @@
 mod recent_answers;
 mod request_fingerprint;
 mod shared_ledger;
+mod suspect_request;
 
 pub use attempt_kind::AttemptKind;
 pub use crash_ledger::{
-    CRASH_LIMIT, CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
+    CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
 };
 pub use evidence::{Evidence, EvidenceKey, EvidenceSource, UpstreamProcess};
 pub use request_fingerprint::RequestFingerprint;
 pub use shared_ledger::SharedLedger;
+pub use suspect_request::CRASH_LIMIT;
--- /dev/null
+++ b/crates/quarantine/src/suspect_request.rs
@@ -0,0 +1,104 @@
+//! A request with evidence against it.
+
+use std::time::Duration;
+
+use mux_model::TimePoint;
+
+use crate::{Evidence, EvidenceSource};
+
+/// Number of crashes, one after the other, for which a request is quarantined.
+pub const CRASH_LIMIT: usize = 3;
+/// Time between the ends of two processes below which they count as one crash: upstreams that share a
+/// rack or a power supply fall together, and a frequent request may run on all of them.
+const CRASH_GAP_MS: u64 = 250;
+/// Maximum number of pieces of evidence of one request; those of the same crash get half of it.
+const MAX_EVIDENCE_PER_REQUEST: usize = 12;
+/// Time from the latest evidence to the next trial, by the number of trials that ended in a crash. After
+/// the last one, a request gets no further ones.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
+
+#[derive(Debug, Clone)]
+pub(crate) struct KnownEvidence {
+    pub(crate) evidence: Evidence,
+    pub(crate) learnt_at: TimePoint,
+    /// Whether the store is known to hold the evidence.
+    pub(crate) is_shared: bool,
+    /// Whether peers need not be told of the evidence: they were, or the store holds it.
+    pub(crate) is_passed_on: bool,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct SuspectRequest {
+    pub(crate) evidence: Vec<KnownEvidence>,
+    pub(crate) last_activity: TimePoint,
+    /// When evidence was last seen to be written to the store.
+    pub(crate) renewed_at: TimePoint,
+    /// When this node may claim a trial again.
+    pub(crate) next_trial_at: TimePoint,
+    /// Whether evidence is passed on to peers at once.
+    pub(crate) is_urgent: bool,
+}
+
+impl SuspectRequest {
+    /// Creates a request without evidence.
+    pub(crate) fn new(now: TimePoint) -> Self {
+        Self {
+            evidence: Vec::new(),
+            last_activity: now,
+            renewed_at: now,
+            next_trial_at: now,
+            is_urgent: false,
+        }
+    }
+
+    /// Adds evidence that is not known yet, within the limits.
+    pub(crate) fn insert(&mut self, new: KnownEvidence) {
+        let known = self.evidence.iter_mut().find(|it| it.evidence.key == new.evidence.key);
+        if let Some(known) = known {
+            known.is_shared |= new.is_shared;
+            known.is_passed_on |= new.is_passed_on;
+            return;
+        }
+        let (count, crashes) = (self.evidence.len(), self.crashes());
+        let is_trial = !new.evidence.is_crash();
+        self.evidence.push(new);
+        let needs_room = is_trial || crashes < self.crashes();
+        let limit = MAX_EVIDENCE_PER_REQUEST / if needs_room { 1 } else { 2 };
+        if limit <= count {
+            self.evidence.pop();
+        }
+    }
+
+    /// Returns the number of crashes, of which those within [`CRASH_GAP_MS`] count as one.
+    pub(crate) fn crashes(&self) -> usize {
+        let crashes = self.evidence.iter().map(|it| &it.evidence).filter(|it| it.is_crash());
+        let mut times: Vec<u64> = crashes.map(|it| it.observed_ms).collect();
+        times.sort_unstable();
+        let mut latest = None;
+        let is_new = |time: &&u64| {
+            let is_new = latest.is_none_or(|it: u64| it.saturating_add(CRASH_GAP_MS) <= **time);
+            latest = latest.filter(|_| !is_new).or(Some(**time));
+            is_new
+        };
+        times.iter().filter(is_new).count()
+    }
+
+    pub(crate) fn trial(&self, number: u32) -> Option<&KnownEvidence> {
+        let source = EvidenceSource::Trial(number);
+        self.evidence.iter().find(|it| it.evidence.key.source == source)
+    }
+
+    pub(crate) fn is_quarantined(&self) -> bool {
+        CRASH_LIMIT <= self.crashes()
+    }
+
+    /// Returns the number of the trial that is due.
+    pub(crate) fn due_trial(&self, now: TimePoint) -> Option<u32> {
+        let crashes = self.crashes();
+        let delay = TRIAL_DELAYS.get(crashes.checked_sub(CRASH_LIMIT)?)?;
+        let latest = self.evidence.iter().map(|it| it.learnt_at).max()?;
+        let number = u32::try_from(crashes).unwrap_or(u32::MAX);
+        let is_due = latest + *delay <= now && self.next_trial_at <= now;
+        (is_due && self.trial(number).is_none()).then_some(number)
+    }
+}
--- a/crates/quarantine/tests/crash_ledger.rs
+++ b/crates/quarantine/tests/crash_ledger.rs
@@ -2,52 +2,18 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod fixtures;
+
+use fixtures::{
+    SERVICE, at, crash, crash_at, due_trial, is_quarantined, ledger_with_crashes, request,
+};
 use googletest::prelude::*;
 use mux_model::{FastSet, TimePoint};
 use mux_quarantine::{
-    CRASH_LIMIT, CrashLedger, Evidence, EvidenceKey, EvidenceSource, IDLE_LIFETIME, MAX_REQUESTS,
-    RequestAdmission, RequestFingerprint, UpstreamProcess,
+    CRASH_LIMIT, CrashLedger, EvidenceSource, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
+    RequestFingerprint,
 };
 
-const SERVICE: &str = "orders";
-
-fn at(seconds: u64) -> TimePoint {
-    TimePoint::from_micros(seconds * 1_000_000)
-}
-
-fn request(name: &str) -> RequestFingerprint {
-    RequestFingerprint::of_parts(&[b"caller", name.as_bytes()])
-}
-
-fn crash(fingerprint: RequestFingerprint, number: u64) -> Evidence {
-    let process = UpstreamProcess { instance: format!("i-{number}").into(), started_ms: number };
-    let key = EvidenceKey { fingerprint, source: EvidenceSource::Crash(process) };
-    Evidence { key, service: SERVICE.into(), observed_ms: number * 1_000 }
-}
-
-/// Returns the crash of process `number` at a time of day.
-fn crash_at(fingerprint: RequestFingerprint, number: u64, observed_ms: u64) -> Evidence {
-    Evidence { observed_ms, ..crash(fingerprint, number) }
-}
-
-/// Returns a ledger with `count` crashes of a request, one a second from second 0.
-fn ledger_with_crashes(fingerprint: RequestFingerprint, count: u64) -> CrashLedger {
-    let mut ledger = CrashLedger::new(IDLE_LIFETIME);
-    (0..count).for_each(|it| ledger.record(at(it), crash(fingerprint, it)));
-    ledger
-}
-
-fn is_quarantined(ledger: &mut CrashLedger, now: TimePoint, it: RequestFingerprint) -> bool {
-    matches!(ledger.admit(now, it), RequestAdmission::Quarantined { .. })
-}
-
-fn due_trial(ledger: &mut CrashLedger, now: TimePoint, it: RequestFingerprint) -> Option<Evidence> {
-    match ledger.admit(now, it) {
-        RequestAdmission::Quarantined { trial } => trial,
-        _ => None,
-    }
-}
-
 /// Marks all evidence as written to the store.
 fn share(ledger: &mut CrashLedger, now: TimePoint) {
     let update = ledger.pending_update(now, 32);
--- a/crates/query/tests/crashing_queries.rs
+++ b/crates/query/tests/crashing_queries.rs
@@ -36,6 +36,8 @@
 /// Time from new evidence until its node writes it, and from the write until all nodes know it.
 const SHARING_DELAY: Duration = Duration::from_millis(320);
 const STORE_DELAY: Duration = Duration::from_millis(100);
+/// Time from a strong sign until all nodes know it.
+const NOTICE_DELAY: Duration = Duration::from_millis(15);
 const RUN_TIME: Duration = Duration::from_secs(60);
 
 enum Event {
@@ -56,6 +58,9 @@
     Wake {
         attempt: usize,
     },
+    Notice {
+        evidence: Vec<Evidence>,
+    },
     Share {
         node: usize,
     },
@@ -169,6 +174,11 @@
                 Event::Wake { attempt } => {
                     self.step(attempt, |it, now, router, actions| it.on_wake(now, router, actions));
                 }
+                Event::Notice { evidence } => {
+                    for ledger in &mut self.ledgers {
+                        evidence.iter().for_each(|it| ledger.on_peer_evidence(at, it.clone()));
+                    }
+                }
                 Event::Share { node } => {
                     let update = self.ledgers[node].pending_update(at, 32);
                     self.schedule(STORE_DELAY, Event::Shared { node, update });
@@ -274,6 +284,7 @@
     fn lose(&mut self, attempt: usize, call: CallId, upstream: UpstreamId, process: u64) {
         let Attempt { node, fan_out, shards, .. } = &mut self.attempts[attempt];
         let (node, service) = (*node, format!("s-{}", shards[&call].0).into());
+        let is_strong_sign = fan_out.is_strong_sign(call);
         // A call that outlives its query is evidence as well.
         if fan_out.is_evidence(call) || fan_out.is_finished() {
             let evidence = crash(upstream, process, service, self.now);
@@ -283,6 +294,11 @@
             }
             self.schedule(SHARING_DELAY, Event::Share { node });
         }
+        if is_strong_sign {
+            self.ledgers[node].mark_urgent(fingerprint());
+        }
+        let evidence = self.ledgers[node].take_notice(16);
+        self.schedule(NOTICE_DELAY, Event::Notice { evidence });
         self.step(attempt, |it, now, router, actions| {
             it.on_failure(now, router, call, CallFailure::UpstreamEnded, Duration::ZERO, actions);
         });
