--- a/crates/edge/src/quarantine_state.rs
+++ b/crates/edge/src/quarantine_state.rs
@@ -28,6 +28,8 @@
     pub(crate) ledger: SharedLedger,
     /// Wakes the task that shares evidence.
     pub(crate) evidence_added: Notify,
+    /// Wakes the task that passes evidence on to peers.
+    pub(crate) notice_due: Notify,
     claims: mpsc::Sender<TrialClaim>,
     /// The receiver of the claims, until the task that shares evidence takes it.
     pending_claims: Mutex<Option<mpsc::Receiver<TrialClaim>>>,
@@ -39,6 +41,7 @@
         Self {
             ledger: SharedLedger::new(IDLE_LIFETIME.mul_f64(1.0 + rand::random::<f64>())),
             evidence_added: Notify::new(),
+            notice_due: Notify::new(),
             claims,
             pending_claims: Mutex::new(Some(pending_claims)),
         }
--- a/crates/edge/src/request_quarantine.rs
+++ b/crates/edge/src/request_quarantine.rs
@@ -57,6 +57,7 @@
         it.crashes(fingerprint)
     });
     edge.quarantine.evidence_added.notify_one();
+    edge.quarantine.notice_due.notify_one();
     if let Some(suppressed) = edge.request_log.allow(now) {
         warn!(edge.logger, "quarantine: evidence against a request";
             "fingerprint" => fingerprint.to_string(), "service" => service.as_str(),
@@ -66,6 +67,12 @@
     crashes
 }
 
+/// Records a strong sign that a request crashes upstreams: other nodes learn its evidence at once.
+pub(crate) fn record_strong_sign(edge: &EdgeState, fingerprint: RequestFingerprint) {
+    edge.quarantine.ledger.update(|it| it.mark_urgent(fingerprint));
+    edge.quarantine.notice_due.notify_one();
+}
+
 /// Ends the trial of a request that this node made.
 pub(crate) fn end_trial(edge: &EdgeState, fingerprint: RequestFingerprint) {
     let now = edge.timer.now();
