Read the evidence of peers when a node starts

Cause: nodes now refuse a request as soon as peers tell them of its crashes, up to half a second before the store and the copies of it have them. A node that starts in that time reads a copy without the last piece, and no notice reaches it.

Change: before a peer's first copy makes a node ready, the node reads the peer's evidence by the existing exchange; after a listing of the store it exchanges evidence with three peers.

--- a/crates/edge/src/sync/evidence_task.rs
+++ b/crates/edge/src/sync/evidence_task.rs
@@ -1,6 +1,6 @@
 //! Shares the evidence against requests that crash upstreams.
 
-use std::{sync::Arc, time::Duration};
+use std::{future, sync::Arc, time::Duration};
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use mux_model::TimePoint;
@@ -10,7 +10,10 @@
 use slog::{info, warn};
 
 use crate::{
-    ClusterStore, edge_state::EdgeState, quarantine_state::TrialClaim, relay::RelayConnection,
+    ClusterStore,
+    edge_state::EdgeState,
+    quarantine_state::TrialClaim,
+    relay::{RelayConnection, RelayError},
     request_quarantine::end_trial,
 };
 
@@ -109,7 +112,7 @@
         let needs_exchange = self.has_failed || self.is_store_silent(now);
         if needs_exchange && self.next_exchange_at <= now {
             self.next_exchange_at = now + EXCHANGE_PERIOD;
-            exchange_with_peers(&self.edge).await;
+            exchange_with_peers(Arc::clone(&self.edge)).await;
         }
         if self.next_write_at <= now {
             return self.write(now).await;
@@ -210,24 +213,33 @@
 }
 
 /// Sends this node's evidence to some peers, and records theirs.
-async fn exchange_with_peers(edge: &Arc<EdgeState>) {
+pub(super) async fn exchange_with_peers(edge: Arc<EdgeState>) {
     let mut peers = edge.nodes().relay_peers();
     peers.shuffle(&mut rand::rng());
-    let own = edge.quarantine.ledger.update(|it| it.summary(MAX_EXCHANGED_EVIDENCE));
-    let exchange = |peer: RelayPeer| {
-        let own = own.clone();
-        async move {
-            let connection = RelayConnection::open(&edge.timer, peer.address).await?;
-            connection.exchange_evidence(own).await
-        }
+    let exchange = async |peer: RelayPeer| {
+        let connection = RelayConnection::open(&edge.timer, peer.address).await?;
+        exchange_with_peer(&edge, &connection).await
     };
-    let mut exchanges: FuturesUnordered<_> =
+    let exchanges: FuturesUnordered<_> =
         peers.into_iter().take(EXCHANGE_PEERS).map(exchange).collect();
-    while let Some(received) = exchanges.next().await {
-        // A peer that does not answer is one of several, and others are asked a second later.
-        let now = edge.timer.now();
-        for evidence in received.unwrap_or_default().into_iter().take(MAX_EXCHANGED_EVIDENCE) {
-            edge.quarantine.ledger.update(|it| it.on_peer_evidence(now, evidence));
-        }
+    // A peer that does not answer is one of several, and others are asked a second later.
+    exchanges.for_each(|_| future::ready(())).await;
+}
+
+/// Sends this node's evidence to a peer, and records that of the peer.
+///
+/// # Errors
+///
+/// Returns [`RelayError`] if the peer does not answer.
+pub(super) async fn exchange_with_peer(
+    edge: &EdgeState,
+    connection: &RelayConnection,
+) -> Result<(), RelayError> {
+    let own = edge.quarantine.ledger.update(|it| it.summary(MAX_EXCHANGED_EVIDENCE));
+    let received = connection.exchange_evidence(own).await?;
+    let now = edge.timer.now();
+    for evidence in received.into_iter().take(MAX_EXCHANGED_EVIDENCE) {
+        edge.quarantine.ledger.update(|it| it.on_peer_evidence(now, evidence));
     }
+    Ok(())
 }
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -13,6 +13,7 @@
 use super::{
     ReadPacing,
     apply_update::{UpdateKind, apply_update},
+    evidence_task::{exchange_with_peer, exchange_with_peers},
 };
 use crate::{
     ClusterStore, ClusterStoreError, PeerRotation, RelayedUpdate, StoreRevision,
@@ -177,6 +178,9 @@
             let mut reads: FuturesUnordered<_> =
                 batch.into_iter().map(|it| read_once(&timer, it, revision)).collect();
             while let Some((node, connection, result)) = reads.next().await {
+                if revision.is_none() && result.is_ok() {
+                    self.learn_evidence(&node, connection.as_ref()).await;
+                }
                 outcome = outcome.max(self.apply_relayed(&node, result));
                 if outcome == PeerRead::Fresh {
                     info!(self.edge.logger, "relay: reading the copy of a peer";
@@ -188,6 +192,18 @@
         }
     }
 
+    /// Reads the evidence against requests that a peer knows, before its first copy makes this node
+    /// ready: the copy lacks evidence that the store has not got yet.
+    async fn learn_evidence(&self, peer: &NodeId, connection: Option<&RelayConnection>) {
+        let Some(connection) = connection else {
+            return;
+        };
+        if let Err(error) = exchange_with_peer(&self.edge, connection).await {
+            info!(self.edge.logger, "relay: peer did not send its evidence";
+                "peer" => peer.as_str(), "cause" => error.to_string());
+        }
+    }
+
     /// Applies what a peer answered, also if its copy is not recent but newer than this node's.
     fn apply_relayed(
         &mut self,
@@ -259,6 +275,10 @@
                 let changes = update.changes.len();
                 let now = self.edge.timer.now();
                 apply_update(&self.edge, now, kind, update.changes, update.revision);
+                if kind == UpdateKind::Listing {
+                    // The store may not have got the latest evidence against requests yet.
+                    tokio::spawn(exchange_with_peers(Arc::clone(&self.edge)));
+                }
                 self.edge.timer.sleep(self.delay_after(changes)).await;
             }
             Err(ClusterStoreError::HistoryCompacted) => {
