Count a node among those that share bounds while the others still do

Cause: a node took itself for hidden once the lease of its entry had ended, or until its new process had announced itself, and used a quarter of its shares. The other nodes count a node for three lifetimes of an address answer longer, and see the entry of its former process.

Change: a node counts as long as the others do: from what the store shows of its entry, also that of its former process, for the same time. After a pause of the process it is forgotten.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -338,7 +338,6 @@
     /// when the known nodes have changed.
     pub(crate) fn refresh_shares(&self, now: TimePoint) {
         let inputs = StandingInputs {
-            is_announced: self.is_announced(),
             store_reply_age: self.store_reachability().time_since_reply(now),
             max_address_lifetime: self.limits().max_address_lifetime,
         };
--- a/crates/edge/src/sharing/grant_sharing.rs
+++ b/crates/edge/src/sharing/grant_sharing.rs
@@ -8,15 +8,13 @@
 use mux_logs::LogThrottle;
 use mux_model::{FastSet, TimePoint};
 use mux_placement::{NodeRegistry, RelayPeer};
-use mux_sharing::{BorrowPlanner, BoundKey, NodeShares, NodeStanding, SharingNodes};
+use mux_sharing::{BorrowPlanner, BoundKey, NodeShares, NodeVisibility, SharingNodes};
 use tokio::sync::{Notify, watch};
 
 use super::peer_links::PeerLinks;
 
 /// Number of lifetimes of an address answer for which callers may use it.
 const MAX_ANSWER_LIFETIMES: u32 = 3;
-/// Time since the last reply of the store above which it may be unreachable for all nodes.
-const MAX_STORE_REPLY_AGE: Duration = Duration::from_secs(3);
 /// Maximum number of log lines about grants in one [`GRANT_LOG_PERIOD`].
 const GRANT_LOG_LINES: u32 = 4;
 /// Period to which [`GRANT_LOG_LINES`] applies.
@@ -25,21 +23,27 @@
 /// What decides whether the other nodes count this one, besides the list of nodes.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StandingInputs {
-    /// Whether this node has an entry in the store.
-    pub(crate) is_announced: bool,
     /// Time since the last reply of the store.
     pub(crate) store_reply_age: Option<Duration>,
     /// Maximum lifetime of an address answer.
     pub(crate) max_address_lifetime: Duration,
 }
 
+impl StandingInputs {
+    /// Returns the time for which nodes count one that is no longer advertised.
+    fn hold_time(&self) -> Duration {
+        self.max_address_lifetime * MAX_ANSWER_LIFETIMES
+    }
+}
+
 /// The nodes that share bounds, this node's shares, and the grants that it asks others for.
 #[derive(Debug)]
 pub(crate) struct GrantSharing {
     nodes: Mutex<SharingNodes>,
     shares: RwLock<NodeShares>,
-    /// When the lease of this node's entry in the store ends unless it is renewed.
-    announced_until: Mutex<TimePoint>,
+    /// Until when the store shows this node's entry unless its lease is renewed; `None` if it has not
+    /// shown it to this process.
+    listed_until: Mutex<Option<TimePoint>>,
     /// The nodes that can be asked for grants.
     lenders: RwLock<Arc<[RelayPeer]>>,
     planner: Mutex<BorrowPlanner<BoundKey>>,
@@ -56,7 +60,7 @@
         Self {
             nodes: Mutex::default(),
             shares: RwLock::new(NodeShares::sole_node()),
-            announced_until: Mutex::new(TimePoint::ZERO),
+            listed_until: Mutex::default(),
             lenders: RwLock::new(Arc::from([])),
             planner: Mutex::default(),
             links: PeerLinks::default(),
@@ -66,9 +70,15 @@
         }
     }
 
-    /// Records that the lease of this node's entry in the store ends at `until` unless it is renewed.
-    pub(crate) fn set_announced_until(&self, until: TimePoint) {
-        *lock(&self.announced_until) = until;
+    /// Records that the store shows this node's entry until `until` at least.
+    pub(crate) fn on_listed(&self, until: TimePoint) {
+        let mut listed_until = lock(&self.listed_until);
+        *listed_until = (*listed_until).max(Some(until));
+    }
+
+    /// Forgets when the store showed this node's entry, because the clock stood still meanwhile.
+    pub(crate) fn on_pause(&self) {
+        *lock(&self.listed_until) = None;
     }
 
     /// Returns the current shares.
@@ -85,14 +95,19 @@
         inputs: StandingInputs,
     ) -> Option<(NodeShares, u32)> {
         self.set_lenders(lenders(registry));
-        let standing = self.standing(now, registry, inputs);
+        let view = NodeVisibility {
+            is_advertised: registry.is_advertised(),
+            listed_until: *lock(&self.listed_until),
+            hold_time: inputs.hold_time(),
+            store_reply_age: inputs.store_reply_age,
+        };
+        let standing = view.standing(now);
         let own = registry.own_record();
         let counts = {
             let mut sharing_nodes = lock(&self.nodes);
             let advertised =
                 registry.advertised_nodes().map(|it| (&it.node, &it.availability_zone));
-            let hold_time = inputs.max_address_lifetime * MAX_ANSWER_LIFETIMES;
-            sharing_nodes.update(now, advertised, hold_time);
+            sharing_nodes.update(now, advertised, inputs.hold_time());
             sharing_nodes.count_by_zone(&own.node, &own.availability_zone)
         };
         let shares = NodeShares::new(&own.availability_zone, &counts, standing);
@@ -120,25 +135,6 @@
             *current = Arc::from(lenders);
         }
     }
-
-    /// Returns whether the other nodes count this one among those that share bounds.
-    fn standing(
-        &self,
-        now: TimePoint,
-        registry: &NodeRegistry,
-        inputs: StandingInputs,
-    ) -> NodeStanding {
-        let has_entry = inputs.is_announced && now < *lock(&self.announced_until);
-        // While the store answers no node, no node sees that entries have expired.
-        let is_store_reachable = inputs.store_reply_age.is_some_and(|it| it < MAX_STORE_REPLY_AGE);
-        if !registry.is_advertised() {
-            NodeStanding::NotAdvertised
-        } else if has_entry || !is_store_reachable {
-            NodeStanding::Counted
-        } else {
-            NodeStanding::Hidden
-        }
-    }
 }
 
 /// Returns the nodes that share bounds, are not cut from upstreams, and can be called by this build.
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -87,15 +87,13 @@
     if let Some(HeldLease { lease, lifetime, is_announced: true }) = *held {
         let started = edge.timer.now();
         edge.record_store_call("renew", store.renew(lease).await)?;
-        edge.sharing.set_announced_until(started + lifetime);
+        edge.sharing.on_listed(started + lifetime);
         return Ok(());
     }
     if held.is_none() {
         wait_until_needed(edge).await?;
-        let started = edge.timer.now();
         let lifetime = (renew_period(edge) * LEASE_PERIODS).max(edge.limits().min_lease_lifetime);
         let lease = edge.record_store_call("grant", store.grant(lifetime).await)?;
-        edge.sharing.set_announced_until(started + lifetime);
         *held = Some(HeldLease { lease, lifetime, is_announced: false });
     }
     // If the entry cannot be written, the lease is kept for the next attempt, or for its revocation
@@ -107,6 +105,7 @@
         info!(edge.logger, "node: announced"; "lease" => granted.lease.id,
             "era" => granted.lease.era.0, "is_cut" => record.is_cut);
         granted.is_announced = true;
+        edge.sharing.on_listed(edge.timer.now());
     }
     Ok(())
 }
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -221,7 +221,9 @@
     listed: &FastSet<NodeId>,
     writer_may_be_alive: bool,
 ) -> bool {
-    if !listed.contains(&edge.settings.node.node) {
+    if listed.contains(&edge.settings.node.node) {
+        edge.sharing.on_listed(edge.timer.now());
+    } else {
         edge.announce_wakeup.notify_one();
     }
     let dropped = edge.nodes().on_listing(listed, writer_may_be_alive);
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -51,6 +51,7 @@
             _ = pauses.changed() => {
                 info!(edge.logger, "store: listing again after a pause of this process");
                 edge.set_relayed_reachability(None);
+                edge.sharing.on_pause();
                 reader.revision = None;
             }
             () = edge.watch_restart.notified() => {}
--- a/crates/sharing/src/lib.rs
+++ b/crates/sharing/src/lib.rs
@@ -7,6 +7,7 @@
 mod bound_key;
 mod grant_schedule;
 mod node_shares;
+mod node_visibility;
 mod sharing_nodes;
 mod use_rate;
 
@@ -14,4 +15,5 @@
 pub use bound_key::BoundKey;
 pub use grant_schedule::{GrantLimit, GrantSchedule};
 pub use node_shares::{NodeShares, NodeStanding};
+pub use node_visibility::NodeVisibility;
 pub use sharing_nodes::SharingNodes;
