Log how the quarantine let a node make an attempt

Change: the line of an answered request has the fields attempt (ordinary, suspect, trial) and fingerprint. No decision changes.

--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -10,7 +10,7 @@
 use http::{HeaderMap, HeaderValue, StatusCode};
 use mux_config::traffic::{ExecutionSemantics, RouteRule, RouteTarget, ShardSet};
 use mux_model::{RequestId, RevisionNumber, ServiceName, SnapshotId, TimePoint};
-use mux_quarantine::AttemptKind;
+use mux_quarantine::{AttemptKind, RequestFingerprint};
 use mux_query::{AnswerTiming, FanOutPlan, greatest_records};
 use mux_routing::balancer::{QueryConstraints, QueryRouter};
 use slog::info;
@@ -46,6 +46,8 @@
 /// Properties of a request that are logged with its answer.
 struct RequestLogContext<'a> {
     id: &'a HeaderValue,
+    /// Fingerprint of the content; `None` if no decision needed it.
+    fingerprint: Option<RequestFingerprint>,
     rule: &'a RouteRule,
     version: RevisionNumber,
     origin: &'a RequestOrigin,
@@ -65,6 +67,8 @@
     pub(super) helpers: String,
     /// Longest time after which one of them may take requests again.
     pub(super) retry_after: Option<Duration>,
+    /// How the quarantine let this node make the attempt; `None` if it made none.
+    attempt: Option<AttemptKind>,
 }
 
 impl DispatchSummary {
@@ -74,8 +78,7 @@
             shards: driver_result.fan_out_result.coverage.total,
             replied_shards: driver_result.replies.len(),
             missing: describe_missing_shards(driver_result, services),
-            helpers: String::new(),
-            retry_after: None,
+            ..Self::default()
         }
     }
 }
@@ -142,6 +145,7 @@
             Err(refusal) => {
                 let log_context = RequestLogContext {
                     id: &metadata.request_id,
+                    fingerprint: None,
                     rule: &rule,
                     version,
                     origin: &origin,
@@ -174,6 +178,7 @@
         admission.on_answered(self.edge, &answer);
         let log_context = RequestLogContext {
             id: &metadata.request_id,
+            fingerprint: template.fingerprint.get().copied(),
             rule: &rule,
             version,
             origin: &origin,
@@ -213,11 +218,13 @@
         let fingerprint = || attempt.template.fingerprint();
         match admit_request(self.edge, fingerprint).await {
             Some(kind) => {
-                let result = self.dispatch::<W>(attempt, kind != AttemptKind::Ordinary).await;
+                let (answer, mut summary) =
+                    self.dispatch::<W>(attempt, kind != AttemptKind::Ordinary).await;
+                summary.attempt = Some(kind);
                 if kind == AttemptKind::Trial {
                     end_trial(self.edge, fingerprint());
                 }
-                result
+                (answer, summary)
             }
             None => (quarantined_answer(), DispatchSummary::default()),
         }
@@ -333,6 +340,8 @@
             "shards" => log_context.summary.shards,
             "parts" => log_context.summary.replied_shards,
             "missing" => &log_context.summary.missing,
+            "attempt" => log_context.summary.attempt.map_or("", AttemptKind::label),
+            "fingerprint" => log_context.fingerprint.map(|it| it.to_string()).unwrap_or_default(),
             "helpers" => &log_context.summary.helpers,
             "origin" => log_context.origin.node_name(),
             "suppressed_lines" => suppressed);
--- a/crates/quarantine/src/attempt_kind.rs
+++ b/crates/quarantine/src/attempt_kind.rs
@@ -10,3 +10,14 @@
     /// The request is quarantined, and this attempt is its trial.
     Trial,
 }
+
+impl AttemptKind {
+    /// Returns the name of the kind in logs.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Ordinary => "ordinary",
+            Self::Suspect => "suspect",
+            Self::Trial => "trial",
+        }
+    }
+}
