Let an entry that cannot be read cost that entry alone

Cause: the client decoded a reply as a whole, so that one value that is no Base64, or one item with a missing or malformed field, failed the listing and every watch; and Slots was multiplied without a bound, which ends the task that follows the store with a build that checks for overflow. Shown by a test with the code before: after the odd entries no later configuration and no later upstream was taken in, and a panic in max_connections.

Change: each item of a reply is decoded on its own. An unreadable value is a malformed entry of its key, and an item without a readable key is skipped. What was known of an entry stays, evidence and the configuration that peers copy included.

The stand-in of the store sends items as a test writes them.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -134,6 +134,7 @@
     pub(crate) store_calls: Family<StoreCallLabel, Counter>,
     pub(crate) store_failures: Family<StoreCallLabel, Counter>,
     pub(crate) relayed_updates: Family<ResultLabel, Counter>,
+    pub(crate) malformed_entries: Counter,
     pub(crate) config_version: Gauge,
     pub(crate) upstreams: Gauge,
     pub(crate) nodes: Gauge,
@@ -175,6 +176,7 @@
             store_calls: Family::default(),
             store_failures: Family::default(),
             relayed_updates: Family::default(),
+            malformed_entries: Counter::default(),
             config_version: Gauge::default(),
             upstreams: Gauge::default(),
             nodes: Gauge::default(),
@@ -209,6 +211,11 @@
     fn register(&self) {
         let mut registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
         let registry = registry.sub_registry_with_prefix("mustardmux");
+        registry.register(
+            "malformed_entries",
+            "Entries of the store that were skipped, as they cannot be decoded",
+            self.malformed_entries.clone(),
+        );
         registry.register("answers", "Final answers by outcome", self.answers.clone());
         registry.register(
             "upstream_ends",
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -44,6 +44,11 @@
 /// Period to which [`REQUEST_LOG_LINES`] applies.
 const REQUEST_LOG_PERIOD: Duration = Duration::from_secs(1);
 
+/// Maximum number of log lines about malformed entries in one [`MALFORMED_LOG_PERIOD`].
+const MALFORMED_LOG_LINES: u32 = 20;
+/// Period to which [`MALFORMED_LOG_LINES`] applies.
+const MALFORMED_LOG_PERIOD: Duration = Duration::from_secs(10);
+
 /// Whether a node serves normally or is stopping.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum StopPhase {
@@ -67,6 +72,7 @@
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) connection_tracker: ConnectionTracker,
     pub(crate) request_log: LogThrottle,
+    pub(crate) malformed_entry_log: LogThrottle,
     /// Makes the announcement task write this node's entry to the store again.
     pub(crate) announce_wakeup: Notify,
     /// Makes the announcement task write this node's changed record under its lease.
@@ -115,6 +121,7 @@
             stop_phase: watch::Sender::new(StopPhase::Serving),
             connection_tracker: ConnectionTracker::new(),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
+            malformed_entry_log: LogThrottle::new(MALFORMED_LOG_LINES, MALFORMED_LOG_PERIOD),
             announce_wakeup: Notify::new(),
             record_changed: Notify::new(),
             is_announced: AtomicBool::new(false),
--- a/crates/edge/src/relay/store_mirror.rs
+++ b/crates/edge/src/relay/store_mirror.rs
@@ -134,6 +134,11 @@
 
     fn record(&mut self, change: StoreChange, revision: StoreRevision) {
         let key = change_key(&change);
+        let is_malformed = matches!(change, StoreChange::Malformed { .. });
+        if is_malformed && key == StoreKey::Config && self.latest.contains_key(&key) {
+            // The configuration in force stays the one that nodes which start learn.
+            return;
+        }
         if matches!(change, StoreChange::Removed(_)) {
             self.removed.entry(revision).or_default().push(key.clone());
             self.removed_count += 1;
--- a/crates/edge/src/store.rs
+++ b/crates/edge/src/store.rs
@@ -105,6 +105,8 @@
 pub struct StoreUpdate {
     /// Changes in the order of the store.
     pub changes: Vec<StoreChange>,
+    /// Number of items that were skipped, as not even their keys can be read.
+    pub skipped_items: usize,
     /// The position from which the next watch resumes.
     pub revision: StoreRevision,
 }
--- a/crates/edge/src/sync/apply_update.rs
+++ b/crates/edge/src/sync/apply_update.rs
@@ -84,13 +84,14 @@
                 is_changed |= apply_removal(edge, &key, writer_may_be_alive)
             }
             StoreChange::Malformed { key, reason } => {
-                warn!(edge.logger, "store: malformed entry skipped"; "entry" => describe_key(&key),
-                    "reason" => reason);
+                log_malformed(edge, now, &key, &reason);
+                // What was known of the entry stays.
                 match key {
                     StoreKey::Upstream(instance) => _ = listed_instances.insert(instance),
                     StoreKey::Node(node) => _ = listed_nodes.insert(node),
                     StoreKey::Evacuation(zone) => _ = listed_zones.insert(zone),
-                    StoreKey::Config | StoreKey::SpentBudget(_) | StoreKey::Evidence(_) => {}
+                    StoreKey::Evidence(key) => _ = listed_evidence.insert(key),
+                    StoreKey::Config | StoreKey::SpentBudget(_) => {}
                 }
             }
         }
@@ -233,6 +234,27 @@
     !dropped.is_empty()
 }
 
+/// Logs an entry that cannot be decoded; a writer may repeat it without end.
+fn log_malformed(edge: &EdgeState, now: TimePoint, key: &StoreKey, reason: &str) {
+    edge.metrics.malformed_entries.inc();
+    if let Some(suppressed) = edge.malformed_entry_log.allow(now) {
+        warn!(edge.logger, "store: malformed entry skipped"; "entry" => describe_key(key),
+            "reason" => reason, "suppressed_lines" => suppressed);
+    }
+}
+
+/// Logs items of the store of which not even the keys can be read.
+pub(super) fn log_skipped_items(edge: &EdgeState, now: TimePoint, count: usize) {
+    if count == 0 {
+        return;
+    }
+    edge.metrics.malformed_entries.inc_by(u64::try_from(count).unwrap_or(u64::MAX));
+    if let Some(suppressed) = edge.malformed_entry_log.allow(now) {
+        warn!(edge.logger, "store: items without a readable key skipped"; "items" => count,
+            "suppressed_lines" => suppressed);
+    }
+}
+
 fn describe_key(key: &StoreKey) -> String {
     match key {
         StoreKey::Config => "config".to_owned(),
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -12,7 +12,7 @@
 
 use super::{
     ReadPacing,
-    apply_update::{UpdateKind, apply_update},
+    apply_update::{UpdateKind, apply_update, log_skipped_items},
     evidence_task::{exchange_with_peer, exchange_with_peers},
 };
 use crate::{
@@ -275,6 +275,7 @@
                 self.edge.set_relayed_reachability(None);
                 let changes = update.changes.len();
                 let now = self.edge.timer.now();
+                log_skipped_items(&self.edge, now, update.skipped_items);
                 apply_update(&self.edge, now, kind, update.changes, update.revision);
                 if kind == UpdateKind::Listing {
                     // The store may not have got the latest evidence against requests yet.
--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -49,7 +49,7 @@
     }
 
     pub(super) fn max_connections(&self, upstream: &TrackedUpstream) -> u32 {
-        let useful_connections = upstream.slots() * CONNECTIONS_PER_SLOT;
+        let useful_connections = upstream.slots().saturating_mul(CONNECTIONS_PER_SLOT);
         let useful_connections = useful_connections.min(upstream.assumed_connection_limit());
         let Some(limit) = self.connection_limit else {
             return useful_connections;
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -25,7 +25,10 @@
     CallCounters, FaultPlan, KvSettings,
     kv_copies::KvCopies,
     kv_request::{EntryBody, KvRequest, LeaseBody, RestoreBody, TxnBody, decode_write},
-    replies::{Reply, bad_request, events, item, not_found, ok, reply, reply_while_down},
+    replies::{
+        PageBody, Reply, bad_request, events, item, listed_item, not_found, ok, reply,
+        reply_while_down,
+    },
 };
 
 /// Maximum number of entries in one page of a range.
@@ -211,10 +214,10 @@
         let state = self.state();
         let is_after_cursor = |key: &str| after.as_deref().is_none_or(|it| it < key);
         let mut remaining = state.kv.entries(&prefix).filter(|(key, _)| is_after_cursor(key));
-        let items: Vec<_> =
-            remaining.by_ref().take(PAGE_ENTRIES).map(|(key, it)| item(key, it)).collect();
-        let more = remaining.next().is_some();
-        ok(&json!({ "items": items, "MorePages": more, "AtRev": state.kv.version() }))
+        let page = remaining.by_ref().take(PAGE_ENTRIES);
+        let items = page.filter_map(|(key, it)| listed_item(key, it)).collect();
+        let more_pages = remaining.next().is_some();
+        ok(&PageBody { items, more_pages, at_rev: state.kv.version() })
     }
 
     fn txn(&self, call: &KvRequest) -> Reply {
--- a/crates/store/src/errors.rs
+++ b/crates/store/src/errors.rs
@@ -18,6 +18,8 @@
     LeaseExpired,
     /// The service rejected the call, or the call was not sent; nothing was written.
     Unavailable(String),
+    /// The stored value cannot be decoded; nothing was written. Only another write of the key helps.
+    Unreadable(String),
     /// The outcome is unknown: the call was sent, but no valid reply was received.
     Unknown(String),
 }
@@ -40,6 +42,7 @@
             }
             Self::LeaseExpired => f.write_str("the lease has lapsed"),
             Self::Unavailable(why) => write!(f, "the key-value service is unavailable: {why}"),
+            Self::Unreadable(why) => write!(f, "the stored value cannot be read: {why}"),
             Self::Unknown(why) => {
                 write!(f, "the outcome at the key-value service is unknown: {why}")
             }
