Let an odd definition or VM cost its own service or VM alone

Cause: an update of the configuration was applied only if every definition in it could be decoded, and was asked for again otherwise, without end; the list of VMs was decoded as a whole; and a change of a service whose stored definition cannot be decoded failed, so that operators could not mend it. Stored definitions were decoded without the checks of their values.

Change: a definition that cannot be decoded or holds values out of range is kept as it is beside the services, passed on to peers and counted in the fingerprint. Its service keeps the last definition that is known; a log line names it. VMs are decoded one by one.

--- a/crates/config/src/config_loader.rs
+++ b/crates/config/src/config_loader.rs
@@ -4,7 +4,7 @@
 
 use futures::future::try_join_all;
 use mux_model::{FastSet, RevisionNumber};
-use mux_store::{KvStore, ValueVersion};
+use mux_store::{KvStore, StoreError, ValueVersion};
 
 use crate::{
     ChangeKind, ConfigHead, ConfigState, ConfigUpdate, HeadEntry, LoadError, RemovedService,
@@ -113,12 +113,18 @@
 
     async fn read_entry(&self, entry: &HeadEntry) -> Result<Option<UpdateEntry>, LoadError> {
         let key = definition_key(&entry.name, &entry.change);
-        let stored = self.store.get(&key).await?;
-        Ok(stored.map(|stored| UpdateEntry {
+        let definition = match self.store.get(&key).await {
+            Ok(Some(stored)) => stored.value,
+            Ok(None) => return Ok(None),
+            // The update contains it as it is, and the other services are applied.
+            Err(StoreError::Unreadable(_)) => String::new(),
+            Err(error) => return Err(error.into()),
+        };
+        Ok(Some(UpdateEntry {
             name: entry.name.clone(),
             revision: entry.revision,
             change: entry.change.clone(),
-            definition: stored.value,
+            definition,
         }))
     }
 }
--- a/crates/config/src/config_state.rs
+++ b/crates/config/src/config_state.rs
@@ -26,6 +26,8 @@
 pub struct ConfigState {
     revision: RevisionNumber,
     services: FastMap<ServiceName, ServiceEntry>,
+    /// The stored definitions that cannot be decoded. A service whose earlier definition is known keeps it.
+    unreadable: FastMap<ServiceName, UpdateEntry>,
     removed: Vec<RemovedService>,
     /// Revision after which `removed` contains every removal.
     removals_after: RevisionNumber,
@@ -53,6 +55,11 @@
         self.services.len()
     }
 
+    /// Returns the services whose stored definitions cannot be decoded, in no particular order.
+    pub fn unreadable_services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.unreadable.keys()
+    }
+
     /// Returns a fingerprint of the names and revisions of all services.
     pub fn fingerprint(&self) -> u64 {
         self.fingerprint
@@ -95,12 +102,24 @@
             Some(_) => self.clone(),
             None => Self::default(),
         };
+        let is_full = update.since.is_none();
         if update.since.unwrap_or_default() < update.removals_after {
             state.removals_after = update.removals_after.max(state.removals_after);
         }
         state.remove(&update.removed);
         for entry in &update.entries {
-            state.services.insert(entry.name.clone(), ServiceEntry::from_update(entry)?);
+            match ServiceEntry::from_update(entry) {
+                Some(service) => {
+                    state.unreadable.remove(&entry.name);
+                    state.services.insert(entry.name.clone(), service);
+                }
+                None => {
+                    if let Some(known) = self.services.get(&entry.name).filter(|_| is_full) {
+                        state.services.entry(entry.name.clone()).or_insert_with(|| known.clone());
+                    }
+                    state.unreadable.insert(entry.name.clone(), entry.clone());
+                }
+            }
         }
         state.revision = update.revision;
         state.trim_removed();
@@ -109,7 +128,10 @@
     }
 
     fn compute_fingerprint(&self) -> u64 {
-        fingerprint_services(self.services.iter().map(|(name, it)| (name, it.revision)))
+        let readable = self.services.iter().map(|(name, it)| (name, it.revision));
+        let current = readable.filter(|(name, _)| !self.unreadable.contains_key(*name));
+        let unreadable = self.unreadable.iter().map(|(name, it)| (name, it.revision));
+        fingerprint_services(current.chain(unreadable))
     }
 
     fn remove(&mut self, removed: &[RemovedService]) {
@@ -118,6 +140,9 @@
             if self.services.get(&removal.name).is_some_and(outdated) {
                 self.services.remove(&removal.name);
             }
+            if self.unreadable.get(&removal.name).is_some_and(|it| it.revision < removal.revision) {
+                self.unreadable.remove(&removal.name);
+            }
             if !self.removed.contains(removal) {
                 self.removed.push(removal.clone());
             }
@@ -134,13 +159,15 @@
 
     fn entries_after(&self, since: RevisionNumber) -> Vec<UpdateEntry> {
         let changed = self.services.iter().filter(|(_, it)| since < it.revision);
-        changed.map(|(name, entry)| entry.to_update(name)).collect()
+        let unreadable = self.unreadable.values().filter(|it| since < it.revision);
+        // The later definition of a service follows the one that is in use.
+        changed.map(|(name, entry)| entry.to_update(name)).chain(unreadable.cloned()).collect()
     }
 }
 
 impl ServiceEntry {
     fn from_update(entry: &UpdateEntry) -> Option<Self> {
-        let definition: ServiceDefinition = serde_json::from_str(&entry.definition).ok()?;
+        let definition = ServiceDefinition::from_json(&entry.definition).ok()?;
         if definition.name != entry.name {
             return None;
         }
--- a/crates/config/src/config_writer.rs
+++ b/crates/config/src/config_writer.rs
@@ -246,8 +246,15 @@
         let Some(entry) = head.service(&change.service) else {
             return Ok(None);
         };
-        let stored = read_value(&self.store, &definition_key(&entry.name, &entry.change)).await?;
-        stored.map(Some).ok_or(LoadError::ConcurrentChanges)
+        let key = definition_key(&entry.name, &entry.change);
+        match read_value(&self.store, &key).await {
+            Ok(stored) => stored.map(Some).ok_or(LoadError::ConcurrentChanges),
+            // Operators have to be able to replace a definition that cannot be decoded.
+            Err(LoadError::Malformed { .. } | LoadError::Store(StoreError::Unreadable(_))) => {
+                Ok(None)
+            }
+            Err(error) => Err(error),
+        }
     }
 
     /// Records a conflict or a reused change id in the audit trail; other errors are not recorded,
@@ -313,7 +320,9 @@
 /// Classifies the failure of a step that precedes the commit.
 fn pre_commit_failure(error: StoreError) -> AttemptFailure {
     match error {
-        StoreError::Unavailable(_) => AttemptFailure::Final(ChangeError::Unavailable(error)),
+        StoreError::Unavailable(_) | StoreError::Unreadable(_) => {
+            AttemptFailure::Final(ChangeError::Unavailable(error))
+        }
         _ => AttemptFailure::Retry(ChangeError::Unavailable(error)),
     }
 }
--- a/crates/node/src/node/config.rs
+++ b/crates/node/src/node/config.rs
@@ -3,13 +3,16 @@
 use std::sync::{Arc, atomic::Ordering};
 
 use mux_config::{ConfigState, ConfigUpdate, ServiceDefinition, ServiceEntry, UpdateOutcome};
-use mux_model::{RevisionNumber, UpstreamId};
+use mux_model::{RevisionNumber, ServiceName, UpstreamId};
 use mux_placement::{HomeLimits, watcher_nodes};
 use slog::{info, warn};
 
 use super::{Node, StopPhase};
 use crate::dispatch::{ServicePlacement, ServiceRuntime};
 
+/// Maximum number of services in one log line.
+const MAX_LOGGED_SERVICES: usize = 8;
+
 impl Node {
     /// Returns the revision in force at this node.
     pub(crate) fn revision(&self) -> RevisionNumber {
@@ -35,6 +38,7 @@
                 self.lock_freshness().on_applied(to);
                 self.gossip.set_revision(to);
                 info!(self.logger, "config: revision in force"; "from" => from.0, "to" => to.0);
+                self.log_unreadable_services();
             }
             UpdateOutcome::FullUpdateRequired => {
                 warn!(self.logger, "config: update rejected; full update required";
@@ -45,6 +49,17 @@
         outcome
     }
 
+    /// Logs which definitions cannot be decoded; once for each revision that is applied.
+    fn log_unreadable_services(&self) {
+        let config = self.config();
+        let mut names = config.unreadable_services().map(ServiceName::as_str);
+        let first: Vec<&str> = names.by_ref().take(MAX_LOGGED_SERVICES).collect();
+        if !first.is_empty() {
+            warn!(self.logger, "config: definitions cannot be decoded; their services keep the last ones";
+                "services" => first.join(" "), "more" => names.count());
+        }
+    }
+
     /// Updates the watcher role, the peer connections and the services after a membership change.
     pub(crate) fn on_members_changed(&self) {
         let watchers = watcher_nodes(&self.candidates());
--- a/crates/node/src/sync/vm_watch.rs
+++ b/crates/node/src/sync/vm_watch.rs
@@ -2,13 +2,17 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
+use mux_logs::LogThrottle;
 use mux_model::{FastSet, UpstreamId};
-use mux_store::{KvStore, VmEntry, VmList, VmState};
+use mux_store::{KvStore, StoreError, VmEntry, VmList, VmState};
+use slog::warn;
 
 use crate::Node;
 
 const WATCHER_PERIOD: Duration = Duration::from_secs(1);
 const NO_PEERS_PERIOD: Duration = Duration::from_secs(2);
+const LOG_PERIOD: Duration = Duration::from_secs(30);
+const LOG_LINES: u32 = 2;
 const NODE_ROLE: &str = "node";
 const UPSTREAM_ROLE: &str = "upstream";
 
@@ -20,20 +24,31 @@
 pub(crate) async fn watch_vms(node: Arc<Node>) {
     node.gossip().join(&node.settings().seeds);
     let mut leaving = FastSet::default();
+    let throttle = LogThrottle::new(LOG_LINES, LOG_PERIOD);
     loop {
         let has_no_peers = node.gossip().members().members.len() <= 1;
         if has_no_peers || node.watches_store() {
-            read_list(&node, &mut leaving).await;
+            read_list(&node, &throttle, &mut leaving).await;
         }
         let period = if has_no_peers { NO_PEERS_PERIOD } else { WATCHER_PERIOD };
         node.timer().sleep(period).await;
     }
 }
 
-async fn read_list(node: &Node, leaving: &mut FastSet<UpstreamId>) {
-    let Ok(list) = node.store().list_vms().await else {
-        return;
+async fn read_list(node: &Node, throttle: &LogThrottle, leaving: &mut FastSet<UpstreamId>) {
+    let list = match node.store().list_vms().await {
+        Ok(list) => list,
+        Err(error) => {
+            // That the store does not answer is reported with the configuration.
+            if matches!(error, StoreError::Unreadable(_)) {
+                log_malformed(node, throttle, &error.to_string());
+            }
+            return;
+        }
     };
+    if 0 < list.skipped {
+        log_malformed(node, throttle, &format!("{} malformed entries skipped", list.skipped));
+    }
     let seeds = node_seeds(&list, node.settings().listen.peer);
     if !seeds.is_empty() {
         let all: Vec<_> = seeds.into_iter().chain(node.settings().seeds.iter().copied()).collect();
@@ -50,6 +65,13 @@
     }
 }
 
+fn log_malformed(node: &Node, throttle: &LogThrottle, reason: &str) {
+    if let Some(suppressed) = throttle.allow(node.timer().now()) {
+        warn!(node.logger(), "vms: malformed list of VMs"; "reason" => reason,
+            "suppressed_lines" => suppressed);
+    }
+}
+
 fn node_seeds(list: &VmList, own: SocketAddr) -> Vec<SocketAddr> {
     let nodes = list.vms.iter().filter(|it| it.role == NODE_ROLE);
     nodes.filter_map(first_address).filter(|it| *it != own).collect()
--- a/crates/standins/src/kv/http_routes.rs
+++ b/crates/standins/src/kv/http_routes.rs
@@ -66,7 +66,7 @@
     pub(crate) fn new(timer: TimerService, settings: KvSettings) -> Self {
         let state = ServerState { faults: settings.faults, ..ServerState::default() };
         let routes = Self { timer, state: Mutex::new(state), changes: watch::Sender::new(0) };
-        routes.set_vms(&VmList { vms: settings.vms });
+        routes.set_vms(&VmList { vms: settings.vms, ..VmList::default() });
         routes
     }
 
--- a/crates/store/src/vm_list.rs
+++ b/crates/store/src/vm_list.rs
@@ -4,6 +4,7 @@
 
 use mux_model::AvailabilityZone;
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 /// State of a VM as reported by the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -36,4 +37,27 @@
 pub struct VmList {
     /// The entries.
     pub vms: Vec<VmEntry>,
+    /// Number of entries that were skipped, as they cannot be decoded.
+    #[serde(skip)]
+    pub skipped: usize,
+}
+
+/// The list with entries that are decoded one by one.
+#[derive(Deserialize)]
+struct RawVmList {
+    vms: Vec<Box<RawValue>>,
+}
+
+impl VmList {
+    /// Decodes the list from JSON. An entry that cannot be decoded, or has a port 0, is skipped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `text` is no list.
+    pub fn from_json(text: &str) -> serde_json::Result<Self> {
+        let entries = serde_json::from_str::<RawVmList>(text)?.vms;
+        let decoded = entries.iter().filter_map(|it| serde_json::from_str(it.get()).ok());
+        let vms: Vec<VmEntry> = decoded.filter(|it: &VmEntry| !it.ports.contains(&0)).collect();
+        Ok(Self { skipped: entries.len() - vms.len(), vms })
+    }
 }
