Reject a reply whose upstream ends its stream before the reply

Cause, on the own interface: the HTTP library ends a body without an error when the upstream resets its stream with NO_ERROR or CANCEL, or sends GOAWAY with NO_ERROR that excludes the stream. What had arrived until then was taken for the whole reply, unless it was no JSON value or shorter than its declared length.

Change: a body counts only if the stream has ended with END_STREAM.

Measured: crates/upstream/tests/broken_off_replies.rs cuts replies at every byte, and ends their streams between any two frames; the second failed for the cases above and passes now. On the platform's interface no cut in head, length, chunks or trailers (HTTP/1.1) passes for a success, and no request that breaks off reaches an upstream: platform/tests/broken_off_replies.rs passes with the code before as well.

--- a/crates/upstream/src/call_reply.rs
+++ b/crates/upstream/src/call_reply.rs
@@ -95,6 +95,11 @@
         }
         chunks.push(data);
     }
+    // The library also ends a body without an error when the upstream resets its stream or sends GOAWAY
+    // with NO_ERROR or CANCEL, whatever is missing of the reply.
+    if !body.is_end_stream() {
+        return Err(CallFailure::ConnectionLost);
+    }
     let bytes = chunks.into_bytes();
     if declared_length.is_some_and(|it| it != bytes.len() as u64) {
         return Err(CallFailure::BadReply);
--- a/crates/upstream/tests/support/raw_server.rs
+++ b/crates/upstream/tests/support/raw_server.rs
@@ -22,6 +22,10 @@
     pub(crate) const REFUSED_STREAM: &[u8] = &[0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, 7];
     /// RST_STREAM of stream 1 with INTERNAL_ERROR.
     pub(crate) const RESET_STREAM: &[u8] = &[0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, 2];
+    /// RST_STREAM of stream 1 with NO_ERROR.
+    pub(crate) const END_STREAM_EARLY: &[u8] = &[0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, 0];
+    /// RST_STREAM of stream 1 with CANCEL.
+    pub(crate) const CANCEL_STREAM: &[u8] = &[0, 0, 4, 3, 0, 0, 0, 0, 1, 0, 0, 0, 8];
     /// GOAWAY whose last stream identifier is 0.
     pub(crate) const GO_AWAY_LAST_STREAM_0: &[u8] =
         &[0, 0, 8, 7, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0];
@@ -43,6 +47,24 @@
         [&[0, 0, length, 1, 4, 0, 0, 0, 1], &block[..]].concat()
     }
 
+    /// Returns HEADERS of stream 1 with END_STREAM and one literal: the trailers of a reply.
+    pub(crate) fn trailers(name: &str, value: &str) -> Vec<u8> {
+        let mut block = vec![0];
+        for text in [name, value] {
+            block.push(u8::try_from(text.len()).expect("short text"));
+            block.extend_from_slice(text.as_bytes());
+        }
+        let length = u8::try_from(block.len()).expect("short block");
+        [&[0, 0, length, 1, 5, 0, 0, 0, 1], &block[..]].concat()
+    }
+
+    /// Returns DATA of stream 1 with END_STREAM.
+    pub(crate) fn last_data(text: &str) -> Vec<u8> {
+        let mut frame = data(text);
+        frame[4] = 1;
+        frame
+    }
+
     /// Returns DATA of stream 1 without END_STREAM.
     pub(crate) fn data(text: &str) -> Vec<u8> {
         let length = u8::try_from(text.len()).expect("short text");
