Send nothing of a suspect query that too few shards can answer

Cause: an ordinary query reserves an upstream of each shard before it sends anything; a suspect one calls one shard first, and learnt only then that too few others have an upstream.

Change: a router tells whether a shard has an upstream that can accept a call now or after a wait, without reserving it. Shards without one fail at the start, and the query is refused as not run if its coverage cannot be reached.

--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -123,7 +123,10 @@
             self.hedge_delay = router.hedge_delay(now);
         }
         if self.containment.is_contained() {
-            self.start_contained(now, router, actions);
+            self.fail_unreachable_shards(now, router);
+            if self.completion(now).is_none() {
+                self.start_contained(now, router, actions);
+            }
             return self.advance(now, router, actions);
         }
         for shard in self.plan.map.shards() {
--- a/crates/query/src/fan_out/crashes.rs
+++ b/crates/query/src/fan_out/crashes.rs
@@ -21,6 +21,17 @@
         call.is_some_and(|it| self.containment.is_strong_sign(it.shard, it.sent_at))
     }
 
+    /// Marks the shards without a usable replica as failed, so that a request that may crash upstreams
+    /// reaches none if it cannot be answered in any case.
+    pub(super) fn fail_unreachable_shards<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
+        let map = &self.plan.map;
+        let is_unreachable = |it: &ShardIndex| !router.has_replica(now, map.replicas(*it));
+        let unreachable: Vec<ShardIndex> = map.shards().filter(is_unreachable).collect();
+        for shard in unreachable {
+            self.mark_failed(shard);
+        }
+    }
+
     /// Starts the fan-out of a request that may crash upstreams: the other shards are held until the
     /// first one that has a replica has answered.
     pub(super) fn start_contained<R: ReplicaRouter>(
--- a/crates/routing/src/balancer/query_router.rs
+++ b/crates/routing/src/balancer/query_router.rs
@@ -102,6 +102,13 @@
         lock(&self.refusals).clone()
     }
 
+    /// Returns the longest latency of a call that is sent now and still useful.
+    fn max_latency(&self, now: TimePoint) -> Duration {
+        let QueryConstraints { soft_deadline, deadline, .. } = self.constraints;
+        let reply_by = if now < soft_deadline { soft_deadline } else { deadline };
+        reply_by.since(now).mul_f64(MAX_LATENCY_SHARE)
+    }
+
     fn record_refusal(&self, candidates: &[UpstreamId], error: AcquireError) {
         // A waiting call retries every few milliseconds; recording each attempt would make the list
         // too long.
@@ -146,9 +153,8 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError> {
         let shard = candidates.first().and_then(|it| self.shard_of(*it));
-        let QueryConstraints { rank, soft_deadline, deadline, .. } = self.constraints;
-        let reply_by = if now < soft_deadline { soft_deadline } else { deadline };
-        let max_latency = reply_by.since(now).mul_f64(MAX_LATENCY_SHARE);
+        let rank = self.constraints.rank;
+        let max_latency = self.max_latency(now);
         let shard = shard.ok_or(AcquireError::NoReplica)?;
         let acquired = self.balancers[shard].acquire_by_rank(
             now,
@@ -172,6 +178,12 @@
         acquired
     }
 
+    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool {
+        let balancer = candidates.first().and_then(|it| self.balancer_of(*it));
+        let max_latency = self.max_latency(now);
+        balancer.is_some_and(|it| it.has_upstream(now, &self.latency_estimate, max_latency))
+    }
+
     fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
         let Some(balancer) = self.balancer_of(upstream) else {
             return;
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -182,6 +182,17 @@
         self.lock().reserve(now, excluded, kind, estimate, max_latency)
     }
 
+    /// Returns whether an upstream can accept a first call, at once or after a wait; reserves nothing.
+    pub fn has_upstream(
+        &self,
+        now: TimePoint,
+        estimate: &LatencyEstimate,
+        max_latency: Duration,
+    ) -> bool {
+        let chosen = self.lock().choose(now, &[], CallKind::First, estimate, max_latency);
+        matches!(chosen, Ok(_) | Err(AcquireError::Saturated { .. }))
+    }
+
     /// Reserves a connection like [`Self::acquire`], but yields to waiting calls of more urgent
     /// routes. `rank` is the priority rank of the route; zero is the most urgent.
     ///
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -163,6 +163,10 @@
         kind: CallKind,
     ) -> Result<UpstreamId, AcquireError>;
 
+    /// Returns whether any of `candidates` can accept a first call, at once or after a wait; reserves
+    /// nothing.
+    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool;
+
     /// Releases the slot and records the outcome of the call.
     fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome);
 
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -212,6 +212,13 @@
         acquired
     }
 
+    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool {
+        let settings = self.settings();
+        candidates
+            .iter()
+            .any(|it| !matches!(self.availability(now, &settings, *it), Availability::Unavailable))
+    }
+
     fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
         let settings = self.settings();
         let jitter = self.jitter();
