Give upstreams more time between the trials of a quarantined request

Cause: the first trial was due five seconds after the latest evidence, the second 30 s after it. Upstreams need three seconds to come back.

Change: 20 s and 60 s.

Measured: the tests of the ledger use the new times and are otherwise as they were.

--- a/crates/quarantine/src/suspect_request.rs
+++ b/crates/quarantine/src/suspect_request.rs
@@ -17,8 +17,9 @@
 /// Maximum number of pieces of evidence of one request; those of the same crash get half of it.
 const MAX_EVIDENCE_PER_REQUEST: usize = 12;
 /// Time from the latest evidence to the next trial, by the number of trials that ended in a crash. After
-/// the last one, a request gets no further ones.
-const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(5), Duration::from_secs(30)];
+/// the last one, a request gets no further ones. Each trial of a request that is the cause costs upstreams,
+/// which have to be back long before the next one.
+const TRIAL_DELAYS: [Duration; 2] = [Duration::from_secs(20), Duration::from_secs(60)];
 
 #[derive(Debug, Clone)]
 pub(crate) struct KnownEvidence {
--- a/crates/quarantine/tests/crash_ledger.rs
+++ b/crates/quarantine/tests/crash_ledger.rs
@@ -152,21 +152,21 @@
 #[gtest]
 fn quarantined_request_gets_no_trial_after_two_that_ended_in_a_crash() {
     let mut ledger = ledger_with_crashes(request("a"), 3);
-    expect_that!(due_trial(&mut ledger, at(6), request("a")), none());
+    expect_that!(due_trial(&mut ledger, at(21), request("a")), none());
 
-    let first = due_trial(&mut ledger, at(7), request("a")).unwrap();
+    let first = due_trial(&mut ledger, at(22), request("a")).unwrap();
     expect_that!(first.key.source, eq(&EvidenceSource::Trial(3)));
-    ledger.on_stored(at(7), first);
-    ledger.record(at(8), crash(request("a"), 8));
-    ledger.end_trial(at(8), request("a"));
-    expect_that!(due_trial(&mut ledger, at(37), request("a")), none());
+    ledger.on_stored(at(22), first);
+    ledger.record(at(23), crash(request("a"), 23));
+    ledger.end_trial(at(23), request("a"));
+    expect_that!(due_trial(&mut ledger, at(82), request("a")), none());
 
-    let second = due_trial(&mut ledger, at(38), request("a")).unwrap();
+    let second = due_trial(&mut ledger, at(83), request("a")).unwrap();
     expect_that!(second.key.source, eq(&EvidenceSource::Trial(4)));
-    ledger.on_stored(at(38), second);
-    ledger.record(at(39), crash(request("a"), 39));
-    ledger.end_trial(at(39), request("a"));
-    let later = (40..7_200).map(|it| due_trial(&mut ledger, at(it), request("a")));
+    ledger.on_stored(at(83), second);
+    ledger.record(at(84), crash(request("a"), 84));
+    ledger.end_trial(at(84), request("a"));
+    let later = (85..7_200).map(|it| due_trial(&mut ledger, at(it), request("a")));
     expect_that!(later.flatten().count(), eq(0));
 }
 
@@ -174,37 +174,37 @@
 #[gtest]
 fn trial_of_another_node_is_waited_for() {
     let mut ledger = ledger_with_crashes(request("a"), 3);
-    let trial = due_trial(&mut ledger, at(7), request("a")).unwrap();
+    let trial = due_trial(&mut ledger, at(22), request("a")).unwrap();
 
-    ledger.on_stored(at(7), trial);
+    ledger.on_stored(at(22), trial);
 
-    expect_that!(due_trial(&mut ledger, at(36), request("a")), none());
+    expect_that!(due_trial(&mut ledger, at(51), request("a")), none());
     // Its node has stopped meanwhile.
-    due_trial(&mut ledger, at(37), request("a"));
-    expect_that!(due_trial(&mut ledger, at(39), request("a")), some(anything()));
+    due_trial(&mut ledger, at(52), request("a"));
+    expect_that!(due_trial(&mut ledger, at(54), request("a")), some(anything()));
 }
 
 /// While a service has no upstream, a trial reaches none and proves nothing.
 #[gtest]
 fn trial_without_a_result_is_followed_by_another_one() {
     let mut ledger = ledger_with_crashes(request("a"), 3);
-    let trial = due_trial(&mut ledger, at(7), request("a")).unwrap();
-    ledger.on_stored(at(7), trial.clone());
+    let trial = due_trial(&mut ledger, at(22), request("a")).unwrap();
+    ledger.on_stored(at(22), trial.clone());
 
-    ledger.end_trial(at(8), request("a"));
+    ledger.end_trial(at(23), request("a"));
 
-    expect_that!(ledger.pending_update(at(8), 32).withdrawals, elements_are![eq(&trial.key)]);
-    expect_that!(due_trial(&mut ledger, at(9), request("a")), none());
-    expect_that!(due_trial(&mut ledger, at(10), request("a")), some(anything()));
+    expect_that!(ledger.pending_update(at(23), 32).withdrawals, elements_are![eq(&trial.key)]);
+    expect_that!(due_trial(&mut ledger, at(24), request("a")), none());
+    expect_that!(due_trial(&mut ledger, at(25), request("a")), some(anything()));
 }
 
 #[gtest]
 fn answered_trial_ends_the_quarantine() {
     let mut ledger = ledger_with_crashes(request("a"), 3);
-    let trial = due_trial(&mut ledger, at(7), request("a")).unwrap();
-    ledger.on_stored(at(7), trial);
+    let trial = due_trial(&mut ledger, at(22), request("a")).unwrap();
+    ledger.on_stored(at(22), trial);
 
-    ledger.on_reply(request("a"), &SERVICE.into(), at(8));
+    ledger.on_reply(request("a"), &SERVICE.into(), at(23));
 
     expect_true!(ledger.is_empty());
 }
--- a/crates/quarantine/tests/evidence_notices.rs
+++ b/crates/quarantine/tests/evidence_notices.rs
@@ -49,9 +49,9 @@
 fn trial_is_remembered_beside_much_evidence() {
     let mut ledger = ledger_with_crashes(request("a"), 3);
     (10..30).for_each(|it| ledger.on_stored(at(2), crash_at(request("a"), it, 2_000 + it)));
-    let trial = due_trial(&mut ledger, at(7), request("a")).unwrap();
+    let trial = due_trial(&mut ledger, at(22), request("a")).unwrap();
 
-    ledger.on_stored(at(7), trial);
+    ledger.on_stored(at(22), trial);
 
-    expect_that!(due_trial(&mut ledger, at(8), request("a")), none());
+    expect_that!(due_trial(&mut ledger, at(23), request("a")), none());
 }
