Answer every request of a planned stop, and take none that cannot be completed

Cause: a stopping node took requests until it closed its connections at 60% of the grace period, whatever time they might need, and the process ended 0.4 s before the end of the period with the requests that were still in flight. It did not wait for requests of other nodes at all.

Change: a stopping node refuses at once, as not run, what it cannot expect to complete: a request may need four latency targets of its route, or eight if it must not be repeated, and never more than its deadline. 0.3 s before the exit each request in flight gets its final answer: 503 if no upstream can have run it, 504 with the outcome interrupted otherwise. Requests of other nodes are waited for, and given up in time for the other node to repeat them.

--- a/crates/edge/src/caller/request_server.rs
+++ b/crates/edge/src/caller/request_server.rs
@@ -1,6 +1,6 @@
 //! Serves callers' requests.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
@@ -11,7 +11,10 @@
 use crate::{
     WireProtocol,
     edge_state::{EdgeState, StopPhase},
-    query::{CallerRequest, FinalAnswer, RequestHandler, RequestOrigin, failure_answer},
+    planned_stop::wait_for_final_answers,
+    query::{
+        CallerRequest, FinalAnswer, RequestHandler, RequestOrigin, failure_answer, stopping_answer,
+    },
 };
 
 /// Bytes of a header line besides its name and value: colon, space and line break.
@@ -26,7 +29,12 @@
     let received_at = edge.timer.now();
     let handler = RequestHandler::new(&edge);
     let id = W::read_request(request.headers()).ok().map(|it| it.request_id);
-    let answer = match read_request(&edge, caller_address, request).await {
+    let read = tokio::select! {
+        biased;
+        read = read_request(&edge, caller_address, request) => read,
+        () = wait_for_final_answers(&edge) => Err(stopping_answer(Duration::ZERO)),
+    };
+    let answer = match read {
         Ok(request) => handler.handle::<W>(request).await,
         Err(refusal) => handler.record_refusal(received_at, id.as_ref(), refusal),
     };
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -28,6 +28,7 @@
     StoreRevision,
     balancer_table::{BalancerTable, BalancerUpdate},
     edge_metrics::{EdgeMetrics, StoreCallLabel},
+    planned_stop::PlannedStop,
     quarantine_state::RequestQuarantine,
     relay::HelperLinks,
     route_states::RouteStates,
@@ -54,8 +55,8 @@
 pub(crate) enum StopPhase {
     /// The node serves requests.
     Serving,
-    /// The node still serves requests, but tells callers to close their connections.
-    Stopping,
+    /// The node still serves requests that it can complete, but tells callers to close their connections.
+    Stopping(PlannedStop),
 }
 
 /// The shared state of a node.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 mod edge_state;
 mod errors;
 mod evacuation_metrics;
+mod planned_stop;
 mod quarantine_state;
 mod query;
 mod reach;
--- a/crates/edge/src/query/assisted_answer.rs
+++ b/crates/edge/src/query/assisted_answer.rs
@@ -225,6 +225,7 @@
             tried.push(helper.node.clone());
             let request = self.forwarded_request(attempt, calls_made);
             let limit = attempt.time_left(edge) + ANSWER_MARGIN;
+            attempt.template.is_forwarded.store(true, Ordering::Relaxed);
             let running = Box::pin(edge.helpers.run_request(edge, &helper, request, limit));
             let result = running.await;
             edge.metrics.forwarded_requests.get_or_create(&result_label(&result)).inc();
--- a/crates/edge/src/query/caller_request.rs
+++ b/crates/edge/src/query/caller_request.rs
@@ -2,7 +2,10 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, OnceLock, atomic::AtomicU32},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32},
+    },
     time::Duration,
 };
 
@@ -64,6 +67,7 @@
             execution,
             received_at: self.received_at,
             calls_per_shard: AtomicU32::new(0),
+            is_forwarded: AtomicBool::new(0 < self.origin.calls_made()),
             caller_address: self.caller_address,
             caller: metadata.caller.clone(),
             fingerprint,
--- a/crates/edge/src/query/final_answer.rs
+++ b/crates/edge/src/query/final_answer.rs
@@ -15,6 +15,9 @@
 /// the same factor for requests without a time limit.
 const MAX_RETRY_AFTER_DIVISOR: u32 = 4;
 
+/// Outcome of a request that was in flight when its node had to exit.
+pub(super) const INTERRUPTED_OUTCOME: &str = "interrupted";
+
 /// Status, headers and complete body of an answer to a caller.
 #[derive(Debug, Clone)]
 pub(crate) struct FinalAnswer {
@@ -79,6 +82,18 @@
     answer
 }
 
+/// Returns the answer to a request that this node cannot complete before it exits. It was not run and will
+/// not be.
+pub(crate) fn stopping_answer(time_left: Duration) -> FinalAnswer {
+    refusal_answer("this node is stopping", None, time_left)
+}
+
+/// Returns the answer to a request that was in flight when this node had to exit.
+pub(super) fn interrupted_answer() -> FinalAnswer {
+    let reason = "this node stops before an upstream has replied";
+    failure_answer(StatusCode::GATEWAY_TIMEOUT, INTERRUPTED_OUTCOME, reason)
+}
+
 fn suggest_retry(answer: &mut FinalAnswer, retry_after: Option<Duration>, time_left: Duration) {
     let delay = retry_after.unwrap_or_default().max(MIN_RETRY_AFTER);
     let delay = delay.min(time_left / MAX_RETRY_AFTER_DIVISOR);
--- a/crates/edge/src/query/helped_request.rs
+++ b/crates/edge/src/query/helped_request.rs
@@ -8,7 +8,7 @@
 use super::{
     CallerRequest, RequestOrigin,
     assisted_answer::GIVEN_UP_OUTCOME,
-    final_answer::{FinalAnswer, failure_answer},
+    final_answer::{FinalAnswer, INTERRUPTED_OUTCOME, failure_answer},
     request_handler::RequestHandler,
 };
 use crate::{
@@ -107,11 +107,15 @@
     let request = CallerRequest { method, uri, headers, body, received_at, caller_address, origin };
     let calls_made = request.origin.calls_made();
     let (answer, own_calls) = RequestHandler::new(edge).handle_counted::<W>(request).await;
-    if answer.outcome == GIVEN_UP_OUTCOME {
+    if [GIVEN_UP_OUTCOME, INTERRUPTED_OUTCOME].contains(&answer.outcome) {
         return ForwardedAnswer::GivenUp { calls_made: calls_made + own_calls };
     }
     if answer.is_not_run() {
-        let refusal = if edge.reach.is_cut() { NotTakenReason::Cut } else { NotTakenReason::Busy };
+        let refusal = match edge.stop_phase() {
+            StopPhase::Stopping(_) => NotTakenReason::Stopping,
+            StopPhase::Serving if edge.reach.is_cut() => NotTakenReason::Cut,
+            StopPhase::Serving => NotTakenReason::Busy,
+        };
         let retry_after_ms =
             answer.retry_after().map(|it| u64::try_from(it.as_millis()).unwrap_or(u64::MAX));
         return ForwardedAnswer::NotTaken { refusal, retry_after_ms };
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -21,14 +21,16 @@
     call_driver::{AcceptedReplies, CallDriver, CallDriverResult, signatures},
     caller_request::DisconnectGuard,
     final_answer::{
-        FinalAnswer, failure_answer, quarantined_answer, refusal_answer, stopped_answer,
+        FinalAnswer, failure_answer, interrupted_answer, quarantined_answer, refusal_answer,
+        stopped_answer, stopping_answer,
     },
     outdated_config::{no_config_answer, no_route_answer},
     workspace_admission::{WorkspaceAdmission, admit_workspace},
 };
 use crate::{
     RequestMetadataError, WireProtocol,
-    edge_state::EdgeState,
+    edge_state::{EdgeState, StopPhase},
+    planned_stop::wait_for_final_answers,
     request_quarantine::{admit_request, end_trial, record_answer},
     upstream::UpstreamReply,
 };
@@ -138,6 +140,19 @@
         let version = table.version();
         let received_at = request.received_at;
         let origin = request.origin.clone();
+        let timing = AnswerTiming::new(
+            received_at,
+            metadata.time_left,
+            rule.time_limit,
+            rule.latency_target.saturating_sub(origin.elapsed()),
+        );
+        let now = self.edge.timer.now();
+        if let StopPhase::Stopping(stop) = self.edge.stop_phase()
+            && !stop.takes(now, &rule, &timing)
+        {
+            let answer = stopping_answer(timing.deadline.since(now));
+            return (self.record_refusal(received_at, id, answer), 0);
+        }
         let admitted = admit_workspace::<W>(self.edge, &request, &metadata, &rule, &table).await;
         drop(table);
         let admission = match admitted {
@@ -156,12 +171,6 @@
                 return (refusal.answer, 0);
             }
         };
-        let timing = AnswerTiming::new(
-            request.received_at,
-            metadata.time_left,
-            rule.time_limit,
-            rule.latency_target.saturating_sub(request.origin.elapsed()),
-        );
         let template = request.into_template::<W>(&metadata, rule.execution, &admission);
         let template = Arc::new(template);
         let mut guard = DisconnectGuard { template: Arc::clone(&template), is_answered: false };
@@ -173,7 +182,13 @@
             origin: &origin,
             admission: &admission,
         };
-        let (answer, summary) = self.answer::<W>(&attempt).await;
+        let (answer, summary) = tokio::select! {
+            biased;
+            answered = self.answer::<W>(&attempt) => answered,
+            () = wait_for_final_answers(self.edge) => {
+                (self.unfinished_answer(&attempt), DispatchSummary::default())
+            }
+        };
         guard.is_answered = true;
         admission.on_answered(self.edge, &answer);
         let log_context = RequestLogContext {
@@ -189,6 +204,15 @@
         (answer, template.calls_per_shard.load(Ordering::Relaxed))
     }
 
+    /// Returns the final answer to a request in flight when this node has to exit. Its calls end with this
+    /// node.
+    fn unfinished_answer(&self, attempt: &RequestAttempt<'_>) -> FinalAnswer {
+        if attempt.template.may_have_run() {
+            return interrupted_answer();
+        }
+        stopping_answer(attempt.timing.deadline.since(self.edge.timer.now()))
+    }
+
     /// Records the answer to a request that was refused before a route was found, and returns it.
     pub(crate) fn record_refusal(
         &self,
--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -1,6 +1,11 @@
 //! Starts a node and runs it until its planned stop is complete.
 
-use std::{net::SocketAddr, sync::Arc, thread, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::Duration,
+};
 
 use mux_http::HttpListener;
 use mux_logs::build_logger;
@@ -15,6 +20,7 @@
     ClusterStore, EdgeError, EdgeSettings, WireProtocol,
     caller::{serve_directory, serve_metrics, serve_readiness, serve_request},
     edge_state::{EdgeState, StopPhase},
+    planned_stop::PlannedStop,
     reach::watch_reach,
     relay::RelayServer,
     sharing::{maintain_borrowing, maintain_shares},
@@ -23,12 +29,6 @@
 
 /// Duration of a pause of the process above which its copy of the store may be outdated.
 const PAUSE_THRESHOLD: Duration = Duration::from_millis(500);
-/// Part of the stop grace period after which connections without a request are closed, in percent.
-/// Callers use an address for at most three lifetimes of its answer, which end before this time if
-/// the lifetime is at most a fifth of the grace period.
-const IDLE_CLOSE_PERCENT: u32 = 60;
-/// Time before the end of the stop grace period at which the process exits by itself.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Period of the checks whether the connections of a stopping node are closed.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(50);
 
@@ -148,18 +148,24 @@
     }
 }
 
-/// Removes the node from address answers, keeps serving requests during the stop grace period, and
-/// returns when all connections are closed or the grace period is nearly over.
+/// Removes the node from address answers, keeps serving requests that it can complete during the stop
+/// grace period, and returns when there are none left or the grace period is nearly over.
 async fn stop(edge: &Arc<EdgeState>) {
     let grace_period = edge.limits().stop_grace_period;
     info!(edge.logger, "node: stopping"; "limit_ms" => grace_period.as_millis() as u64);
+    let stop = PlannedStop::new(edge.timer.now(), grace_period);
     edge.nodes().begin_stop();
-    edge.stop_phase.send_replace(StopPhase::Stopping);
-    edge.timer.sleep(grace_period * IDLE_CLOSE_PERCENT / 100).await;
+    edge.stop_phase.send_replace(StopPhase::Stopping(stop));
+    edge.timer.sleep_until(stop.idle_close_at).await;
     edge.connection_tracker.start_shutdown();
-    let end = edge.timer.now() + grace_period * (100 - IDLE_CLOSE_PERCENT) / 100;
-    while 0 < edge.connection_tracker.open_count() && edge.timer.now() + EXIT_MARGIN < end {
+    while has_work(edge) && edge.timer.now() < stop.exit_at {
         edge.timer.sleep(STOP_CHECK_PERIOD).await;
     }
-    info!(edge.logger, "node: stopped"; "open_connections" => edge.connection_tracker.open_count());
+    info!(edge.logger, "node: stopped"; "open_connections" => edge.connection_tracker.open_count(),
+        "helped_requests" => edge.helped_in_flight.load(Ordering::Relaxed));
+}
+
+/// Returns whether callers are connected, or other nodes wait for answers of this one.
+fn has_work(edge: &EdgeState) -> bool {
+    0 < edge.connection_tracker.open_count() || 0 < edge.helped_in_flight.load(Ordering::Relaxed)
 }
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -3,7 +3,10 @@
 use std::{
     net::SocketAddr,
     pin::pin,
-    sync::{Arc, OnceLock, atomic::AtomicU32},
+    sync::{
+        Arc, OnceLock,
+        atomic::{AtomicBool, AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -55,6 +58,8 @@
     pub(crate) received_at: TimePoint,
     /// Largest number of calls to one shard so far.
     pub(crate) calls_per_shard: AtomicU32,
+    /// Whether the request was sent to another node.
+    pub(crate) is_forwarded: AtomicBool,
     /// Network address of the caller.
     pub(crate) caller_address: SocketAddr,
     /// Credentials of the caller; `None` if it sent none.
@@ -65,6 +70,12 @@
 }
 
 impl CallTemplate {
+    /// Returns whether an upstream may have run the request, at this node's call or at another's.
+    pub(crate) fn may_have_run(&self) -> bool {
+        0 < self.calls_per_shard.load(Ordering::Relaxed)
+            || self.is_forwarded.load(Ordering::Relaxed)
+    }
+
     /// Returns the fingerprint of the request; computed when it is needed for the first time.
     pub(crate) fn fingerprint(&self) -> RequestFingerprint {
         *self.fingerprint.get_or_init(|| {
--- a/crates/query/src/lib.rs
+++ b/crates/query/src/lib.rs
@@ -14,6 +14,7 @@
 mod session_window;
 mod snapshot_catalog;
 mod snapshot_claims;
+mod stop_schedule;
 
 pub use answer_timing::AnswerTiming;
 pub use attempt_containment::{AttemptContainment, CrashReaction};
@@ -26,3 +27,4 @@
 pub use session_ledger::{BeginOutcome, LedgerLimits, RunTicket, SessionLedger};
 pub use session_token::{SessionId, SessionMint, SessionToken, TokenError};
 pub use snapshot_catalog::{SnapshotCatalog, SnapshotClaim};
+pub use stop_schedule::StopSchedule;
