Answer the queries that a planned stop of the own interface interrupts

Cause: a leaving node admitted every query, and closed its connections after the drain limit with the queries that were still in flight. A forwarded query that met a stopping home node was refused although other home nodes could serve it.

Change: a leaving node refuses queries that it cannot expect to complete, by the same schedule as on the platform. At the end of the drain limit queries in flight, forwarded ones too, are answered as interrupted (504, may_have_run). A forwarded query goes on to the next home node after draining, and after interrupted if it is idempotent.

--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -146,7 +146,11 @@
         let dispatch =
             async move { node.dispatcher().dispatch(command, caller_disconnected).await };
         let task = tokio::spawn(dispatch);
-        let outcome = task.await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = task => outcome,
+            () = self.node.wait_for_interruption() => return QueryOutcome::interrupted(request),
+        };
         drop(caller_guard);
         outcome.unwrap_or_else(|_| QueryOutcome {
             request,
--- a/crates/node/src/dispatch/query_dispatcher.rs
+++ b/crates/node/src/dispatch/query_dispatcher.rs
@@ -112,6 +112,7 @@
             return Err(QueryProblem::not_run(ProblemCode::SessionRequired, message));
         }
         let deadline = self.deadline(&runtime, &command);
+        node.check_time_to_stop(runtime.definition(), deadline)?;
         if HOP_LIMIT <= command.hops {
             if node.is_cut() {
                 return Err(cut_problem());
@@ -227,7 +228,13 @@
             match self.peers.run_query(peer, command, limit).await {
                 Ok(QueryOutcome { result: Err(problem), .. })
                     if problem.verdict == Verdict::NotRun
-                        && problem.code == ProblemCode::NotReady => {}
+                        && [ProblemCode::NotReady, ProblemCode::Draining]
+                            .contains(&problem.code) => {}
+                Ok(QueryOutcome { result: Err(problem), .. })
+                    if idempotent && problem.code == ProblemCode::Interrupted =>
+                {
+                    verdict = Verdict::MayHaveRun;
+                }
                 Ok(outcome) => return outcome.result,
                 Err(PeerError::NotSent) => {}
                 Err(PeerError::NoReply) => {
--- a/crates/node/src/dispatch/query_outcome.rs
+++ b/crates/node/src/dispatch/query_outcome.rs
@@ -13,6 +13,15 @@
     pub(crate) result: Result<QueryAnswer, QueryProblem>,
 }
 
+impl QueryOutcome {
+    /// Returns the outcome of a query in flight when its node had to stop.
+    pub(crate) fn interrupted(request: RequestId) -> Self {
+        let message = "the node stopped before the query was complete";
+        let problem = QueryProblem::may_have_run(ProblemCode::Interrupted, message);
+        Self { request, result: Err(problem) }
+    }
+}
+
 /// Answer to a query, with at least the minimum coverage.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct QueryAnswer {
@@ -122,6 +131,8 @@
     Internal,
     /// Queries with the same content have crashed several upstreams.
     Quarantined,
+    /// The node had to stop before the query was complete.
+    Interrupted,
 }
 
 impl ProblemCode {
@@ -152,6 +163,7 @@
             Self::HomeUnreachable => "home_unreachable",
             Self::Internal => "internal",
             Self::Quarantined => "quarantined",
+            Self::Interrupted => "interrupted",
         }
     }
 
@@ -172,7 +184,7 @@
             Self::TooManyRequests => 429,
             Self::Internal => 500,
             Self::SessionOwnerUnreachable => 502,
-            Self::DeadlinePassed => 504,
+            Self::DeadlinePassed | Self::Interrupted => 504,
             Self::Overloaded
             | Self::NotReady
             | Self::Draining
--- a/crates/node/src/node/admission.rs
+++ b/crates/node/src/node/admission.rs
@@ -1,6 +1,8 @@
 //! Decides whether the node admits queries.
 
-use mux_config::{ReadyState, UnreadyReason};
+use std::time::Duration;
+
+use mux_config::{ReadyState, ServiceDefinition, UnreadyReason};
 use mux_model::{RevisionNumber, TimePoint};
 
 use super::{Node, StopPhase};
@@ -16,9 +18,7 @@
     /// Returns the problem to report to the caller, with a suggested retry delay.
     pub(crate) fn check_admission(&self) -> Result<(), QueryProblem> {
         if self.stop_state.phase() == StopPhase::Rejecting {
-            let message = "the node is stopping; use another address";
-            return Err(QueryProblem::not_run(ProblemCode::Draining, message)
-                .retry_after_ms(STOPPING_RETRY_MS));
+            return Err(stopping_problem());
         }
         let ReadyState::NotReady { reason, retry_after } = self.readiness() else {
             return Ok(());
@@ -28,6 +28,35 @@
             .retry_after_ms(millis))
     }
 
+    /// Checks whether a query of a service with this definition can be expected to be complete before the
+    /// planned stop of this node ends, if one has begun.
+    ///
+    /// # Errors
+    ///
+    /// Returns the problem to report to the caller.
+    pub(crate) fn check_time_to_stop(
+        &self,
+        definition: &ServiceDefinition,
+        deadline: TimePoint,
+    ) -> Result<(), QueryProblem> {
+        let Some(schedule) = self.stop_state.schedule() else {
+            return Ok(());
+        };
+        let now = self.timer.now();
+        let allowed = deadline.since(now);
+        let latency_target = Duration::from_millis(definition.latency_target_ms);
+        let is_taken = match definition.idempotent {
+            true => schedule.takes_idempotent(now, allowed, latency_target),
+            false => schedule.takes_at_most_once(now, allowed, latency_target),
+        };
+        if is_taken { Ok(()) } else { Err(stopping_problem()) }
+    }
+
+    /// Waits until queries in flight have to be interrupted, as this node is about to exit.
+    pub(crate) async fn wait_for_interruption(&self) {
+        self.stop_state.wait_for_interruption(&self.timer).await;
+    }
+
     /// Returns whether the configuration is verified and up to date, and the key-value service or a
     /// peer can be reached.
     ///
@@ -71,6 +100,11 @@
     }
 }
 
+fn stopping_problem() -> QueryProblem {
+    let message = "the node is stopping; use another address";
+    QueryProblem::not_run(ProblemCode::Draining, message).retry_after_ms(STOPPING_RETRY_MS)
+}
+
 /// Returns the message for the reason why the node is not ready.
 pub(super) fn unready_message(reason: UnreadyReason) -> &'static str {
     match reason {
--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -81,7 +81,11 @@
             tokio::spawn(
                 async move { node.dispatcher().dispatch(command, caller_disconnected).await },
             );
-        let outcome = task.await;
+        let outcome = tokio::select! {
+            biased;
+            outcome = task => outcome,
+            () = self.node.wait_for_interruption() => return QueryOutcome::interrupted(request),
+        };
         drop(caller_guard);
         outcome.unwrap_or_else(|_| {
             let message = "the node failed while it ran the query";
--- a/crates/node/src/sync/planned_stop.rs
+++ b/crates/node/src/sync/planned_stop.rs
@@ -4,7 +4,7 @@
 
 use slog::info;
 
-use crate::{Node, node::StopPhase};
+use crate::Node;
 
 const GOSSIP_MARGIN: Duration = Duration::from_secs(3); // Time for gossip to reach every node.
 const CHECK_PERIOD: Duration = Duration::from_millis(50);
@@ -15,16 +15,20 @@
 /// Stops the node; returns when its listeners can be closed, or never if a stop has already begun.
 ///
 /// The node is no longer advertised to callers from the start on. It admits queries until all
-/// earlier address answers have expired, then rejects new ones as not run, and waits for those in
-/// flight up to the drain limit. Queries that are still in flight then can be interrupted.
+/// earlier address answers have expired, except those that it cannot expect to complete, then rejects new
+/// ones as not run, and waits for those in flight up to the drain limit. Queries that are still in flight
+/// then are answered as interrupted.
 pub(crate) async fn stop_node(node: Arc<Node>) {
-    if !node.stop_state().advance(StopPhase::Leaving) {
+    let leaving_time = node.max_address_lifetime() + GOSSIP_MARGIN;
+    let drain_limit = Duration::from_millis(node.settings().timing.drain_limit_ms);
+    let limit = leaving_time + REJECTING_TIME + drain_limit;
+    if !node.stop_state().begin(node.timer().now(), limit) {
         return std::future::pending().await;
     }
     info!(node.logger(), "stop: leaving; queries are still admitted");
     node.gossip().announce_leaving();
-    node.timer().sleep(node.max_address_lifetime() + GOSSIP_MARGIN).await;
-    node.stop_state().advance(StopPhase::Rejecting);
+    node.timer().sleep(leaving_time).await;
+    node.stop_state().reject_queries();
     info!(node.logger(), "stop: new queries are rejected"; "in_flight" => node.queries_in_flight());
     node.timer().sleep(REJECTING_TIME).await;
     wait_for_queries(&node).await;
@@ -35,8 +39,8 @@
 }
 
 async fn wait_for_queries(node: &Node) {
-    let limit = Duration::from_millis(node.settings().timing.drain_limit_ms);
-    let end = node.timer().now() + limit;
+    let interruption = node.stop_state().schedule();
+    let end = interruption.map_or(node.timer().now(), |it| it.answer_by);
     while 0 < node.queries_in_flight() && node.timer().now() < end {
         node.timer().sleep(CHECK_PERIOD).await;
     }
