--- a/crates/edge/src/query/assisted_answer.rs
+++ b/crates/edge/src/query/assisted_answer.rs
@@ -13,8 +13,9 @@
 
 use super::{
     RequestOrigin,
+    dispatch_summary::DispatchSummary,
     final_answer::{FinalAnswer, failure_answer, refusal_answer},
-    request_handler::{DispatchSummary, RequestHandler},
+    request_handler::RequestHandler,
     workspace_admission::WorkspaceAdmission,
 };
 use crate::{
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -3,6 +3,7 @@
 mod assisted_answer;
 mod call_driver;
 mod caller_request;
+mod dispatch_summary;
 mod final_answer;
 mod helped_request;
 mod outdated_config;
--- a/crates/edge/src/query/request_handler.rs
+++ b/crates/edge/src/query/request_handler.rs
@@ -1,7 +1,6 @@
 //! Finds the route of a request, calls its upstreams and creates the final answer.
 
 use std::{
-    fmt::Write,
     num::NonZeroU32,
     sync::{Arc, atomic::Ordering},
     time::Duration,
@@ -20,6 +19,7 @@
     assisted_answer::RequestAttempt,
     call_driver::{AcceptedReplies, CallDriver, CallDriverResult, signatures},
     caller_request::DisconnectGuard,
+    dispatch_summary::DispatchSummary,
     final_answer::{
         FinalAnswer, failure_answer, interrupted_answer, quarantined_answer, refusal_answer,
         stopped_answer, stopping_answer,
@@ -35,8 +35,6 @@
     upstream::UpstreamReply,
 };
 
-/// Maximum number of shard failures in one log line.
-const MAX_LOGGED_FAILURES: usize = 6;
 /// Route label of requests that were refused before a route was found.
 const NO_ROUTE_LABEL: &str = "(none)";
 
@@ -57,48 +55,6 @@
     summary: &'a DispatchSummary,
 }
 
-/// Summary of the calls of a request, for the log.
-#[derive(Debug, Default)]
-pub(super) struct DispatchSummary {
-    calls: u32,
-    shards: u32,
-    replied_shards: usize,
-    /// The shards without an accepted reply, with the causes.
-    missing: String,
-    /// The nodes to which the request was forwarded, with the results.
-    pub(super) helpers: String,
-    /// Longest time after which one of them may take requests again.
-    pub(super) retry_after: Option<Duration>,
-    /// How the quarantine let this node make the attempt; `None` if it made none.
-    attempt: Option<AttemptKind>,
-}
-
-impl DispatchSummary {
-    fn new(driver_result: &CallDriverResult, services: &[ServiceName]) -> Self {
-        Self {
-            calls: driver_result.fan_out_result.calls,
-            shards: driver_result.fan_out_result.coverage.total,
-            replied_shards: driver_result.replies.len(),
-            missing: describe_missing_shards(driver_result, services),
-            ..Self::default()
-        }
-    }
-}
-
-/// Lists the failures of the shards without an accepted reply.
-fn describe_missing_shards(driver_result: &CallDriverResult, services: &[ServiceName]) -> String {
-    let mut text = String::new();
-    let missing =
-        driver_result.failures.iter().filter(|it| !driver_result.replies.contains_key(&it.shard));
-    for failure in missing.take(MAX_LOGGED_FAILURES) {
-        let idx = usize::try_from(failure.shard.0).unwrap_or(usize::MAX);
-        let service = services.get(idx).map_or("?", ServiceName::as_str);
-        // Writing to a string does not fail.
-        let _ = write!(text, "{service}: {}; ", failure.cause);
-    }
-    text
-}
-
 impl<'a> RequestHandler<'a> {
     pub(crate) fn new(edge: &'a Arc<EdgeState>) -> Self {
         Self { edge }
--- a/crates/quarantine/src/crash_ledger.rs
+++ b/crates/quarantine/src/crash_ledger.rs
@@ -5,7 +5,7 @@
 use mux_model::{FastMap, FastSet, ServiceName, TimePoint};
 
 use crate::{
-    Evidence, EvidenceKey, EvidenceSource, RequestFingerprint,
+    Evidence, EvidenceKey, EvidenceSource, EvidenceUpdate, RequestAdmission, RequestFingerprint,
     recent_answers::RecentAnswers,
     suspect_request::{KnownEvidence, SuspectRequest},
 };
@@ -29,29 +29,6 @@
 /// Minimum time between two attempts of a node to claim a trial.
 const TRIAL_CLAIM_PERIOD: Duration = Duration::from_millis(200);
 
-/// Whether a request may be sent to upstreams.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum RequestAdmission {
-    /// There is no evidence against the request.
-    Clear,
-    /// There is evidence, but not enough for a quarantine.
-    Suspect,
-    /// The request must not be sent.
-    Quarantined {
-        /// The trial that this node may claim for the request now.
-        trial: Option<Evidence>,
-    },
-}
-
-/// Evidence that has to be written to the store or removed from it.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct EvidenceUpdate {
-    /// Evidence to write, and when this node learnt of it.
-    pub writes: Vec<(Evidence, TimePoint)>,
-    /// Evidence to remove.
-    pub withdrawals: Vec<EvidenceKey>,
-}
-
 /// The evidence against requests that is known to this node, its own and that of other nodes.
 ///
 /// A request that was at an upstream when its process ended is a suspect until an upstream of that
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -5,16 +5,18 @@
 mod attempt_kind;
 mod crash_ledger;
 mod evidence;
+mod evidence_update;
 mod recent_answers;
+mod request_admission;
 mod request_fingerprint;
 mod shared_ledger;
 mod suspect_request;
 
 pub use attempt_kind::AttemptKind;
-pub use crash_ledger::{
-    CrashLedger, EvidenceUpdate, IDLE_LIFETIME, MAX_REQUESTS, RequestAdmission,
-};
+pub use crash_ledger::{CrashLedger, IDLE_LIFETIME, MAX_REQUESTS};
 pub use evidence::{Evidence, EvidenceKey, EvidenceSource, UpstreamProcess};
+pub use evidence_update::EvidenceUpdate;
+pub use request_admission::RequestAdmission;
 pub use request_fingerprint::RequestFingerprint;
 pub use shared_ledger::SharedLedger;
 pub use suspect_request::CRASH_LIMIT;
