--- a/crates/proofs/src/kv_process.rs
+++ b/crates/proofs/src/kv_process.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use base64::{Engine, prelude::BASE64_STANDARD};
 use serde_json::{Value, json};
 
 use super::{ChildProcess, HttpClient, Program, WorkDirectory};
@@ -43,6 +44,24 @@
         self.http.put(self.address, "/v1/faults", faults).await.expect("the faults are accepted");
     }
 
+    /// Writes an entry with this text, as another writer may do.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entry is not accepted.
+    pub async fn write_entry(&self, key: &str, text: &str) {
+        let entry = json!({ "key": key, "value": text });
+        self.http.put(self.address, "/v1/entries", &entry).await.expect("the entry is accepted");
+    }
+
+    /// Returns the text of an entry; `None` if the process does not reply or there is none.
+    pub async fn read_entry(&self, key: &str) -> Option<String> {
+        let path = format!("/api/kv-key?Key={key}");
+        let item = self.http.get(self.address, &path).await?;
+        let bytes = BASE64_STANDARD.decode(item["Value"].as_str()?).ok()?;
+        String::from_utf8(bytes).ok()
+    }
+
     /// Replaces the VM list.
     ///
     /// # Panics
