--- /dev/null
+++ b/review/harness/src/main.rs
@@ -0,0 +1,37 @@
+//! Starts a small deployment with one disruption, and checks one rule.
+
+mod client;
+mod edge;
+mod fleet;
+mod http;
+mod json;
+mod leaf;
+mod record;
+mod proxy;
+mod stale;
+mod startup;
+mod store;
+
+use std::{env, fs, path::PathBuf, process::exit};
+
+fn main() {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, program, folder] = args.as_slice() else {
+        eprintln!("usage: review-harness CASE PROGRAM FOLDER");
+        exit(2);
+    };
+    let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
+    let work = env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
+    fs::create_dir_all(&work).expect("temporary folder");
+    let code = match case.as_str() {
+        "startup" => startup::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble),
+        "stale" => stale::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble),
+        _ => 2,
+    };
+    if env::var("KEEP").is_err() {
+        let _ = fs::remove_dir_all(&work);
+    } else {
+        println!("kept {}", work.display());
+    }
+    exit(code);
+}
