--- a/review/harness/src/client.rs
+++ b/review/harness/src/client.rs
@@ -2,11 +2,7 @@
 
 use std::{
     net::{SocketAddr, TcpStream},
-    sync::{
-        Arc,
-        atomic::{AtomicBool, AtomicU64, Ordering},
-    },
-    thread::{self, JoinHandle},
+    sync::atomic::{AtomicU64, Ordering},
     time::{Duration, Instant},
 };
 
@@ -18,7 +14,6 @@
 /// One kind of request.
 #[derive(Clone)]
 pub struct RequestKind {
-    pub name: &'static str,
     pub method: &'static str,
     pub path: String,
     pub deadline_ms: u64,
@@ -47,25 +42,11 @@
     let id = next_id();
     let at = record.now();
     let started = Instant::now();
-    let mut sent = Sent {
-        at,
-        took: 0.0,
-        node,
-        kind: kind.name,
-        request: id.clone(),
-        status: 0,
-        parts: 0,
-        missing: 0,
-        note: String::new(),
-        retry_after: None,
-        stamps: Vec::new(),
-        body: Vec::new(),
-    };
+    let mut sent = Sent { at, took: 0.0, node, request: id.clone(), status: 0 };
     let result = exchange(address, conn, kind, &id, &mut sent);
-    if let Err(error) = result {
+    if result.is_err() {
         *conn = None;
         sent.status = 0;
-        sent.note = error.to_string();
     }
     sent.took = started.elapsed().as_secs_f64();
     sent
@@ -101,48 +82,8 @@
         return Err(std::io::ErrorKind::UnexpectedEof.into());
     };
     sent.status = reply.status();
-    let is_stamp = |name: &str| ["x-part-stamps", "x-response-stamp"].contains(&name);
-    let stamps = reply.headers.iter().filter(|(n, _)| is_stamp(n));
-    sent.stamps = stamps.flat_map(|(_, v)| v.split(',')).map(|it| it.trim().to_owned()).collect();
-    sent.retry_after = reply.header("retry-after").and_then(|it| it.parse().ok());
-    sent.parts = sent.stamps.len();
-    sent.missing = reply.header("x-missing-parts").and_then(|it| it.parse().ok()).unwrap_or(0);
-    if reply.status() != 200 {
-        sent.note = String::from_utf8_lossy(&reply.body).chars().take(120).collect();
-    }
-    sent.body = reply.body.clone();
     if reply.header("connection").is_some_and(|it| it.eq_ignore_ascii_case("close")) {
         *conn = None;
     }
     Ok(())
 }
-
-/// Sends requests of one kind to one node, evenly in time, until `stop` is set.
-pub fn run_steady(
-    record: &Arc<Record>,
-    node: usize,
-    address: SocketAddr,
-    kind: &RequestKind,
-    per_s: f64,
-    threads: usize,
-    stop: &Arc<AtomicBool>,
-) -> Vec<JoinHandle<()>> {
-    let ticket = Arc::new(AtomicU64::new(0));
-    let started = Instant::now();
-    (0..threads)
-        .map(|_| {
-            let (record, kind) = (Arc::clone(record), kind.clone());
-            let (stop, ticket) = (Arc::clone(stop), Arc::clone(&ticket));
-            thread::spawn(move || {
-                let mut conn = None;
-                while !stop.load(Ordering::Relaxed) {
-                    let number = ticket.fetch_add(1, Ordering::Relaxed);
-                    let due = started + Duration::from_secs_f64(number as f64 / per_s);
-                    thread::sleep(due.saturating_duration_since(Instant::now()));
-                    let sent = send(&record, node, address, &mut conn, &kind);
-                    record.add_sent(sent);
-                }
-            })
-        })
-        .collect()
-}
--- a/review/harness/src/edge.rs
+++ b/review/harness/src/edge.rs
@@ -16,6 +16,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 /// Ports of all nodes; each node has its own loopback address.
 #[derive(Clone, Copy)]
@@ -72,7 +73,6 @@
     fn ready(&self) -> SocketAddr {
         format!("{}:{}", self.ip, self.ports.ready).parse().expect("address")
     }
-
 }
 
 /// A process of the system; killed when it is dropped.
--- a/review/harness/src/fleet.rs
+++ b/review/harness/src/fleet.rs
@@ -18,7 +18,6 @@
 pub struct Fleet {
     pub record: Arc<Record>,
     pub store: Store,
-    pub leafs: Vec<Leaf>,
     pub edges: Vec<Edge>,
     pub program: PathBuf,
     pub folder: PathBuf,
@@ -40,7 +39,6 @@
         Self {
             record: Arc::new(Record::new()),
             store: Store::start(),
-            leafs: Vec::new(),
             edges: Vec::new(),
             program: program.to_owned(),
             folder: folder.to_owned(),
@@ -49,16 +47,10 @@
     }
 
     /// Starts a leaf and writes its entry.
-    pub fn add_leaf(&mut self, spec: LeafSpec) -> usize {
+    pub fn add_leaf(&mut self, spec: LeafSpec) -> Leaf {
         let leaf = Leaf::start(spec, &self.record);
         self.store.put(&leaf.key(), &leaf.entry("ready", 1));
-        self.leafs.push(leaf);
-        self.leafs.len() - 1
-    }
-
-    /// Returns the index of the leaf with this id.
-    pub fn leaf(&self, id: &str) -> usize {
-        self.leafs.iter().rposition(|it| it.spec().id == id).expect("known leaf")
+        leaf
     }
 
     /// Starts `count` nodes, spread over `zones`.
--- a/review/harness/src/json.rs
+++ b/review/harness/src/json.rs
@@ -19,7 +19,9 @@
 
     pub fn get(&self, name: &str) -> &Self {
         match self {
-            Self::Table(rows) => rows.iter().find(|(n, _)| n == name).map_or(&Self::Null, |it| &it.1),
+            Self::Table(rows) => {
+                rows.iter().find(|(n, _)| n == name).map_or(&Self::Null, |it| &it.1)
+            }
             _ => &Self::Null,
         }
     }
--- a/review/harness/src/leaf.rs
+++ b/review/harness/src/leaf.rs
@@ -35,7 +35,6 @@
     spec: LeafSpec,
     record: Arc<Record>,
     is_down: AtomicBool,
-    is_leaving: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
     connections: AtomicUsize,
     running: Mutex<(usize, usize)>,
@@ -68,7 +67,6 @@
             spec,
             record: Arc::clone(record),
             is_down: AtomicBool::new(false),
-            is_leaving: AtomicBool::new(false),
             streams: Mutex::default(),
             connections: AtomicUsize::new(0),
             running: Mutex::new((0, 0)),
@@ -80,10 +78,6 @@
         Self { shared, born }
     }
 
-    pub fn spec(&self) -> &LeafSpec {
-        &self.shared.spec
-    }
-
     /// Returns the entry that the leaf writes to the store.
     pub fn entry(&self, state: &str, sequence: u64) -> String {
         let LeafSpec { service, address, zone, slots, .. } = &self.shared.spec;
@@ -95,17 +89,21 @@
         )
     }
 
-    pub fn key(&self) -> String {
-        format!("servers/{}", self.shared.spec.id)
+    pub fn id(&self) -> String {
+        self.shared.spec.id.clone()
     }
 
-    /// Ends the leaf at once; its address is free afterwards.
+    /// Ends the leaf at once, with what it works on.
     pub fn end(&self) {
         self.shared.is_down.store(true, Ordering::SeqCst);
         for stream in self.shared.streams.lock().expect("streams").drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
+
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.shared.spec.id)
+    }
 }
 
 fn accept(leaf: &Arc<Shared>, listener: TcpListener) {
@@ -119,8 +117,7 @@
                 }
                 leaf.connections.fetch_add(1, Ordering::SeqCst);
                 if let Ok(copy) = stream.try_clone() {
-                    let mut streams = leaf.streams.lock().expect("streams");
-                    streams.push(copy);
+                    leaf.streams.lock().expect("streams").push(copy);
                 }
                 let leaf = Arc::clone(leaf);
                 thread::spawn(move || {
@@ -135,37 +132,27 @@
 
 fn serve(leaf: &Shared, mut conn: Conn) {
     while let Ok(Some(request)) = conn.read() {
-        if leaf.is_down.load(Ordering::SeqCst) {
-            return;
-        }
-        let Some(answer) = answer(leaf, &request) else {
-            return;
-        };
-        if conn.write(&answer).is_err() {
+        if conn.write(&answer(leaf, &request)).is_err() {
             return;
         }
     }
 }
 
-fn answer(leaf: &Shared, request: &Message) -> Option<Vec<u8>> {
+fn answer(leaf: &Shared, request: &Message) -> Vec<u8> {
     let id = request.header("x-request-id").unwrap_or("").to_owned();
     let spec = &leaf.spec;
     let load = {
         let (running, waiting) = *leaf.running.lock().expect("running");
         format!("{running},{waiting},{}", spec.slots)
     };
-    let mut common = vec![("X-Request-Id", id.as_str()), ("X-Server-Load", load.as_str())];
-    if leaf.is_leaving.load(Ordering::SeqCst) {
-        common.push(("Server-Leaving", "1"));
-    }
+    let common = vec![("X-Request-Id", id.as_str()), ("X-Server-Load", load.as_str())];
     let rejected = |status: u16, reason: &'static str| {
         let mut headers = common.clone();
         headers.push(("X-Not-Executed", reason));
-        Some(response(status, &headers, b""))
+        response(status, &headers, b"")
     };
     let expected = request.header("x-expected-instance");
     if expected.is_some_and(|it| it != spec.id) {
-        leaf.record.misdirected.fetch_add(1, Ordering::Relaxed);
         return rejected(421, "instance");
     }
     let deadline = request.header("x-deadline-ms").and_then(|it| it.parse().ok()).unwrap_or(10_000);
@@ -194,7 +181,6 @@
         leaf: spec.id.clone(),
         service: spec.service.clone(),
         request: id.clone(),
-        expected: expected.unwrap_or("").to_owned(),
         method: request.method().to_owned(),
         target: request.target().to_owned(),
         body_bytes: request.body.len(),
@@ -206,12 +192,9 @@
     thread::sleep(spec.work);
     leaf.running.lock().expect("running").0 -= 1;
     leaf.freed.notify_one();
-    if leaf.is_down.load(Ordering::SeqCst) {
-        return None;
-    }
     let stamp = format!("{}.{number:x}.{id}", spec.id);
     let mut headers = common.clone();
     headers.push(("X-Response-Stamp", stamp.as_str()));
     let body: Vec<u8> = (0..spec.bytes).map(|it| (it as u64 * 31 + number) as u8).collect();
-    Some(response(200, &headers, &body))
+    response(200, &headers, &body)
 }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -6,8 +6,9 @@
 mod http;
 mod json;
 mod leaf;
-mod record;
 mod proxy;
+mod record;
+mod removed;
 mod stale;
 mod startup;
 mod store;
@@ -24,8 +25,13 @@
     let work = env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     fs::create_dir_all(&work).expect("temporary folder");
     let code = match case.as_str() {
-        "startup" => startup::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble),
+        "startup" => {
+            startup::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble)
+        }
         "stale" => stale::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble),
+        "removed" => {
+            removed::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble)
+        }
         _ => 2,
     };
     if env::var("KEEP").is_err() {
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -1,9 +1,6 @@
 //! What was sent, answered and run.
 
-use std::{
-    sync::{Mutex, atomic::AtomicU64},
-    time::Instant,
-};
+use std::{sync::Mutex, time::Instant};
 
 /// A request that a leaf has begun to work on.
 #[derive(Clone)]
@@ -12,7 +9,6 @@
     pub leaf: String,
     pub service: String,
     pub request: String,
-    pub expected: String,
     pub method: String,
     pub target: String,
     pub body_bytes: usize,
@@ -26,17 +22,8 @@
     pub at: f64,
     pub took: f64,
     pub node: usize,
-    pub kind: &'static str,
     pub request: String,
     pub status: u16,
-    pub parts: usize,
-    pub missing: u32,
-    pub note: String,
-    pub retry_after: Option<f64>,
-    /// Signatures of the answer.
-    pub stamps: Vec<String>,
-    /// Bytes of the answer.
-    pub body: Vec<u8>,
 }
 
 pub struct Record {
@@ -44,7 +31,6 @@
     pub runs: Mutex<Vec<Run>>,
     pub sent: Mutex<Vec<Sent>>,
     pub notes: Mutex<Vec<String>>,
-    pub misdirected: AtomicU64,
 }
 
 impl Record {
@@ -54,7 +40,6 @@
             runs: Mutex::default(),
             sent: Mutex::default(),
             notes: Mutex::default(),
-            misdirected: AtomicU64::new(0),
         }
     }
 
--- a/review/harness/src/stale.rs
+++ b/review/harness/src/stale.rs
@@ -45,7 +45,9 @@
     let mut fleet = Fleet::new(program, work);
     let record = Arc::clone(&fleet.record);
     for (number, (service, zone)) in
-        [("old", "a"), ("old", "b"), ("old", "c"), ("new", "a"), ("new", "b"), ("new", "c")].iter().enumerate()
+        [("old", "a"), ("old", "b"), ("old", "c"), ("new", "a"), ("new", "b"), ("new", "c")]
+            .iter()
+            .enumerate()
     {
         fleet.add_leaf(LeafSpec {
             id: format!("i-{service}-{number}"),
@@ -94,7 +96,10 @@
     let hidden = hidden_nodes(&fleet);
     record.note(&format!("nodes to which no client is directed: {hidden:?}"));
     let kind = RequestKind {
-        name: "probe", method: "GET", path: "/probe/".to_owned(), deadline_ms: 2_500, body_bytes: 0,
+        method: "GET",
+        path: "/probe/".to_owned(),
+        deadline_ms: 2_500,
+        body_bytes: 0,
     };
     let stop = Arc::new(AtomicBool::new(false));
     let clients: Vec<_> = (0..LAYOUT.len())
@@ -140,7 +145,8 @@
 /// Returns the nodes that no answer of the directory names.
 fn hidden_nodes(fleet: &Fleet) -> Vec<usize> {
     let settings = &fleet.edges[0].settings;
-    let directory = format!("{}:{}", settings.ip, settings.ports.directory).parse().expect("address");
+    let directory =
+        format!("{}:{}", settings.ip, settings.ports.directory).parse().expect("address");
     let mut named = String::new();
     for zone in ["a", "b", "c"] {
         let path = format!("/api/resolve?Name=shop.example&Region=r&Zone={zone}");
@@ -165,7 +171,9 @@
     let service_of: std::collections::HashMap<_, _> =
         runs.iter().map(|it| (it.request.as_str(), (it.service.as_str(), it.at))).collect();
     let mut text = record.notes.lock().expect("notes").join("\n");
-    text.push_str("\n\nRequests handled as only an older version allows, later than ConfigApplyMs:\n");
+    text.push_str(
+        "\n\nRequests handled as only an older version allows, later than ConfigApplyMs:\n",
+    );
     let mut broken = 0;
     for it in &sent {
         // A machine is in touch if the whole StabilityMs before was calm.
@@ -198,7 +206,8 @@
     text.push_str("\nAll requests: seconds, node, status, id, service that ran it:\n");
     for it in &sent {
         let service = service_of.get(it.request.as_str()).map_or("none", |it| it.0);
-        let _ = writeln!(text, "{:.3} {} {} {} {service}", it.at, it.node + 1, it.status, it.request);
+        let _ =
+            writeln!(text, "{:.3} {} {} {} {service}", it.at, it.node + 1, it.status, it.request);
     }
     let _ = fs::write(folder.join("record.txt"), &text);
     i32::from(0 < broken)
--- a/review/harness/src/startup.rs
+++ b/review/harness/src/startup.rs
@@ -51,7 +51,6 @@
         return 2;
     }
     let kind = RequestKind {
-        name: "order",
         method: "POST",
         path: "/order/".to_owned(),
         deadline_ms: 4_000,
@@ -66,8 +65,7 @@
             clients.push(thread::spawn(move || {
                 let mut conn = None;
                 while !stop.load(Ordering::Relaxed) {
-                    let mut sent = send(&record, node, address, &mut conn, &kind);
-                    sent.body = Vec::new();
+                    let sent = send(&record, node, address, &mut conn, &kind);
                     // The next request is a new one, so it needn't wait for `Retry-After`.
                     let pause = if sent.status == 200 { 2 } else { 1 };
                     record.add_sent(sent);
--- a/review/harness/src/store.rs
+++ b/review/harness/src/store.rs
@@ -59,9 +59,11 @@
             }
         });
         let expirer = store.clone();
-        thread::spawn(move || loop {
-            thread::sleep(Duration::from_millis(50));
-            expirer.expire();
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(50));
+                expirer.expire();
+            }
         });
         store
     }
@@ -78,6 +80,19 @@
         self.shared.1.notify_all();
     }
 
+    /// Removes an entry as the leafs do.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        state.revision += 1;
+        remove(&mut state, key);
+        self.shared.1.notify_all();
+    }
+
+    /// Returns the keys with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.lock().items.keys().filter(|it| it.starts_with(prefix)).cloned().collect()
+    }
+
     fn expire(&self) {
         let mut state = self.lock();
         let now = Instant::now();
@@ -198,7 +213,8 @@
         let mut state = self.lock();
         let conditions = body.get("ExpectedRev").list();
         let current = |key: &str| state.items.get(key).map_or(0, |it| it.revision);
-        if conditions.iter().any(|it| current(it.get("Key").text()) != it.get("Revision").number()) {
+        if conditions.iter().any(|it| current(it.get("Key").text()) != it.get("Revision").number())
+        {
             let rows: Vec<_> = conditions
                 .iter()
                 .filter_map(|it| {
