--- a/review/harness/src/leaf.rs
+++ b/review/harness/src/leaf.rs
@@ -1,10 +1,11 @@
 //! Stand-ins of leafs.
 
 use std::{
+    collections::BTreeMap,
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Condvar, Mutex,
-        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -35,8 +36,7 @@
     spec: LeafSpec,
     record: Arc<Record>,
     is_down: AtomicBool,
-    streams: Mutex<Vec<TcpStream>>,
-    connections: AtomicUsize,
+    streams: Mutex<BTreeMap<usize, TcpStream>>,
     running: Mutex<(usize, usize)>,
     freed: Condvar,
     counter: AtomicU64,
@@ -68,7 +68,6 @@
             record: Arc::clone(record),
             is_down: AtomicBool::new(false),
             streams: Mutex::default(),
-            connections: AtomicUsize::new(0),
             running: Mutex::new((0, 0)),
             freed: Condvar::new(),
             counter: AtomicU64::new(0),
@@ -96,7 +95,7 @@
     /// Ends the leaf at once, with what it works on.
     pub fn end(&self) {
         self.shared.is_down.store(true, Ordering::SeqCst);
-        for stream in self.shared.streams.lock().expect("streams").drain(..) {
+        for stream in self.shared.streams.lock().expect("streams").values() {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
@@ -107,25 +106,25 @@
 }
 
 fn accept(leaf: &Arc<Shared>, listener: TcpListener) {
+    let mut number = 0;
     while !leaf.is_down.load(Ordering::SeqCst) {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                let _ = stream.set_nonblocking(false);
-                if leaf.spec.max_connections <= leaf.connections.load(Ordering::SeqCst) {
-                    // Dropping it closes the connection at once.
-                    continue;
-                }
-                leaf.connections.fetch_add(1, Ordering::SeqCst);
-                if let Ok(copy) = stream.try_clone() {
-                    leaf.streams.lock().expect("streams").push(copy);
-                }
-                let leaf = Arc::clone(leaf);
-                thread::spawn(move || {
-                    serve(&leaf, Conn::new(stream));
-                    leaf.connections.fetch_sub(1, Ordering::SeqCst);
-                });
-            }
-            Err(_) => thread::sleep(Duration::from_millis(1)),
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(Duration::from_millis(1));
+            continue;
+        };
+        let mut streams = leaf.streams.lock().expect("streams");
+        // A connection beyond the limit is dropped, which closes it at once.
+        if streams.len() < leaf.spec.max_connections
+            && stream.set_nonblocking(false).is_ok()
+            && let Ok(copy) = stream.try_clone()
+        {
+            number += 1;
+            streams.insert(number, copy);
+            let (leaf, number) = (Arc::clone(leaf), number);
+            thread::spawn(move || {
+                serve(&leaf, Conn::new(stream));
+                leaf.streams.lock().expect("streams").remove(&number);
+            });
         }
     }
 }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -13,7 +13,7 @@
 mod startup;
 mod store;
 
-use std::{env, fs, path::PathBuf, process::exit};
+use std::{env, fs, panic, path::PathBuf, process::exit};
 
 fn main() {
     let args: Vec<String> = env::args().collect();
@@ -24,7 +24,7 @@
     let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     let work = env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     fs::create_dir_all(&work).expect("temporary folder");
-    let code = match case.as_str() {
+    let run_case = || match case.as_str() {
         "startup" => {
             startup::run(&PathBuf::from(program), &work, &PathBuf::from(folder), has_trouble)
         }
@@ -34,6 +34,8 @@
         }
         _ => 2,
     };
+    // The processes are ended while the stack unwinds.
+    let code = panic::catch_unwind(run_case).unwrap_or(2);
     if env::var("KEEP").is_err() {
         let _ = fs::remove_dir_all(&work);
     } else {
--- a/review/harness/src/removed.rs
+++ b/review/harness/src/removed.rs
@@ -90,12 +90,14 @@
     }
     for round in 0..ROUNDS {
         // The nodes that take over have started while the others were there.
+        let from = record.now();
+        late.iter().for_each(|it| fleet.edges[*it].signal(SIGTERM));
         for node in &late {
-            let from = record.now();
-            fleet.edges[*node].signal(SIGTERM);
             fleet.edges[*node].wait();
             let program = fleet.program.clone();
             fleet.edges[*node].restart(&program);
+        }
+        for node in &late {
             fleet.edges[*node].wait_ready(Duration::from_secs(5));
             restless.push((*node, from, record.now()));
         }
