--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -17,11 +17,11 @@
 
 fn main() {
     let args: Vec<String> = env::args().collect();
-    let [_, case, program, folder] = args.as_slice() else {
-        eprintln!("usage: review-harness CASE PROGRAM FOLDER");
+    let [_, case, disruption, program, folder] = args.as_slice() else {
+        eprintln!("usage: review-harness CASE with|without PROGRAM FOLDER");
         exit(2);
     };
-    let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
+    let has_trouble = disruption != "without";
     let work = env::temp_dir().join(format!("review-{case}-{}", std::process::id()));
     fs::create_dir_all(&work).expect("temporary folder");
     let run_case = || match case.as_str() {
