review: make the scripts of cases 6 and 7 less dependent on load

Case 6 crashes 14 leafs at one moment and kills the processes before their addresses are used again; case 7 crashes the leafs closer to the kill.

--- a/review/harness-2/src/fleet.rs
+++ b/review/harness-2/src/fleet.rs
@@ -114,11 +114,12 @@
         self.nodes.iter().all(|it| it.wait_until_ready(Duration::from_secs(15)))
     }
 
-    /// Kills all nodes and starts them again 0.7 s later.
-    pub fn kill_and_restart(&mut self) {
+    pub fn kill_nodes(&mut self) {
         self.record.say("all processes of the system are killed");
         self.nodes.iter_mut().for_each(Node::kill);
-        std::thread::sleep(Duration::from_millis(700));
+    }
+
+    pub fn restart_nodes(&mut self) {
         self.start_nodes();
         self.record.say("they are started again");
     }
--- a/review/harness-2/src/restarts.rs
+++ b/review/harness-2/src/restarts.rs
@@ -7,14 +7,14 @@
     client::Clients,
     fleet::{Fleet, IdOrder, ZONE},
     record::Record,
-    site::{kkw_shopsuche, COUNTED, RECOVERY},
+    site::{kkw_shopsuche, COUNTED, NODES_DOWN, RECOVERY},
 };
 
 /// Times from the crashes to the kill of the processes.
 const CRASHES_BEFORE: [Duration; 3] =
-    [Duration::from_millis(2_200), Duration::from_millis(1_400), Duration::from_millis(600)];
+    [Duration::from_millis(1_500), Duration::from_millis(1_000), Duration::from_millis(500)];
 /// Time for which a leaf is down.
-const DOWN: Duration = Duration::from_millis(500);
+const DOWN: Duration = Duration::from_millis(300);
 
 pub fn run(record: &Record, trouble: bool) -> i32 {
     let site = kkw_shopsuche();
@@ -46,7 +46,9 @@
     }
     thread::sleep(kill_at.saturating_sub(record.elapsed()));
     // TROUBLE=0 shows that the final fault alone is borne.
-    fleet.kill_and_restart();
+    fleet.kill_nodes();
+    thread::sleep(NODES_DOWN);
+    fleet.restart_nodes();
     let back_at = record.elapsed();
     thread::sleep(RECOVERY + COUNTED);
     let outcomes = clients.stop();
--- a/review/harness-2/src/site.rs
+++ b/review/harness-2/src/site.rs
@@ -13,6 +13,8 @@
 const LEAFS_PER_SHARD: usize = 3;
 /// `RecoveryS`
 pub const RECOVERY: Duration = Duration::from_secs(12);
+/// Time for which the processes of the system are down; the site file has 1.4 s at most.
+pub const NODES_DOWN: Duration = Duration::from_millis(700);
 /// Time after `RecoveryS` in which requests are counted.
 pub const COUNTED: Duration = Duration::from_secs(8);
 
