--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -146,6 +146,7 @@
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
     pub(crate) rate_limited_upstreams: Gauge,
     pub(crate) reply_buffer_bytes: Gauge,
+    pub(crate) lost_reservations: Counter,
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
     pub(crate) grants_asked: Family<BoundLabel, Counter>,
     pub(crate) grants_lent: Family<BoundLabel, Counter>,
@@ -188,6 +189,7 @@
             rate_limit_changes: Family::default(),
             rate_limited_upstreams: Gauge::default(),
             reply_buffer_bytes: Gauge::default(),
+            lost_reservations: Counter::default(),
             rate_share: Gauge::default(),
             grants_asked: Family::default(),
             grants_lent: Family::default(),
@@ -270,6 +272,11 @@
             "Memory used by the bodies of upstreams' replies",
             self.reply_buffer_bytes.clone(),
         );
+        registry.register(
+            "lost_reservations",
+            "Connections to upstreams that were reserved for calls that never began",
+            self.lost_reservations.clone(),
+        );
         registry.register("store_era", "Latest known era of the store", self.store_era.clone());
         registry.register(
             "store_restores",
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -135,6 +135,13 @@
     spec: &'a CallSpec,
 }
 
+impl<'a> ReservationGuard<'a> {
+    fn new(spec: &'a CallSpec) -> Self {
+        spec.balancer.begin_call(spec.upstream, spec.reserved_at);
+        Self { spec }
+    }
+}
+
 impl Drop for ReservationGuard<'_> {
     fn drop(&mut self) {
         self.spec.balancer.end_call(self.spec.upstream, self.spec.reserved_at);
@@ -157,7 +164,7 @@
     spec: &CallSpec,
     mut sender: oneshot::Sender<CallResult>,
 ) {
-    let reservation = ReservationGuard { spec };
+    let reservation = ReservationGuard::new(spec);
     let mut exchange = Box::pin(exchange_watched::<W>(edge, spec));
     let completed = tokio::select! {
         biased;
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -9,8 +9,8 @@
 use mux_sharing::NodeShares;
 
 use super::{
-    BalancerReport, LatencyEstimate, PriorityArbiter, RateLimitChange, RetryBudget,
-    RetryBudgetLimits, UpstreamRecord,
+    BalancerReport, LatencyEstimate, LostReservation, PriorityArbiter, RateLimitChange,
+    RetryBudget, RetryBudgetLimits, UpstreamRecord,
     balancer_state::{BalancerState, SATURATED_RETRY_DELAY},
     tracked_upstream::{QuietOutcome, TrackedUpstream},
     zone_return::ZoneStates,
@@ -249,6 +249,34 @@
         })?
     }
 
+    /// Records that the task of the call that was reserved at `started` has begun; it ends with
+    /// [`Self::end_call`].
+    pub fn begin_call(&self, upstream: UpstreamId, started: TimePoint) {
+        self.with_upstream(upstream, |it| it.begin_call(started));
+    }
+
+    /// Returns the connections that have been reserved for longer than `limit` although their calls have
+    /// not begun; each one is returned once.
+    pub fn take_lost_reservations(&self, now: TimePoint, limit: Duration) -> Vec<LostReservation> {
+        let mut state = self.lock();
+        let max_connections: Vec<_> =
+            state.upstreams.iter().map(|it| state.max_connections(it)).collect();
+        let mut lost = Vec::new();
+        for (upstream, max_connections) in state.upstreams.iter_mut().zip(max_connections) {
+            while let Some(age) = upstream.take_lost_reservation(now, limit) {
+                lost.push(LostReservation {
+                    instance: upstream.instance.clone(),
+                    upstream: upstream.id,
+                    is_active: upstream.is_active,
+                    age,
+                    reserved: upstream.in_flight(),
+                    max_connections,
+                });
+            }
+        }
+        lost
+    }
+
     /// Releases the connection of the call that started at `started`.
     pub fn end_call(&self, upstream: UpstreamId, started: TimePoint) {
         self.with_upstream(upstream, |it| it.end_call(started));
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -57,6 +57,16 @@
     in_flight: u32,
 }
 
+/// A call that holds a reserved connection.
+#[derive(Debug, Clone, Copy)]
+struct ReservedCall {
+    reserved_at: TimePoint,
+    /// Whether the task of the call has begun, which releases the connection when it ends.
+    has_begun: bool,
+    /// Whether it was counted as lost.
+    is_reported: bool,
+}
+
 /// One upstream of a balancer.
 #[derive(Debug)]
 pub(super) struct TrackedUpstream {
@@ -66,8 +76,7 @@
     pub(super) is_active: bool,
     same_zone: bool,
     slots: u32,
-    /// Start times of the calls that hold a reserved connection.
-    call_starts: Vec<TimePoint>,
+    reserved_calls: Vec<ReservedCall>,
     /// Connections that are open or being set up.
     open_connections: u32,
     /// Maximum number of connections that the upstream is assumed to accept from this node.
@@ -118,7 +127,7 @@
             is_active: true,
             same_zone,
             slots: record.slots.max(1),
-            call_starts: Vec::new(),
+            reserved_calls: Vec::new(),
             open_connections: 0,
             assumed_connection_limit: if is_first_window { MIN_CONNECTIONS } else { u32::MAX },
             refusals: 0,
@@ -260,11 +269,11 @@
     }
 
     pub(super) fn in_flight(&self) -> u32 {
-        u32::try_from(self.call_starts.len()).unwrap_or(u32::MAX)
+        u32::try_from(self.reserved_calls.len()).unwrap_or(u32::MAX)
     }
 
     pub(super) fn is_idle(&self) -> bool {
-        self.call_starts.is_empty()
+        self.reserved_calls.is_empty()
     }
 
     pub(super) fn slots(&self) -> u32 {
@@ -272,24 +281,48 @@
     }
 
     pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind) {
-        self.call_starts.push(now);
+        let call = ReservedCall { reserved_at: now, has_begun: false, is_reported: false };
+        self.reserved_calls.push(call);
         if let Some(limit) = &mut self.rate_limit {
             limit.use_grant(now, self.rate_share, kind);
         }
         self.warm_up.on_call(now, self.rate_share);
     }
 
+    /// Records that the task of the call that was reserved at `started` has begun.
+    pub(super) fn begin_call(&mut self, started: TimePoint) {
+        let mut calls = self.reserved_calls.iter_mut();
+        if let Some(call) = calls.find(|it| it.reserved_at == started && !it.has_begun) {
+            call.has_begun = true;
+        }
+    }
+
     /// Releases the connection of the call that started at `started`.
     pub(super) fn end_call(&mut self, started: TimePoint) {
-        if let Some(idx) = self.call_starts.iter().position(|it| *it == started) {
-            self.call_starts.swap_remove(idx);
+        if let Some(idx) = self.reserved_calls.iter().position(|it| it.reserved_at == started) {
+            self.reserved_calls.swap_remove(idx);
         }
     }
 
+    /// Returns the age of the oldest connection reserved for longer than `limit` for a call that has not
+    /// begun; each one is returned once.
+    pub(super) fn take_lost_reservation(
+        &mut self,
+        now: TimePoint,
+        limit: Duration,
+    ) -> Option<Duration> {
+        let lost = self.reserved_calls.iter_mut();
+        let lost = lost.filter(|it| !it.has_begun && !it.is_reported);
+        let oldest = lost.min_by_key(|it| it.reserved_at)?;
+        let age = now.since(oldest.reserved_at);
+        oldest.is_reported = limit < age;
+        oldest.is_reported.then_some(age)
+    }
+
     /// Releases the connection that was reserved last; calls are withdrawn at once, before others
     /// start.
     pub(super) fn withdraw_call(&mut self) {
-        if let Some(latest) = self.call_starts.iter().max().copied() {
+        if let Some(latest) = self.reserved_calls.iter().map(|it| it.reserved_at).max() {
             self.end_call(latest);
         }
         if let Some(limit) = &mut self.rate_limit {
--- a/crates/routing/src/balancer/tracked_upstream/latency.rs
+++ b/crates/routing/src/balancer/tracked_upstream/latency.rs
@@ -174,7 +174,7 @@
         }
         let stall_threshold =
             estimate.hedge_delay.mul_f64(self.latency_factor(now).clamp(1.0, 3.0));
-        if self.call_starts.iter().any(|it| stall_threshold < now.since(*it)) {
+        if self.reserved_calls.iter().any(|it| stall_threshold < now.since(it.reserved_at)) {
             return HealthTier::Stalled;
         }
         HealthTier::Healthy
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -10,6 +10,7 @@
 mod query_router;
 mod rate_limit;
 mod registry;
+mod reservations;
 mod retry_budget;
 mod spent_budget_markers;
 mod warm_up;
