Keep a call's reservation at the shard for which it was made

Cause: QueryRouter looked the shard of a call up by the address of its first candidate, and took the first shard that lists it. The connection was reserved at the balancer of that shard; the task of the call returned it to the balancer of its own shard, which didn't know it. A process that starts allows each upstream one connection, so one such call took an upstream out of use.

Not the cause: entries (all upstreams are listed and active) and back-offs (those end by themselves).

Change: the fan-out names the shard when it acquires, and gets a CallReservation that holds shard and upstream; outcome, withdrawal and call go by it. The lookups by address in QueryRouter are gone, with them the lists of earlier and later upstreams. The report of an upstream's status is no longer part of the trait: only ServiceRouter has it, whose service lists each address once.

--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -15,7 +15,7 @@
 };
 use mux_quarantine::CRASH_LIMIT;
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult};
-use mux_routing::{AcquireError, balancer::QueryRouter};
+use mux_routing::{AcquireError, CallReservation, balancer::QueryRouter};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -142,8 +142,9 @@
         loop {
             for action in actions.drain(..) {
                 match action {
-                    FanOutAction::Send { call, shard, upstream, .. } => {
-                        let receiver = self.send::<W>(now, shard, upstream);
+                    FanOutAction::Send { call, reservation, .. } => {
+                        let CallReservation { shard, upstream } = reservation;
+                        let receiver = self.send::<W>(now, reservation);
                         let record = CallRecord { call, shard, upstream, started_at: now };
                         sent_calls.push((call, shard, upstream));
                         calls.push(wait_for_result(record, receiver));
@@ -183,9 +184,9 @@
     fn send<W: WireProtocol>(
         &mut self,
         now: TimePoint,
-        shard: ShardIndex,
-        upstream: UpstreamId,
+        reservation: CallReservation,
     ) -> oneshot::Receiver<CallResult> {
+        let CallReservation { shard, upstream } = reservation;
         let count = self.calls_per_shard.entry(shard).or_default();
         *count += 1;
         self.template.calls_per_shard.fetch_max(*count, Ordering::Relaxed);
--- a/crates/node/src/dispatch/fan_out_driver.rs
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -8,11 +8,11 @@
     stream::FuturesUnordered,
 };
 use mux_model::{
-    CallFailure, CallId, FastMap, NotRunReason, ServiceName, ShardIndex, SnapshotId, TimePoint,
-    UpstreamId,
+    CallFailure, CallId, FastMap, NotRunReason, ServiceName, SnapshotId, TimePoint, UpstreamId,
 };
 use mux_quarantine::CRASH_LIMIT;
 use mux_query::{CallReply, FanOut, FanOutAction, FanOutPlan, FanOutResult, QueryAttempts};
+use mux_routing::CallReservation;
 use mux_timer::TimerService;
 use mux_upstream::{CallHeader, UpstreamPool, UpstreamReply};
 use tokio::sync::mpsc;
@@ -84,10 +84,10 @@
         loop {
             for action in actions.drain(..) {
                 match action {
-                    FanOutAction::Send { call, shard, upstream, deadline } => {
+                    FanOutAction::Send { call, reservation, deadline } => {
                         let (handle, registration) = AbortHandle::new_pair();
                         abort_handles.insert(call, handle);
-                        let future = self.call(call, shard, upstream, deadline);
+                        let future = self.call(call, reservation, deadline);
                         calls.push(Abortable::new(future, registration));
                     }
                     FanOutAction::Cancel(call) => {
@@ -123,10 +123,10 @@
     async fn call(
         &self,
         call: CallId,
-        shard: ShardIndex,
-        upstream: UpstreamId,
+        reservation: CallReservation,
         deadline: TimePoint,
     ) -> CallCompletion {
+        let CallReservation { shard, upstream } = reservation;
         let header = CallHeader {
             request: self.plan.request,
             call,
--- a/crates/node/src/dispatch/service_runtime.rs
+++ b/crates/node/src/dispatch/service_runtime.rs
@@ -15,9 +15,7 @@
     SnapshotMap, TimePoint, UpstreamId,
 };
 use mux_query::{SnapshotCatalog, SnapshotClaim};
-use mux_routing::{
-    HedgePolicy, ReplicaRouter, RoutingPolicy, ServiceRouter, UpstreamHint, UpstreamLocation,
-};
+use mux_routing::{HedgePolicy, RoutingPolicy, ServiceRouter, UpstreamHint, UpstreamLocation};
 use mux_upstream::UpstreamStatus;
 
 use super::fan_out_driver::CallReport;
--- a/crates/query/src/call_table.rs
+++ b/crates/query/src/call_table.rs
@@ -4,12 +4,12 @@
 
 use bytes::Bytes;
 use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
+use mux_routing::CallReservation;
 
 /// One call to an upstream.
 #[derive(Debug)]
 pub(crate) struct CallState {
-    pub(crate) shard: ShardIndex,
-    pub(crate) upstream: UpstreamId,
+    pub(crate) reservation: CallReservation,
     pub(crate) sent_at: TimePoint,
     pub(crate) open: bool,
     /// Whether its upstream may be called again by the same query.
@@ -145,7 +145,7 @@
         while let Some(position) = next {
             let call = &self.calls[position];
             if !call.may_repeat {
-                self.tried_replicas.push(call.upstream);
+                self.tried_replicas.push(call.reservation.upstream);
             }
             next = call.previous;
         }
@@ -159,21 +159,15 @@
     }
 
     /// Records a new call and returns its identity.
-    pub(crate) fn open(
-        &mut self,
-        now: TimePoint,
-        shard: ShardIndex,
-        upstream: UpstreamId,
-    ) -> CallId {
+    pub(crate) fn open(&mut self, now: TimePoint, reservation: CallReservation) -> CallId {
         let call = self.id_at(self.calls.len());
-        let state = &mut self.shards[to_index(shard.0)];
+        let state = &mut self.shards[to_index(reservation.shard.0)];
         let previous = state.last_call.replace(self.calls.len());
         state.open_calls += 1;
         state.calls += 1;
         self.open_calls += 1;
         self.calls.push(CallState {
-            shard,
-            upstream,
+            reservation,
             sent_at: now,
             open: true,
             may_repeat: false,
@@ -187,7 +181,7 @@
         let position = self.position(call)?;
         let call = self.calls.get_mut(position).filter(|it| it.open)?;
         call.open = false;
-        self.shards[to_index(call.shard.0)].open_calls -= 1;
+        self.shards[to_index(call.reservation.shard.0)].open_calls -= 1;
         self.open_calls -= 1;
         Some(call)
     }
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -157,12 +157,12 @@
             self.dropped_replies += 1;
             return;
         };
-        if !self.matches_call(state.shard, &reply) {
+        if !self.matches_call(state.reservation.shard, &reply) {
             return self.on_failure(now, router, call, CallFailure::BadReply, latency, actions);
         }
-        let upstream = state.upstream;
+        let reservation = state.reservation;
         self.table.close(call);
-        router.release(now, upstream, CallOutcome::Replied(latency));
+        router.release(now, reservation, CallOutcome::Replied(latency));
         self.verdict = self.verdict.combine(Verdict::MayHaveRun);
         self.answered_shards += 1;
         self.record_survival(reply.shard);
@@ -170,7 +170,7 @@
         self.cancel_shard(now, router, reply.shard, actions);
         if !self.try_finish(now, router, actions) {
             self.release_held_shards(now, router, actions);
-            self.use_freed_slot(now, router, upstream, actions);
+            self.use_freed_slot(now, router, reservation.upstream, actions);
             self.advance(now, router, actions);
         }
     }
@@ -188,8 +188,9 @@
         let Some(state) = self.table.close(call) else {
             return;
         };
-        let (shard, sent_at) = (state.shard, state.sent_at);
-        router.release(now, state.upstream, CallOutcome::Failed(failure, latency));
+        let (reservation, sent_at) = (state.reservation, state.sent_at);
+        let shard = reservation.shard;
+        router.release(now, reservation, CallOutcome::Failed(failure, latency));
         self.verdict = self.verdict.combine(failure.verdict());
         self.record_failure(call, shard, failure);
         let reaction = match failure {
--- a/crates/query/src/fan_out/completion.rs
+++ b/crates/query/src/fan_out/completion.rs
@@ -106,7 +106,7 @@
         let Some(state) = self.table.close(call) else {
             return;
         };
-        router.release(now, state.upstream, CallOutcome::Cancelled(state.age(now)));
+        router.release(now, state.reservation, CallOutcome::Cancelled(state.age(now)));
         self.verdict = self.verdict.combine(Verdict::MayHaveRun);
         actions.push(FanOutAction::Cancel(call));
     }
--- a/crates/query/src/fan_out/crashes.rs
+++ b/crates/query/src/fan_out/crashes.rs
@@ -18,14 +18,14 @@
     /// crashes upstreams; to be asked before the failure is handled.
     pub fn is_strong_sign(&self, call: CallId) -> bool {
         let call = self.table.open_call(call);
-        call.is_some_and(|it| self.containment.is_strong_sign(it.shard, it.sent_at))
+        call.is_some_and(|it| self.containment.is_strong_sign(it.reservation.shard, it.sent_at))
     }
 
     /// Marks the shards without a usable replica as failed, so that a request that may crash upstreams
     /// reaches none if it cannot be answered in any case.
     pub(super) fn fail_unreachable_shards<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
         let map = &self.plan.map;
-        let is_unreachable = |it: &ShardIndex| !router.has_replica(now, map.replicas(*it));
+        let is_unreachable = |it: &ShardIndex| !router.has_replica(now, *it, map.replicas(*it));
         let unreachable: Vec<ShardIndex> = map.shards().filter(is_unreachable).collect();
         for shard in unreachable {
             self.mark_failed(shard);
--- a/crates/query/src/fan_out/dispatch.rs
+++ b/crates/query/src/fan_out/dispatch.rs
@@ -1,7 +1,7 @@
 //! Sends the first call to a shard and replaces failed calls.
 
-use mux_model::{CallId, ShardIndex, TimePoint, UpstreamId};
-use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter};
+use mux_model::{CallId, ShardIndex, TimePoint};
+use mux_routing::{AcquireError, CallKind, CallOutcome, CallReservation, ReplicaRouter};
 
 use crate::{
     FanOutAction,
@@ -39,7 +39,7 @@
             (true, true) => CallKind::Retry,
         };
         match self.acquire(now, router, shard, kind) {
-            Ok(upstream) => Some(self.table.open(now, shard, upstream)),
+            Ok(reservation) => Some(self.table.open(now, reservation)),
             Err(AcquireError::Saturated { retry_after }) => {
                 self.wait_for_slot(now, shard, retry_after);
                 None
@@ -69,7 +69,7 @@
         router: &R,
         shard: ShardIndex,
         kind: CallKind,
-    ) -> Result<UpstreamId, AcquireError> {
+    ) -> Result<CallReservation, AcquireError> {
         let candidates = self.plan.map.replicas(shard);
         if self.plan.max_calls.is_some_and(|it| it.get() <= self.table.possible_runs(shard)) {
             return Err(AcquireError::NoReplica);
@@ -78,7 +78,7 @@
         if candidates.len() <= tried_replicas.len() {
             return Err(AcquireError::NoReplica);
         }
-        router.acquire(now, candidates, tried_replicas, kind)
+        router.acquire(now, shard, candidates, tried_replicas, kind)
     }
 
     /// Records that `shard` can no longer return a result.
@@ -96,8 +96,7 @@
         };
         actions.push(FanOutAction::Send {
             call,
-            shard: state.shard,
-            upstream: state.upstream,
+            reservation: state.reservation,
             deadline: self.plan.deadline,
         });
     }
@@ -115,7 +114,7 @@
     pub(super) fn release_reserved<R: ReplicaRouter>(&mut self, now: TimePoint, router: &R) {
         for call in self.table.call_ids() {
             if let Some(state) = self.table.close(call) {
-                router.release(now, state.upstream, CallOutcome::Withdrawn);
+                router.release(now, state.reservation, CallOutcome::Withdrawn);
             }
         }
         self.table = CallTable::new(self.hedge_cursor, self.thresholds.total);
--- a/crates/query/src/fan_out/hedging.rs
+++ b/crates/query/src/fan_out/hedging.rs
@@ -65,7 +65,7 @@
         slow_call: CallId,
         actions: &mut Vec<FanOutAction>,
     ) {
-        let Some(shard) = self.table.open_call(slow_call).map(|it| it.shard) else {
+        let Some(shard) = self.table.open_call(slow_call).map(|it| it.reservation.shard) else {
             return;
         };
         // Hedges that waited for a slot or the budget are due after a crash as well.
@@ -80,8 +80,8 @@
             return self.wait_for_hedge(now, shard, slow_call, limit.since(now));
         }
         match self.acquire(now, router, shard, CallKind::Hedge) {
-            Ok(upstream) => {
-                let call = self.table.open(now, shard, upstream);
+            Ok(reservation) => {
+                let call = self.table.open(now, reservation);
                 self.next_lone_hedge = now + delay;
                 self.send(call, actions);
             }
--- a/crates/query/src/fan_out_events.rs
+++ b/crates/query/src/fan_out_events.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use mux_model::{
-    CallId, Coverage, RequestId, ShardIndex, SnapshotId, SnapshotMap, TimePoint, UpstreamId,
-    Verdict,
+    CallId, Coverage, RequestId, ShardIndex, SnapshotId, SnapshotMap, TimePoint, Verdict,
 };
+use mux_routing::CallReservation;
 
 /// Input of a fan-out.
 #[derive(Debug, Clone)]
@@ -56,10 +56,8 @@
     Send {
         /// Identity of the call.
         call: CallId,
-        /// Shard to query.
-        shard: ShardIndex,
-        /// Replica to call.
-        upstream: UpstreamId,
+        /// The shard to query and the replica to call.
+        reservation: CallReservation,
         /// Time after which the reply is no longer used.
         deadline: TimePoint,
     },
--- a/crates/query/tests/crash_fleet/mod.rs
+++ b/crates/query/tests/crash_fleet/mod.rs
@@ -8,7 +8,9 @@
     RequestAdmission, RequestFingerprint, UpstreamProcess,
 };
 use mux_query::{FanOut, FanOutAction};
-use mux_routing::{AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, UpstreamHint};
+use mux_routing::{
+    AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter,
+};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::fixtures::{PlanScript, upstream_number};
@@ -89,28 +91,28 @@
     fn acquire(
         &self,
         now: TimePoint,
+        shard: ShardIndex,
         candidates: &[UpstreamId],
         excluded: &[UpstreamId],
         _: CallKind,
-    ) -> std::result::Result<UpstreamId, AcquireError> {
+    ) -> std::result::Result<CallReservation, AcquireError> {
         let down_until = self.down_until.lock().unwrap();
         let is_up = |it: &UpstreamId| down_until[upstream_number(it) as usize] <= now;
         let usable = candidates.iter().find(|it| !excluded.contains(it) && is_up(it));
-        usable.copied().ok_or(AcquireError::NoReplica)
+        let upstream = *usable.ok_or(AcquireError::NoReplica)?;
+        Ok(CallReservation { shard, upstream })
     }
 
-    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool {
+    fn has_replica(&self, now: TimePoint, _: ShardIndex, candidates: &[UpstreamId]) -> bool {
         let down_until = self.down_until.lock().unwrap();
         candidates.iter().any(|it| down_until[upstream_number(it) as usize] <= now)
     }
 
-    fn release(&self, _: TimePoint, _: UpstreamId, _: CallOutcome) {}
+    fn release(&self, _: TimePoint, _: CallReservation, _: CallOutcome) {}
 
     fn hedge_delay(&self, _: TimePoint) -> Option<Duration> {
         Some(HEDGE_DELAY)
     }
-
-    fn observe(&self, _: TimePoint, _: UpstreamId, _: UpstreamHint) {}
 }
 
 /// Nodes that share evidence through a store, upstreams, and one caller of each crashing query.
@@ -269,7 +271,8 @@
         event(&mut self.attempts[attempt].fan_out, self.now, &self.router, &mut actions);
         for action in actions {
             match action {
-                FanOutAction::Send { call, shard, upstream, .. } => {
+                FanOutAction::Send { call, reservation, .. } => {
+                    let CallReservation { shard, upstream } = reservation;
                     self.attempts[attempt].shards.insert(call, shard);
                     let process = self.processes[upstream_number(&upstream) as usize];
                     self.running.push((attempt, call, upstream, process));
--- a/crates/routing/src/balancer/query_router.rs
+++ b/crates/routing/src/balancer/query_router.rs
@@ -8,7 +8,7 @@
 use mux_model::{ShardIndex, SnapshotId, SnapshotMap, TimePoint, UpstreamId};
 
 use super::{LatencyEstimate, LatencyEstimator, ServiceBalancer};
-use crate::{AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, UpstreamHint};
+use crate::{AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter};
 
 /// Maximum expected latency of a call as a fraction of the time left; the rest is headroom, because
 /// the actual latency varies around the estimate.
@@ -30,21 +30,16 @@
 
 /// Routes the calls of one query; each shard is a service with its own balancer.
 ///
-/// The candidates passed to `acquire` only select the balancer, which chooses among all its
-/// upstreams. `release` records the outcome; [`ServiceBalancer::end_call`] frees the connection,
+/// The balancer of a shard chooses among all its upstreams, whatever the candidates are. `release` records the outcome; [`ServiceBalancer::end_call`] frees the connection,
 /// unless the call was withdrawn.
 #[derive(Debug)]
 pub struct QueryRouter {
     balancers: Vec<Arc<ServiceBalancer>>,
-    /// Shard index of each upstream.
-    shard_by_upstream: Vec<(UpstreamId, usize)>,
     map: Arc<SnapshotMap>,
     latency_estimator: Arc<Mutex<LatencyEstimator>>,
     latency_estimate: LatencyEstimate,
     constraints: QueryConstraints,
     refusals: Mutex<Vec<(ShardIndex, AcquireError)>>,
-    /// Shard index of each upstream that became active after the start of the query and was called.
-    later_upstreams: Mutex<Vec<(UpstreamId, usize)>>,
 }
 
 impl QueryRouter {
@@ -56,10 +51,6 @@
         constraints: QueryConstraints,
     ) -> Self {
         let replicas: Vec<_> = balancers.iter().map(|it| it.active_upstreams()).collect();
-        let mut shard_by_upstream = Vec::with_capacity(replicas.iter().map(Vec::len).sum());
-        for (idx, active_upstreams) in replicas.iter().enumerate() {
-            shard_by_upstream.extend(active_upstreams.iter().map(|it| (*it, idx)));
-        }
         let without_upstream = replicas.iter().enumerate().filter(|(_, it)| it.is_empty());
         let refusals =
             without_upstream.map(|(idx, _)| (shard_index(idx), AcquireError::NoReplica)).collect();
@@ -67,13 +58,11 @@
         let map = Arc::new(SnapshotMap::new(snapshot, replicas));
         Self {
             balancers,
-            shard_by_upstream,
             map,
             latency_estimator,
             latency_estimate,
             constraints,
             refusals: Mutex::new(refusals),
-            later_upstreams: Mutex::default(),
         }
     }
 
@@ -109,33 +98,13 @@
         reply_by.since(now).mul_f64(MAX_LATENCY_SHARE)
     }
 
-    fn record_refusal(&self, candidates: &[UpstreamId], error: AcquireError) {
+    fn record_refusal(&self, shard: ShardIndex, error: AcquireError) {
         // A waiting call retries every few milliseconds; recording each attempt would make the list
         // too long.
-        if matches!(error, AcquireError::Saturated { .. }) {
-            return;
-        }
-        let entry = candidates
-            .first()
-            .and_then(|it| self.shard_by_upstream.iter().find(|(id, _)| id == it));
-        if let Some((_, idx)) = entry {
-            let shard = shard_index(*idx);
-            let mut refusals = lock(&self.refusals);
-            refusals.push((shard, error));
+        if !matches!(error, AcquireError::Saturated { .. }) {
+            lock(&self.refusals).push((shard, error));
         }
     }
-
-    /// Returns the shard of an upstream that was active at the start of the query or was called.
-    fn shard_of(&self, upstream: UpstreamId) -> Option<usize> {
-        let find = |known: &[(UpstreamId, usize)]| {
-            known.iter().find(|(it, _)| *it == upstream).map(|(_, idx)| *idx)
-        };
-        find(&self.shard_by_upstream).or_else(|| find(&lock(&self.later_upstreams)))
-    }
-
-    fn balancer_of(&self, upstream: UpstreamId) -> Option<&ServiceBalancer> {
-        Some(&self.balancers[self.shard_of(upstream)?])
-    }
 }
 
 impl ReplicaRouter for QueryRouter {
@@ -148,49 +117,38 @@
     fn acquire(
         &self,
         now: TimePoint,
-        candidates: &[UpstreamId],
+        shard: ShardIndex,
+        _candidates: &[UpstreamId],
         excluded: &[UpstreamId],
         kind: CallKind,
-    ) -> Result<UpstreamId, AcquireError> {
-        let shard = candidates.first().and_then(|it| self.shard_of(*it));
-        let rank = self.constraints.rank;
-        let max_latency = self.max_latency(now);
-        let shard = shard.ok_or(AcquireError::NoReplica)?;
-        let acquired = self.balancers[shard].acquire_by_rank(
+    ) -> Result<CallReservation, AcquireError> {
+        let acquired = self.balancer(shard).acquire_by_rank(
             now,
             excluded,
             kind,
             &self.latency_estimate,
-            max_latency,
-            rank,
+            self.max_latency(now),
+            self.constraints.rank,
         );
         if let Err(error) = acquired {
-            self.record_refusal(candidates, error);
-        }
-        if let Ok(upstream) = acquired
-            && self.shard_of(upstream).is_none()
-        {
-            lock(&self.later_upstreams).push((upstream, shard));
+            self.record_refusal(shard, error);
         }
         if acquired == Err(AcquireError::ReplyTooLate) {
             lock(&self.latency_estimator).record_too_late(now);
         }
-        acquired
+        acquired.map(|upstream| CallReservation { shard, upstream })
     }
 
-    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool {
-        let balancer = candidates.first().and_then(|it| self.balancer_of(*it));
+    fn has_replica(&self, now: TimePoint, shard: ShardIndex, _candidates: &[UpstreamId]) -> bool {
         let max_latency = self.max_latency(now);
-        balancer.is_some_and(|it| it.has_upstream(now, &self.latency_estimate, max_latency))
+        self.balancer(shard).has_upstream(now, &self.latency_estimate, max_latency)
     }
 
-    fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
-        let Some(balancer) = self.balancer_of(upstream) else {
-            return;
-        };
-        if let Some(latency) =
-            balancer.record_outcome(now, upstream, outcome, &self.latency_estimate)
-        {
+    fn release(&self, now: TimePoint, reservation: CallReservation, outcome: CallOutcome) {
+        let CallReservation { shard, upstream } = reservation;
+        let latency =
+            self.balancer(shard).record_outcome(now, upstream, outcome, &self.latency_estimate);
+        if let Some(latency) = latency {
             lock(&self.latency_estimator).record_latency(now, latency);
         }
     }
@@ -198,12 +156,6 @@
     fn hedge_delay(&self, _now: TimePoint) -> Option<Duration> {
         Some(self.latency_estimate.hedge_delay)
     }
-
-    fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
-        if let (Some(balancer), Some(in_flight)) = (self.balancer_of(upstream), hint.in_flight) {
-            balancer.record_load(now, upstream, in_flight);
-        }
-    }
 }
 
 fn shard_index(idx: usize) -> ShardIndex {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,7 @@
 mod availability;
 pub mod balancer;
 mod call_accounting;
+mod call_reservation;
 mod candidate_selector;
 mod concurrency_limit;
 mod extra_load_budget;
@@ -25,6 +26,7 @@
 mod upstream_state;
 mod upstream_table;
 
+pub use call_reservation::CallReservation;
 pub use replica_router::{
     AcquireError, CallKind, CallOutcome, HedgePolicy, QueryRefusal, ReplicaRouter, RoutingPolicy,
     UpstreamHint,
--- a/crates/routing/src/replica_router.rs
+++ b/crates/routing/src/replica_router.rs
@@ -2,7 +2,9 @@
 
 use std::{fmt, time::Duration};
 
-use mux_model::{AvailabilityZone, CallFailure, TimePoint, UpstreamId};
+use mux_model::{AvailabilityZone, CallFailure, ShardIndex, TimePoint, UpstreamId};
+
+use crate::CallReservation;
 
 /// Routing settings of one service at this node.
 #[derive(Debug, Clone, PartialEq)]
@@ -150,7 +152,7 @@
     /// Records the end of an admitted query.
     fn finish(&self, now: TimePoint);
 
-    /// Reserves a slot at one of `candidates` that is not in `excluded`.
+    /// Reserves a slot at one of the `candidates` of `shard` that is not in `excluded`.
     ///
     /// # Errors
     ///
@@ -158,23 +160,21 @@
     fn acquire(
         &self,
         now: TimePoint,
+        shard: ShardIndex,
         candidates: &[UpstreamId],
         excluded: &[UpstreamId],
         kind: CallKind,
-    ) -> Result<UpstreamId, AcquireError>;
+    ) -> Result<CallReservation, AcquireError>;
 
-    /// Returns whether any of `candidates` can accept a first call, at once or after a wait; reserves
-    /// nothing.
-    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool;
+    /// Returns whether any of the `candidates` of `shard` can accept a first call, at once or after a
+    /// wait; reserves nothing.
+    fn has_replica(&self, now: TimePoint, shard: ShardIndex, candidates: &[UpstreamId]) -> bool;
 
     /// Releases the slot and records the outcome of the call.
-    fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome);
+    fn release(&self, now: TimePoint, reservation: CallReservation, outcome: CallOutcome);
 
     /// Returns how long to wait for a reply before a hedge is sent to another replica.
     ///
     /// `None`: no hedges.
     fn hedge_delay(&self, now: TimePoint) -> Option<Duration>;
-
-    /// Records the status that an upstream reported.
-    fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint);
 }
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -5,15 +5,15 @@
     time::Duration,
 };
 
-use mux_model::{CallFailure, TimePoint, UpstreamId};
+use mux_model::{CallFailure, ShardIndex, TimePoint, UpstreamId};
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
 use crate::{
-    AcquireError, CallKind, CallOutcome, QueryRefusal, ReplicaRouter, RouterReport, RoutingPolicy,
-    UpstreamHint, UpstreamLocation, availability::Availability, call_accounting::CallAccounting,
-    candidate_selector::CandidateSelector, hedge_delay_estimator::HedgeDelayEstimator,
-    query_admission::QueryAdmission, router_settings::RouterSettings,
-    upstream_table::UpstreamTable,
+    AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter,
+    RouterReport, RoutingPolicy, UpstreamHint, UpstreamLocation, availability::Availability,
+    call_accounting::CallAccounting, candidate_selector::CandidateSelector,
+    hedge_delay_estimator::HedgeDelayEstimator, query_admission::QueryAdmission,
+    router_settings::RouterSettings, upstream_table::UpstreamTable,
 };
 
 /// Maximum number of selections for one call; a concurrent call may take the selected slot first.
@@ -78,6 +78,46 @@
         }
     }
 
+    /// Reserves a slot at one of `candidates` that is not in `excluded`. The service lists each address
+    /// once, so it identifies the reservation.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AcquireError`] if no candidate can accept the call now.
+    pub fn acquire(
+        &self,
+        now: TimePoint,
+        candidates: &[UpstreamId],
+        excluded: &[UpstreamId],
+        kind: CallKind,
+    ) -> Result<UpstreamId, AcquireError> {
+        let settings = self.settings();
+        if !lock(&self.accounting).try_charge(now, kind, &settings) {
+            return Err(AcquireError::BudgetExhausted);
+        }
+        let acquired = self.reserve(now, &settings, candidates, excluded, kind);
+        if let (CallKind::First, Err(AcquireError::Saturated { retry_after })) = (kind, acquired) {
+            self.record_wait(now, &settings, candidates, retry_after);
+        }
+        lock(&self.accounting).record_acquire(now, kind, acquired, &settings);
+        acquired
+    }
+
+    /// Releases the slot and records the outcome of the call.
+    pub fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
+        let settings = self.settings();
+        let jitter = self.jitter();
+        self.upstreams.with(upstream, |it| it.release(now, settings.share, outcome, jitter));
+        self.upstreams.remove_if_unused(upstream);
+        self.record_latency(now, outcome);
+        lock(&self.accounting).record_outcome(now, outcome);
+    }
+
+    /// Records the status that an upstream reported.
+    pub fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
+        self.upstreams.with(upstream, |it| it.observe(now, hint));
+    }
+
     fn settings(&self) -> RouterSettings {
         *self.settings.read().unwrap_or_else(PoisonError::into_inner)
     }
@@ -196,46 +236,30 @@
     fn acquire(
         &self,
         now: TimePoint,
+        shard: ShardIndex,
         candidates: &[UpstreamId],
         excluded: &[UpstreamId],
         kind: CallKind,
-    ) -> Result<UpstreamId, AcquireError> {
-        let settings = self.settings();
-        if !lock(&self.accounting).try_charge(now, kind, &settings) {
-            return Err(AcquireError::BudgetExhausted);
-        }
-        let acquired = self.reserve(now, &settings, candidates, excluded, kind);
-        if let (CallKind::First, Err(AcquireError::Saturated { retry_after })) = (kind, acquired) {
-            self.record_wait(now, &settings, candidates, retry_after);
-        }
-        lock(&self.accounting).record_acquire(now, kind, acquired, &settings);
-        acquired
+    ) -> Result<CallReservation, AcquireError> {
+        let acquired = self.acquire(now, candidates, excluded, kind);
+        acquired.map(|upstream| CallReservation { shard, upstream })
     }
 
-    fn has_replica(&self, now: TimePoint, candidates: &[UpstreamId]) -> bool {
+    fn has_replica(&self, now: TimePoint, _shard: ShardIndex, candidates: &[UpstreamId]) -> bool {
         let settings = self.settings();
         candidates
             .iter()
             .any(|it| !matches!(self.availability(now, &settings, *it), Availability::Unavailable))
     }
 
-    fn release(&self, now: TimePoint, upstream: UpstreamId, outcome: CallOutcome) {
-        let settings = self.settings();
-        let jitter = self.jitter();
-        self.upstreams.with(upstream, |it| it.release(now, settings.share, outcome, jitter));
-        self.upstreams.remove_if_unused(upstream);
-        self.record_latency(now, outcome);
-        lock(&self.accounting).record_outcome(now, outcome);
+    fn release(&self, now: TimePoint, reservation: CallReservation, outcome: CallOutcome) {
+        self.release(now, reservation.upstream, outcome);
     }
 
     fn hedge_delay(&self, now: TimePoint) -> Option<Duration> {
         let settings = self.settings();
         lock(&self.hedge_delay_estimator).delay(now, settings.hedge, settings.budget_ratio)
     }
-
-    fn observe(&self, now: TimePoint, upstream: UpstreamId, hint: UpstreamHint) {
-        self.upstreams.with(upstream, |it| it.observe(now, hint));
-    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/routing/tests/balancer/query_router.rs
+++ b/crates/routing/tests/balancer/query_router.rs
@@ -40,10 +40,11 @@
     let router = router(vec![Arc::clone(&balancer)]);
     balancer.set_upstreams(at(1), &[&record(1, OWN_ZONE)]);
 
-    let acquired = router.acquire(at(2), &[upstream(0)], &[], CallKind::First);
-    router.release(at(3), upstream(1), CallOutcome::Withdrawn);
+    let acquired =
+        router.acquire(at(2), ShardIndex(0), &[upstream(0)], &[], CallKind::First).unwrap();
+    router.release(at(3), acquired, CallOutcome::Withdrawn);
 
-    expect_that!(acquired, ok(eq(upstream(1))));
+    expect_that!(acquired.upstream, eq(upstream(1)));
     // An upstream without calls is forgotten once it is not active any more.
     balancer.set_upstreams(at(4), &[&record(0, OWN_ZONE)]);
     expect_that!(balancer.max_connections(upstream(1)), eq(0));
--- a/crates/routing/tests/router/choice.rs
+++ b/crates/routing/tests/router/choice.rs
@@ -2,9 +2,7 @@
 
 use googletest::prelude::*;
 use mux_model::{NotRunReason, TimePoint, UpstreamId};
-use mux_routing::{
-    AcquireError, CallKind, CallOutcome, ReplicaRouter, ServiceRouter, UpstreamHint,
-};
+use mux_routing::{AcquireError, CallKind, CallOutcome, ServiceRouter, UpstreamHint};
 
 use crate::fixtures::{
     DRAINING, NOT_DRAINING, OWN_ZONE, acquire_first, at_ms, call_repeatedly, location, locations,
--- a/crates/routing/tests/router/fixtures.rs
+++ b/crates/routing/tests/router/fixtures.rs
@@ -4,8 +4,8 @@
 
 use mux_model::{AvailabilityZone, CallFailure, NotRunReason, TimePoint, UpstreamId};
 use mux_routing::{
-    AcquireError, CallKind, CallOutcome, HedgePolicy, ReplicaRouter, RoutingPolicy, ServiceRouter,
-    UpstreamHint, UpstreamLocation, UpstreamReport,
+    AcquireError, CallKind, CallOutcome, HedgePolicy, RoutingPolicy, ServiceRouter, UpstreamHint,
+    UpstreamLocation, UpstreamReport,
 };
 
 pub const OWN_ZONE: &str = "muc-a";
--- a/crates/routing/tests/router/health.rs
+++ b/crates/routing/tests/router/health.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use mux_model::{CallFailure, NotRunReason, TimePoint};
-use mux_routing::{AcquireError, CallKind, CallOutcome, ReplicaRouter, UpstreamCondition};
+use mux_routing::{AcquireError, CallKind, CallOutcome, UpstreamCondition};
 
 use crate::fixtures::{
     acquire_first, at_ms, call_repeatedly, fill, ms, not_run, policy, router, shed, upstream,
--- a/crates/routing/tests/router/invariants.rs
+++ b/crates/routing/tests/router/invariants.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use mux_model::{CallFailure, NotRunReason, TimePoint, UpstreamId};
-use mux_routing::{CallKind, CallOutcome, ReplicaRouter, RoutingPolicy, SlotShare};
+use mux_routing::{CallKind, CallOutcome, RoutingPolicy, SlotShare};
 use proptest::{
     collection,
     prelude::*,
