Log why a node leaves the copy of a peer

The new line has the outcome, the time since the store's last reply that the peer reported, how long this node waited for that report, and its position. Nothing is decided differently.

--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -163,11 +163,17 @@
             current.filter(|(node, _)| !self.peers.has_nearer(now, &peers, node))
         {
             let result = connection.read_changes(self.revision, PEER_WAIT).await;
+            let reported_age = result.as_ref().ok().and_then(|it| it.reachability.since_reply);
             outcome = self.apply_relayed(&node, result);
             if outcome == PeerRead::Fresh {
                 self.current_peer = Some((node, connection));
                 return outcome;
             }
+            info!(self.edge.logger, "relay: leaving the copy of a peer"; "peer" => node.as_str(),
+                "outcome" => format!("{outcome:?}"),
+                "store_age_ms" => reported_age.map(|it| it.as_millis() as u64),
+                "waited_ms" => self.edge.timer.now().since(now).as_millis() as u64,
+                "revision" => self.revision.map(|it| it.revision));
         }
         loop {
             let peers = self.edge.nodes().relay_peers();
