Stop using the copy of a peer before the operators' changes are due

Cause: two bounds that were right alone and wrong together. A copy counted as recent until the peer's last reply was 2.5 s old, and the reader looked at that age only when a call ended, which waits for 1 s; a reader without another peer then paused for 0.5 s more. On the same path: the age was that of the last reply to any call, so that a lease renewal made a copy look current while the peer paused between two watches; the time that a report took made it look younger.

Change: a reader holds a copy under a lease that ends 0.5 s before the limit for changes in the settings, counted from the moment up to which the copy was current at its source; a call to the peer neither waits nor is waited for beyond it. A reply to another call counts only while a watch is pending. Peers that don't answer no longer delay the next ones, and the pause before the store is asked fits in the limit. The wire form is unchanged.

--- a/crates/config/src/store_reachability.rs
+++ b/crates/config/src/store_reachability.rs
@@ -48,14 +48,13 @@
         }
     }
 
-    /// Reconstructs the state of the node that sent `report`. The time that the report took makes
-    /// the store's last reply look more recent by as much.
-    pub fn from_report(report: &ReachabilityReport, now: TimePoint) -> Self {
+    /// Reconstructs the state of the node that sent `report` up to `transit` before `now`.
+    pub fn from_report(report: &ReachabilityReport, now: TimePoint, transit: Duration) -> Self {
         // Times before the start of this process cannot be represented, and are as good as never.
         let uptime = now.since(TimePoint::ZERO);
         let at = |age: Option<Duration>| age.filter(|it| *it < uptime).map(|it| now - it);
         Self {
-            replied_at: at(report.since_reply),
+            replied_at: at(report.since_reply.map(|it| it.saturating_add(transit))),
             failed_at: report.is_unreachable.then_some(now),
             recovered_at: at(report.since_recovery),
             restored_at: at(report.since_restore),
--- a/crates/config/tests/store_reachability.rs
+++ b/crates/config/tests/store_reachability.rs
@@ -67,7 +67,8 @@
     reachability.on_reply(TimePoint::from_millis(2_000));
     let report = reachability.report(TimePoint::from_millis(2_800));
 
-    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(50_000));
+    let adopted =
+        StoreReachability::from_report(&report, TimePoint::from_millis(50_000), Duration::ZERO);
 
     let now = TimePoint::from_millis(50_200);
     expect_that!(adopted.time_since_reply(now), some(eq(Duration::from_millis(1_000))));
@@ -83,7 +84,8 @@
     reachability.on_failure(TimePoint::from_millis(2_000));
     let report = reachability.report(TimePoint::from_millis(9_000));
 
-    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(50_000));
+    let adopted =
+        StoreReachability::from_report(&report, TimePoint::from_millis(50_000), Duration::ZERO);
 
     expect_that!(adopted.is_unreachable(), eq(true));
     let now = TimePoint::from_millis(50_000);
@@ -97,7 +99,8 @@
     reachability.on_reply(TimePoint::from_millis(1_000));
     let report = reachability.report(TimePoint::from_millis(9_000));
 
-    let adopted = StoreReachability::from_report(&report, TimePoint::from_millis(500));
+    let adopted =
+        StoreReachability::from_report(&report, TimePoint::from_millis(500), Duration::ZERO);
 
     expect_that!(adopted.time_since_reply(TimePoint::from_millis(500)), none());
 }
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -9,7 +9,7 @@
 };
 
 use mux_config::{
-    StoreReachability,
+    ReachabilityReport, StoreReachability,
     traffic::{ActiveRoutes, RouteTable},
 };
 use mux_http::{ConnectionTracker, ListenerContext};
@@ -24,8 +24,8 @@
 use tokio::sync::{Notify, watch};
 
 use crate::{
-    ClusterStoreError, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra, StoreMirror,
-    StoreRevision,
+    ClusterStoreError, CopyCurrency, EdgeSettings, RuntimeLimits, SettingsChange, StoreEra,
+    StoreMirror, StoreRevision,
     balancer_table::{BalancerTable, BalancerUpdate},
     edge_metrics::{EdgeMetrics, StoreCallLabel},
     planned_stop::PlannedStop,
@@ -100,6 +100,7 @@
     /// Reachability of the store as reported by the node whose copy this node reads; `None` while
     /// this node reads the store itself.
     relayed_reachability: Mutex<Option<StoreReachability>>,
+    copy_currency: Mutex<CopyCurrency>,
     pub(crate) balancers: BalancerTable,
     pub(crate) routes: RouteStates,
 }
@@ -141,6 +142,7 @@
             helped_in_flight: AtomicUsize::new(0),
             store_reachability: Mutex::default(),
             relayed_reachability: Mutex::default(),
+            copy_currency: Mutex::default(),
             balancers,
             routes: RouteStates::default(),
         }
@@ -228,6 +230,22 @@
         *lock(&self.relayed_reachability) = reachability;
     }
 
+    /// Returns up to which time this node's own copy of the store is known to hold all changes.
+    pub(crate) fn copy_currency(&self) -> MutexGuard<'_, CopyCurrency> {
+        lock(&self.copy_currency)
+    }
+
+    /// Returns what readers of this node's copy have to know of the store: the age of the copy at its
+    /// source, in place of the time since the store replied to any call.
+    pub(crate) fn copy_report(&self, now: TimePoint) -> ReachabilityReport {
+        let relayed = *lock(&self.relayed_reachability);
+        if let Some(relayed) = relayed {
+            return relayed.report(now);
+        }
+        let report = lock(&self.store_reachability).report(now);
+        ReachabilityReport { since_reply: self.copy_currency().age(now), ..report }
+    }
+
     /// Records a reply of the store.
     pub(crate) fn on_store_reply(&self) {
         if lock(&self.store_reachability).on_reply(self.timer.now()) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,7 +31,8 @@
 pub use edge_settings::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
 pub use errors::EdgeError;
 pub use relay::{
-    HelperRefusal, HelperTable, MirrorUpdate, PeerRotation, RelayedUpdate, StoreMirror,
+    CopyCurrency, CopyLease, HelperRefusal, HelperTable, MirrorUpdate, PeerRotation, RelayedUpdate,
+    StoreMirror, longest_stale_delay,
 };
 pub use run_edge::{run, serve};
 pub use store::{
--- a/crates/edge/src/relay/mod.rs
+++ b/crates/edge/src/relay/mod.rs
@@ -5,6 +5,7 @@
 //! grants; and a node that is cut from all
 //! upstreams forwards its requests.
 
+mod copy_currency;
 mod forwarded_request;
 mod helper_links;
 mod helper_table;
@@ -14,6 +15,7 @@
 mod relay_server;
 mod store_mirror;
 
+pub use copy_currency::{CopyCurrency, CopyLease, longest_stale_delay};
 pub(crate) use forwarded_request::{
     ForwardedAnswer, ForwardedRequest, NotTakenReason, to_header_lines, to_header_map, to_status,
 };
--- a/crates/edge/src/relay/peer_rotation.rs
+++ b/crates/edge/src/relay/peer_rotation.rs
@@ -5,12 +5,9 @@
 use mux_model::{FastMap, NodeId, TimePoint};
 use mux_placement::RelayPeer;
 
-use super::RelayedUpdate;
+use super::{CopyLease, RelayedUpdate};
 use crate::StoreRevision;
 
-/// Age of the store's last reply above which a peer's copy counts as stale. Nodes that read the
-/// store renew their leases every two seconds at the latest.
-const MAX_COPY_AGE: Duration = Duration::from_millis(2_500);
 /// Time for which a peer that did not answer is passed over.
 const SILENT_PEER_PENALTY: Duration = Duration::from_secs(3);
 /// Time for which a peer with a stale copy is passed over.
@@ -46,11 +43,20 @@
         !is_near && self.next_batch(now, peers).first().is_some_and(|it| it.is_near)
     }
 
-    /// Returns whether a reader at `position` can serve from a peer's copy: the peer is not behind,
-    /// and heard the store recently.
-    pub fn is_fresh(relayed: &RelayedUpdate, position: Option<StoreRevision>) -> bool {
-        let is_recent = relayed.reachability.since_reply.is_some_and(|it| it <= MAX_COPY_AGE);
-        is_recent && relayed.revision.is_some() && position <= relayed.revision
+    /// Returns the lease under which a reader at `position` may use a peer's copy that it received at
+    /// `received_at`, up to `transit` after the peer replied; `None` if the peer is behind, or its copy
+    /// may lack changes that have to be in effect soon.
+    pub fn lease(
+        relayed: &RelayedUpdate,
+        position: Option<StoreRevision>,
+        received_at: TimePoint,
+        transit: Duration,
+        change_limit: Duration,
+    ) -> Option<CopyLease> {
+        let age = relayed.reachability.since_reply?;
+        let lease = CopyLease::new(received_at, age, transit, change_limit);
+        let is_behind = relayed.revision.is_none() || relayed.revision < position;
+        (!is_behind && !lease.is_stale(received_at)).then_some(lease)
     }
 
     /// Records that the peer did not answer.
--- a/crates/edge/src/relay/relay_protocol.rs
+++ b/crates/edge/src/relay/relay_protocol.rs
@@ -19,7 +19,8 @@
     pub update: Option<MirrorUpdate>,
     /// Position of the node's copy; `None` before its first listing.
     pub revision: Option<StoreRevision>,
-    /// What the node knows about the store.
+    /// What the node knows about the store; the time since its last reply is that for which changes may
+    /// be missing in the copy.
     pub reachability: ReachabilityReport,
 }
 
--- a/crates/edge/src/relay/relay_server.rs
+++ b/crates/edge/src/relay/relay_server.rs
@@ -99,7 +99,7 @@
         RelayedUpdate {
             update: mirror.changes_after(after),
             revision: mirror.revision(),
-            reachability: edge.store_reachability().report(edge.timer.now()),
+            reachability: edge.copy_report(edge.timer.now()),
         }
     }
 
--- a/crates/edge/src/sync/announce_task.rs
+++ b/crates/edge/src/sync/announce_task.rs
@@ -87,6 +87,7 @@
     if let Some(HeldLease { lease, lifetime, is_announced: true }) = *held {
         let started = edge.timer.now();
         edge.record_store_call("renew", store.renew(lease).await)?;
+        edge.copy_currency().on_other_reply(started);
         edge.sharing.on_listed(started + lifetime);
         return Ok(());
     }
--- a/crates/edge/src/sync/read_pacing.rs
+++ b/crates/edge/src/sync/read_pacing.rs
@@ -59,12 +59,17 @@
         spread.mul_f64(rand::rng().random::<f64>())
     }
 
+    /// Returns whether a reply with `changes` holds all that the node lacked.
+    pub fn is_complete(changes: usize) -> bool {
+        changes < PAGE_CHANGES
+    }
+
     /// Returns the delay after a reply with `changes`.
     ///
     /// `nodes` is the number of announced nodes; `reads_for_others` tells whether callers or
     /// other nodes depend on this node's copy.
     pub fn delay_after(&self, changes: usize, nodes: u32, reads_for_others: bool) -> Duration {
-        if PAGE_CHANGES <= changes {
+        if !Self::is_complete(changes) {
             return Duration::ZERO;
         }
         if !reads_for_others {
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -5,9 +5,10 @@
 
 use futures::{StreamExt, stream::FuturesUnordered};
 use mux_config::StoreReachability;
-use mux_model::{NodeId, TimePoint};
+use mux_model::{FastSet, NodeId, TimePoint};
 use mux_placement::RelayPeer;
 use mux_timer::TimerService;
+use rand::RngExt;
 use slog::info;
 
 use super::{
@@ -16,9 +17,10 @@
     evidence_task::{exchange_with_peer, exchange_with_peers},
 };
 use crate::{
-    ClusterStore, ClusterStoreError, PeerRotation, RelayedUpdate, StoreRevision,
+    ClusterStore, ClusterStoreError, CopyLease, PeerRotation, RelayedUpdate, StoreRevision,
     edge_metrics::{ResultLabel, StoreCallLabel},
     edge_state::EdgeState,
+    longest_stale_delay,
     relay::{RelayConnection, RelayError},
 };
 
@@ -34,8 +36,10 @@
 /// Time for which a node that the store rejects reads the copies of peers before it asks the store
 /// again.
 const STORE_RETRY_PERIOD: Duration = Duration::from_secs(2);
-/// Delay after all peers' copies were found to be stale.
+/// Delay after all peers' copies were found to be stale again.
 const STALE_PEERS_DELAY: Duration = Duration::from_millis(500);
+/// Time after which further peers are asked although those asked before have not answered yet.
+const BATCH_WAIT: Duration = Duration::from_millis(100);
 
 /// Reads the store or a peer's copy of it, until the process ends.
 pub(crate) async fn read_store<S: ClusterStore>(edge: Arc<EdgeState>, store: S) {
@@ -51,6 +55,7 @@
             _ = pauses.changed() => {
                 info!(edge.logger, "store: listing again after a pause of this process");
                 edge.set_relayed_reachability(None);
+                edge.copy_currency().on_pause();
                 edge.sharing.on_pause();
                 reader.revision = None;
             }
@@ -80,8 +85,17 @@
     /// Time from which the store is asked again after failures.
     store_retry_at: TimePoint,
     peers: PeerRotation,
-    /// The peer whose copy was read last.
-    current_peer: Option<(NodeId, RelayConnection)>,
+    /// The peer whose copy is in use.
+    current_peer: Option<CurrentPeer>,
+    /// Whether the copies of all peers were stale at the last attempt.
+    had_stale_peers: bool,
+}
+
+/// The peer whose copy this node uses.
+struct CurrentPeer {
+    node: NodeId,
+    connection: RelayConnection,
+    lease: CopyLease,
 }
 
 impl<S: ClusterStore> StoreReader<S> {
@@ -94,6 +108,7 @@
             store_retry_at: TimePoint::ZERO,
             peers: PeerRotation::default(),
             current_peer: None,
+            had_stale_peers: false,
         }
     }
 
@@ -128,12 +143,14 @@
         if outcome != PeerRead::Fresh {
             self.edge.set_relayed_reachability(None);
         }
+        let had_stale_peers =
+            std::mem::replace(&mut self.had_stale_peers, outcome == PeerRead::Stale);
         match outcome {
             PeerRead::Fresh => {}
             // The announced nodes ask the store all the time, so this one asks it rarely, and reads
             // their copies again once the store is back.
             PeerRead::Stale if !self.edge.is_announced() => {
-                self.edge.timer.sleep(STALE_PEERS_DELAY).await;
+                self.edge.timer.sleep(self.stale_delay(had_stale_peers)).await;
                 if self.store_retry_at <= self.edge.timer.now() {
                     self.read_from_store().await;
                 }
@@ -142,6 +159,16 @@
         }
     }
 
+    /// Returns the delay after the copies of all peers were found to be stale, before the store is asked.
+    /// The first one is random, as other readers leave the same copy, and leaves time for the call.
+    fn stale_delay(&self, had_stale_peers: bool) -> Duration {
+        if had_stale_peers {
+            return STALE_PEERS_DELAY;
+        }
+        let longest = longest_stale_delay(self.edge.limits().change_limit());
+        longest.mul_f64(rand::rng().random::<f64>())
+    }
+
     /// Returns whether a peer's copy is read: callers are not directed to this node, or the store
     /// does not answer it.
     fn prefers_peers(&self) -> bool {
@@ -159,46 +186,81 @@
         let peers = self.edge.nodes().relay_peers();
         let now = self.edge.timer.now();
         let current = self.current_peer.take();
-        if let Some((node, connection)) =
-            current.filter(|(node, _)| !self.peers.has_nearer(now, &peers, node))
-        {
-            let result = connection.read_changes(self.revision, PEER_WAIT).await;
-            let reported_age = result.as_ref().ok().and_then(|it| it.reachability.since_reply);
-            outcome = self.apply_relayed(&node, result);
+        if let Some(current) = current.filter(|it| !self.peers.has_nearer(now, &peers, &it.node)) {
+            outcome = self.read_from_current(current).await;
             if outcome == PeerRead::Fresh {
-                self.current_peer = Some((node, connection));
                 return outcome;
             }
-            info!(self.edge.logger, "relay: leaving the copy of a peer"; "peer" => node.as_str(),
-                "outcome" => format!("{outcome:?}"),
-                "store_age_ms" => reported_age.map(|it| it.as_millis() as u64),
-                "waited_ms" => self.edge.timer.now().since(now).as_millis() as u64,
-                "revision" => self.revision.map(|it| it.revision));
         }
+        let timer = self.edge.timer.clone();
+        let mut asked = FastSet::default();
+        let mut reads = FuturesUnordered::new();
         loop {
-            let peers = self.edge.nodes().relay_peers();
-            let batch = self.peers.next_batch(self.edge.timer.now(), &peers);
-            if batch.is_empty() {
+            let mut peers = self.edge.nodes().relay_peers();
+            peers.retain(|it| !asked.contains(&it.node));
+            let revision = self.revision;
+            for peer in self.peers.next_batch(timer.now(), &peers) {
+                asked.insert(peer.node.clone());
+                reads.push(read_once(&timer, peer, revision));
+            }
+            if reads.is_empty() {
                 return outcome;
             }
-            let (timer, revision) = (self.edge.timer.clone(), self.revision);
-            let mut reads: FuturesUnordered<_> =
-                batch.into_iter().map(|it| read_once(&timer, it, revision)).collect();
-            while let Some((node, connection, result)) = reads.next().await {
+            // Peers that are cut off answer nothing; others are asked meanwhile.
+            while let Ok(Some(read)) = timer.timeout(BATCH_WAIT, reads.next()).await {
+                let FirstRead { node, connection, asked_at, result } = read;
                 if revision.is_none() && result.is_ok() {
                     self.learn_evidence(&node, connection.as_ref()).await;
                 }
-                outcome = outcome.max(self.apply_relayed(&node, result));
-                if outcome == PeerRead::Fresh {
+                let transit = timer.now().since(asked_at);
+                let (read, lease) = self.apply_relayed(&node, transit, result);
+                outcome = outcome.max(read);
+                if let Some(lease) = lease {
                     info!(self.edge.logger, "relay: reading the copy of a peer";
                         "peer" => node.as_str());
-                    self.current_peer = connection.map(|it| (node, it));
+                    self.current_peer =
+                        connection.map(|connection| CurrentPeer { node, connection, lease });
                     return outcome;
                 }
             }
         }
     }
 
+    /// Waits for changes of the current peer, and keeps it if its copy is recent. Leaves it at the latest
+    /// when the copy that was read last is stale.
+    async fn read_from_current(&mut self, current: CurrentPeer) -> PeerRead {
+        let CurrentPeer { node, connection, lease } = current;
+        let timer = self.edge.timer.clone();
+        let started = timer.now();
+        let time_left = lease.time_left(started);
+        let mut outcome = PeerRead::Stale;
+        let mut store_age = None;
+        if let Some(wait) = lease.next_wait(started, PEER_WAIT) {
+            let read = Box::pin(connection.read_changes(self.revision, wait));
+            let result = timer.timeout(time_left, read).await;
+            let result = result.unwrap_or_else(|_| Err(RelayError::no_reply_within(time_left)));
+            store_age = result.as_ref().ok().and_then(|it| it.reachability.since_reply);
+            // What exceeds the wait for changes is transit.
+            let transit = timer.now().since(started).saturating_sub(wait);
+            let (read, lease) = self.apply_relayed(&node, transit, result);
+            if let Some(lease) = lease {
+                self.current_peer = Some(CurrentPeer { node, connection, lease });
+                return read;
+            }
+            outcome = read;
+        } else {
+            self.peers.on_stale(started, &node);
+        }
+        let elapsed = timer.now().since(started);
+        info!(self.edge.logger, "relay: leaving the copy of a peer"; "peer" => node.as_str(),
+            "outcome" => format!("{outcome:?}"),
+            "store_age_ms" => store_age.map(|it| it.as_millis() as u64),
+            "waited_ms" => elapsed.as_millis() as u64,
+            "lease_left_ms" => time_left.as_millis() as u64,
+            "revision" => self.revision.map(|it| it.revision));
+        outcome
+    }
+
     /// Reads the evidence against requests that a peer knows, before its first copy makes this node
     /// ready: the copy lacks evidence that the store has not got yet.
     async fn learn_evidence(&self, peer: &NodeId, connection: Option<&RelayConnection>) {
@@ -211,12 +273,14 @@
         }
     }
 
-    /// Applies what a peer answered, also if its copy is not recent but newer than this node's.
+    /// Applies what a peer answered, also if its copy is not recent but newer than this node's. Returns
+    /// the lease under which the copy may be used if it is recent.
     fn apply_relayed(
         &mut self,
         peer: &NodeId,
+        transit: Duration,
         result: Result<RelayedUpdate, RelayError>,
-    ) -> PeerRead {
+    ) -> (PeerRead, Option<CopyLease>) {
         let now = self.edge.timer.now();
         let relayed = match result {
             Ok(it) => it,
@@ -225,13 +289,14 @@
                 info!(self.edge.logger, "relay: peer did not answer"; "peer" => peer.as_str(),
                     "cause" => error.to_string());
                 self.peers.on_silent(now, peer);
-                return PeerRead::Silent;
+                return (PeerRead::Silent, None);
             }
         };
-        let is_fresh = PeerRotation::is_fresh(&relayed, self.revision);
-        self.count_relayed(if is_fresh { "fresh" } else { "stale" });
-        if is_fresh {
-            let reachability = StoreReachability::from_report(&relayed.reachability, now);
+        let change_limit = self.edge.limits().change_limit();
+        let lease = PeerRotation::lease(&relayed, self.revision, now, transit, change_limit);
+        self.count_relayed(if lease.is_some() { "fresh" } else { "stale" });
+        if lease.is_some() {
+            let reachability = StoreReachability::from_report(&relayed.reachability, now, transit);
             self.edge.set_relayed_reachability(Some(reachability));
         } else {
             self.peers.on_stale(now, peer);
@@ -246,7 +311,8 @@
             self.revision = Some(update.revision);
             apply_update(&self.edge, now, kind, update.changes, update.revision);
         }
-        if is_fresh { PeerRead::Fresh } else { PeerRead::Stale }
+        let outcome = if lease.is_some() { PeerRead::Fresh } else { PeerRead::Stale };
+        (outcome, lease)
     }
 
     fn count_store_call(&self, call: &'static str) {
@@ -258,10 +324,15 @@
     }
 
     async fn read_from_store(&mut self) {
+        let sent_at = self.edge.timer.now();
         let (kind, result) = match self.revision {
             Some(revision) => {
                 let wait = self.pacing().watch_wait(self.reads_for_others());
-                (UpdateKind::Changes, self.store.watch(revision, wait).await)
+                self.edge.copy_currency().on_watch_sent(sent_at);
+                let pending = PendingWatch { edge: &self.edge };
+                let result = self.store.watch(revision, wait).await;
+                drop(pending);
+                (UpdateKind::Changes, result)
             }
             None => (UpdateKind::Listing, self.store.list().await),
         };
@@ -281,6 +352,9 @@
                 self.edge.set_relayed_reachability(None);
                 let changes = update.changes.len();
                 let now = self.edge.timer.now();
+                if let Some(at) = copied_at(kind, sent_at, now, changes) {
+                    self.edge.copy_currency().on_copied(at);
+                }
                 log_skipped_items(&self.edge, now, update.skipped_items);
                 apply_update(&self.edge, now, kind, update.changes, update.revision);
                 if kind == UpdateKind::Listing {
@@ -333,17 +407,53 @@
     }
 }
 
+/// Records the end of a watch when it is dropped, also if it was interrupted.
+struct PendingWatch<'a> {
+    edge: &'a EdgeState,
+}
+
+impl Drop for PendingWatch<'_> {
+    fn drop(&mut self) {
+        self.edge.copy_currency().on_watch_ended();
+    }
+}
+
+/// Returns up to which time the copy holds all changes after a reply to a call that was sent at
+/// `sent_at`; `None` if the reply may be only the first page of them.
+fn copied_at(
+    kind: UpdateKind,
+    sent_at: TimePoint,
+    received_at: TimePoint,
+    changes: usize,
+) -> Option<TimePoint> {
+    match kind {
+        // The pages of a listing are read one after the other.
+        UpdateKind::Listing => Some(sent_at),
+        UpdateKind::Changes => ReadPacing::is_complete(changes).then_some(received_at),
+    }
+}
+
+/// The first reply of a peer.
+struct FirstRead {
+    node: NodeId,
+    connection: Option<RelayConnection>,
+    asked_at: TimePoint,
+    result: Result<RelayedUpdate, RelayError>,
+}
+
 /// Opens a connection to a peer, and reads its changes without waiting for new ones.
 async fn read_once(
     timer: &TimerService,
     peer: RelayPeer,
     after: Option<StoreRevision>,
-) -> (NodeId, Option<RelayConnection>, Result<RelayedUpdate, RelayError>) {
-    match RelayConnection::open(timer, peer.address).await {
+) -> FirstRead {
+    let (connection, asked_at, result) = match RelayConnection::open(timer, peer.address).await {
         Ok(connection) => {
+            let asked_at = timer.now();
             let result = connection.read_changes(after, Duration::ZERO).await;
-            (peer.node, Some(connection), result)
+            (Some(connection), asked_at, result)
         }
-        Err(error) => (peer.node, None, Err(error)),
-    }
+        Err(error) => (None, timer.now(), Err(error)),
+    };
+    FirstRead { node: peer.node, connection, asked_at, result }
 }
--- a/crates/edge/tests/peer_rotation.rs
+++ b/crates/edge/tests/peer_rotation.rs
@@ -8,6 +8,9 @@
 use mux_model::{NodeId, TimePoint};
 use mux_placement::RelayPeer;
 
+/// Time within which the operators' changes have to take effect.
+const CHANGE_LIMIT: Duration = Duration::from_secs(3);
+
 fn peers(count: u16) -> Vec<RelayPeer> {
     let peer = |idx| RelayPeer {
         node: NodeId::from(format!("node-{idx}")),
@@ -33,19 +36,23 @@
 }
 
 #[gtest]
-fn copy_is_fresh_only_if_recent_and_not_behind() {
+fn copy_is_used_only_if_recent_and_not_behind() {
     let position = Some(at(10));
+    let now = TimePoint::from_millis(1_000);
     for (since_reply_ms, revision, expected) in [
         (Some(400), Some(10), true),
         (Some(400), Some(12), true),
         (Some(400), Some(9), false),
         (Some(400), None, false),
+        (Some(2_500), Some(12), false),
         (Some(9_000), Some(12), false),
         (None, Some(12), false),
     ] {
         let reply = reply(since_reply_ms, revision);
 
-        expect_that!(PeerRotation::is_fresh(&reply, position), eq(expected), "{reply:?}");
+        let lease = PeerRotation::lease(&reply, position, now, Duration::ZERO, CHANGE_LIMIT);
+
+        expect_that!(lease.is_some(), eq(expected), "{reply:?}");
     }
 }
 
