Count a reply with a status that ends no request as a failed call

Report of the users (MIXED): on other systems a leaf's reply with the status 000 reached the client as an answer. Here it does not: the HTTP client gives up on 000, 099, 20, 2000 and on a line without a status, and the call fails.

Cause: any three digits from 100 on are a status for the HTTP library, and the pool took every reply with a signature for one. RFC 9110 has no status from 600 on, and 1xx ends no request.

Change: the pool takes only 2xx to 5xx for a reply; all else is a bad reply, another upstream serves the request if it may be repeated, and the connection is not used again. Related path: an answer that another node forwards with a status or header that cannot be represented got the status 502 and kept the signature, which contradicts it; such an answer is now a failure of this node, and logged.

--- a/crates/edge/src/query/assisted_answer.rs
+++ b/crates/edge/src/query/assisted_answer.rs
@@ -10,6 +10,7 @@
 use mux_config::traffic::{ExecutionSemantics, RouteRule, RouteTarget};
 use mux_model::{NodeId, RevisionNumber};
 use mux_query::AnswerTiming;
+use slog::warn;
 
 use super::{
     RequestOrigin,
@@ -241,8 +242,15 @@
                     ..
                 }) => {
                     edge.helpers.set_served_version(version);
-                    let headers = to_header_map(&headers).unwrap_or_default();
-                    let status = to_status(status);
+                    let (Some(status), Some(headers)) =
+                        (to_status(status), to_header_map(&headers))
+                    else {
+                        warn!(edge.logger, "request: malformed answer of a helper";
+                            "helper" => helper.node.as_str(), "status" => status);
+                        let status = StatusCode::BAD_GATEWAY;
+                        let answer = failure_answer(status, "failed", LOST_REASON);
+                        return ForwardResult::Answered(answer, summary);
+                    };
                     let answer = FinalAnswer { status, headers, body, outcome: "forwarded" };
                     return ForwardResult::Answered(answer, summary);
                 }
--- a/crates/edge/src/relay/forwarded_request.rs
+++ b/crates/edge/src/relay/forwarded_request.rs
@@ -8,6 +8,8 @@
 use mux_quarantine::RequestFingerprint;
 use serde::{Deserialize, Serialize};
 
+use crate::upstream::is_final_status;
+
 /// Header lines in the order in which they were received.
 pub(crate) type HeaderLines = Vec<(String, Bytes)>;
 
@@ -108,9 +110,10 @@
     }
 }
 
-/// Returns a status code; that of a failure of this node if `status` is none.
-pub(crate) fn to_status(status: u16) -> StatusCode {
-    StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY)
+/// Returns the status code of a final answer; `None` if `status` is none. Another status in its place
+/// could contradict the signature of the answer.
+pub(crate) fn to_status(status: u16) -> Option<StatusCode> {
+    StatusCode::from_u16(status).ok().filter(|it| is_final_status(*it))
 }
 
 /// Returns the lines of `headers`.
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -7,7 +7,7 @@
 };
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, HeaderValue, Request, Response};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
@@ -154,6 +154,9 @@
         self.lock().last_reply_at = timer.now();
         edge.reach.on_reply(timer.now());
         let (head, body) = response.into_parts();
+        if !is_final_status(head.status) {
+            return Err(CallFailure::BadReply);
+        }
         let metadata = W::read_reply(head.status, &head.headers, request_id);
         if let Some(load) = metadata.load {
             balancer.record_load(timer.now(), self.upstream, load);
@@ -282,6 +285,15 @@
     }
 }
 
+/// Returns whether a status may end a request: HTTP defines none from 600 on, and the lower ones announce
+/// a final reply or another protocol.
+pub(crate) fn is_final_status(status: StatusCode) -> bool {
+    status.is_success()
+        || status.is_redirection()
+        || status.is_client_error()
+        || status.is_server_error()
+}
+
 /// Returns whether a reply belongs to the request that was just sent on its connection.
 ///
 /// A rejection may lack the id of the request, but on a connection that had a request before, it may
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -11,6 +11,7 @@
 mod upstream_reply;
 
 pub(crate) use call_task::{CallError, CallResult, CallSpec, CallTemplate, spawn_call};
+pub(crate) use connection_pool::is_final_status;
 pub(crate) use connection_pools::ConnectionPools;
 pub use reply_buffers::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub(crate) use reservation_task::watch_reservations;
