End a reply of the store that exceeds its limit in any part

A connection to an upstream counts all that is read, and bodies share 32 MiB.

Another peer is concerned: the client of the store limited the body of a reply, not what is no part of one. Cause: the limit stood on the collected body; interim replies and the digits of a chunk's size are read by the HTTP library.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,7 +40,9 @@
     StoreRevision, StoreUpdate,
 };
 pub use sync::ReadPacing;
-pub use upstream::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
+pub use upstream::{
+    BufferReservation, LimitedStream, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES,
+};
 pub use wire::{
     AddressRequest, CallMetadata, QuietRequest, RateLimitStatement, ReplyIdentity, ReplyKind,
     ReplyMetadata, RequestMetadata, RequestMetadataError, WarmUpStatement, WireProtocol,
--- a/crates/edge/src/upstream/limited_stream.rs
+++ b/crates/edge/src/upstream/limited_stream.rs
@@ -10,6 +10,7 @@
     task::{Context, Poll},
 };
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -52,21 +53,41 @@
 
 /// A TCP stream from which only a limited number of bytes can be read.
 #[derive(Debug)]
-pub(super) struct LimitedStream {
+pub struct LimitedStream {
     stream: TcpStream,
     allowance: ReadAllowance,
+    /// Bytes that each write allows; `None` if only the holder of the allowance sets it.
+    reply_limit: Option<usize>,
 }
 
 impl LimitedStream {
     /// Wraps `stream`; its allowance is not limited yet.
     pub(super) fn new(stream: TcpStream) -> Self {
-        Self { stream, allowance: ReadAllowance::new() }
+        Self { stream, allowance: ReadAllowance::new(), reply_limit: None }
+    }
+
+    /// Wraps the stream of a connection that carries one request at a time: up to `bytes` may be read
+    /// after each write.
+    pub fn with_reply_limit(stream: TcpStream, bytes: usize) -> Self {
+        Self { reply_limit: Some(bytes), ..Self::new(stream) }
     }
 
     /// Returns a handle to the allowance.
     pub(super) fn allowance(&self) -> ReadAllowance {
         self.allowance.clone()
     }
+
+    fn renew_allowance(&self) {
+        if let Some(bytes) = self.reply_limit {
+            self.allowance.set(bytes);
+        }
+    }
+}
+
+impl Connection for LimitedStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
 }
 
 impl AsyncRead for LimitedStream {
@@ -92,6 +113,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.renew_allowance();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -108,6 +130,7 @@
         context: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.renew_allowance();
         Pin::new(&mut self.stream).poll_write_vectored(context, buffers)
     }
 
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use call_task::{CallError, CallResult, CallSpec, CallTemplate, spawn_call};
 pub(crate) use connection_pool::is_final_status;
 pub(crate) use connection_pools::ConnectionPools;
+pub use limited_stream::LimitedStream;
 pub use reply_buffers::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub(crate) use reservation_task::watch_reservations;
 pub(crate) use upstream_reply::UpstreamReply;
