Return a call's reservation to the upstream at which it was made

ServiceBalancer looked an upstream up by its address, and not in one way: the choice took the entry itself, the instance the first active one, the end of a call and the signs of its connection the last one. If the present process is not last in the list, what is reserved there stays reserved, and the replies on its connection raise the limit of the other entry. A withdrawal released the latest reservation of an upstream, which could be that of another call.

Change: a reservation holds the number of the chosen upstream and that of the call; begin, outcome, withdrawal and end go by both, and a second end has no effect. The connections of a pool are recorded under its instance and address. No state of an upstream is found by an address alone any more. The balancers of the own interface list each address once and keep it as the key.

--- a/crates/edge/src/query/call_driver.rs
+++ b/crates/edge/src/query/call_driver.rs
@@ -143,7 +143,7 @@
             for action in actions.drain(..) {
                 match action {
                     FanOutAction::Send { call, reservation, .. } => {
-                        let CallReservation { shard, upstream } = reservation;
+                        let (shard, upstream) = (reservation.shard, reservation.upstream());
                         let receiver = self.send::<W>(now, reservation);
                         let record = CallRecord { call, shard, upstream, started_at: now };
                         sent_calls.push((call, shard, upstream));
@@ -186,14 +186,14 @@
         now: TimePoint,
         reservation: CallReservation,
     ) -> oneshot::Receiver<CallResult> {
-        let CallReservation { shard, upstream } = reservation;
+        let CallReservation { shard, slot } = reservation;
         let count = self.calls_per_shard.entry(shard).or_default();
         *count += 1;
         self.template.calls_per_shard.fetch_max(*count, Ordering::Relaxed);
         let spec = CallSpec {
             template: Arc::clone(&self.template),
             balancer: Arc::clone(self.router.balancer(shard)),
-            upstream,
+            slot,
             service: self.service(shard).clone(),
             reserved_at: now,
             suspect_since: self.suspect_since,
--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -14,9 +14,10 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use mux_config::traffic::ExecutionSemantics;
-use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint, UpstreamId};
+use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint};
 use mux_quarantine::RequestFingerprint;
 use mux_routing::{
+    UpstreamSlot,
     balancer::{LatencyEstimate, ServiceBalancer},
     reach::ContactFailure,
 };
@@ -101,7 +102,7 @@
 pub(crate) struct CallSpec {
     pub(crate) template: Arc<CallTemplate>,
     pub(crate) balancer: Arc<ServiceBalancer>,
-    pub(crate) upstream: UpstreamId,
+    pub(crate) slot: UpstreamSlot,
     pub(crate) service: ServiceName,
     /// When the balancer reserved the connection.
     pub(crate) reserved_at: TimePoint,
@@ -137,14 +138,14 @@
 
 impl<'a> ReservationGuard<'a> {
     fn new(spec: &'a CallSpec) -> Self {
-        spec.balancer.begin_call(spec.upstream, spec.reserved_at);
+        spec.balancer.begin_call(spec.slot);
         Self { spec }
     }
 }
 
 impl Drop for ReservationGuard<'_> {
     fn drop(&mut self) {
-        self.spec.balancer.end_call(self.spec.upstream, self.spec.reserved_at);
+        self.spec.balancer.end_call(self.spec.slot);
     }
 }
 
@@ -187,7 +188,7 @@
         Some(Ok(_)) => {
             let now = edge.timer.now();
             let latency = now.since(spec.reserved_at);
-            spec.balancer.record_late_reply(now, spec.upstream, latency, &spec.latency_estimate);
+            spec.balancer.record_late_reply(now, spec.slot, latency, &spec.latency_estimate);
         }
         Some(Err(CallError { ended_instance: Some(instance), .. })) => {
             let fingerprint = spec.template.fingerprint();
@@ -228,18 +229,18 @@
         biased;
         result = &mut exchange => return result,
         () = edge.timer.sleep(silent_time) => {
-            edge.reach.on_failure(spec.upstream, ContactFailure::Silent);
+            edge.reach.on_failure(spec.slot.upstream, ContactFailure::Silent);
         }
     }
     exchange.await
 }
 
 async fn exchange<W: WireProtocol>(edge: &EdgeState, spec: &CallSpec) -> CallResult {
-    let Some(instance) = spec.balancer.instance(spec.upstream) else {
+    let Some(instance) = spec.balancer.instance(spec.slot) else {
         let reason = mux_model::NotRunReason::NotSent;
         return Err(CallFailure::NotRun { reason, retry_after: None }.into());
     };
-    let pool = edge.connection_pools.pool(&instance, spec.upstream);
+    let pool = edge.connection_pools.pool(&instance, spec.slot.upstream);
     let request = call_request::<W>(edge.timer.now(), spec, &instance);
     let reuse_policy = match spec.template.execution {
         ExecutionSemantics::Idempotent => ReusePolicy::AnyIdle,
@@ -281,7 +282,7 @@
     };
     let template = &spec.template;
     info!(edge.logger, "upstream: ended during a call"; "instance" => instance.as_str(),
-        "upstream" => spec.upstream.to_string(), "fingerprint" => template.fingerprint().to_string(),
+        "upstream" => spec.slot.upstream.to_string(), "fingerprint" => template.fingerprint().to_string(),
         "id" => template.request_id.to_str().unwrap_or("(not text)"),
         "caller" => template.caller_address.to_string(), "path" => template.target.path(),
         "call_ms" => now.since(spec.reserved_at).as_millis() as u64,
--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -11,7 +11,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use mux_model::{CallFailure, InstanceId, NotRunReason, TimePoint, UpstreamId};
-use mux_routing::{balancer::ServiceBalancer, reach::ContactFailure};
+use mux_routing::{UpstreamKey, balancer::ServiceBalancer, reach::ContactFailure};
 use mux_timer::TimerService;
 use mux_upstream::ProcessProbe;
 
@@ -66,8 +66,7 @@
 /// The connections to one upstream instance.
 #[derive(Debug)]
 pub(crate) struct ConnectionPool {
-    instance: InstanceId,
-    upstream: UpstreamId,
+    key: UpstreamKey,
     state: Mutex<PoolState>,
     probe: ProcessProbe,
 }
@@ -86,18 +85,19 @@
             state.open = state.open.saturating_sub(1);
             state.open
         };
-        self.balancer.record_connections(self.pool.upstream, open);
+        self.balancer.record_connections(&self.pool.key, open);
     }
 }
 
 impl ConnectionPool {
     pub(super) fn new(instance: InstanceId, upstream: UpstreamId) -> Self {
-        Self { instance, upstream, state: Mutex::default(), probe: ProcessProbe::default() }
+        let key = UpstreamKey { instance, upstream };
+        Self { key, state: Mutex::default(), probe: ProcessProbe::default() }
     }
 
     /// Returns the upstream that the connections lead to.
     pub(crate) fn upstream(&self) -> UpstreamId {
-        self.upstream
+        self.key.upstream
     }
 
     /// Closes idle connections at once and the others after their calls.
@@ -115,7 +115,7 @@
     /// Returns whether the process of the upstream has ended, after a connection to it was lost: it
     /// refuses a new connection, and has no other one.
     pub(super) async fn has_ended(&self, timer: &TimerService) -> bool {
-        self.probe.refuses_connection(timer, self.upstream).await
+        self.probe.refuses_connection(timer, self.key.upstream).await
             && self.lock().idle.iter().all(|it| it.connection.is_closed())
     }
 
@@ -132,7 +132,7 @@
         let (mut connection, count_guard, is_new) =
             self.acquire(edge, balancer, reuse_policy).await?;
         // The zone may have been evacuated while the call waited for the connection.
-        if balancer.is_in_closed_zone(self.upstream) {
+        if balancer.is_in_closed_zone(&self.key) {
             edge.metrics.evacuations.withheld_calls.inc();
             return Err(not_sent());
         }
@@ -141,15 +141,15 @@
             Ok(response) => response,
             Err(mut error) => {
                 if is_new {
-                    balancer.record_new_connection_failed(timer.now(), self.upstream);
+                    balancer.record_new_connection_failed(timer.now(), &self.key);
                 }
-                edge.reach.on_failure(self.upstream, ContactFailure::Lost);
+                edge.reach.on_failure(self.key.upstream, ContactFailure::Lost);
                 let is_unsent = error.take_message().is_some();
                 return Err(if is_unsent { not_sent() } else { CallFailure::ConnectionLost });
             }
         };
         if is_new {
-            balancer.record_connection_accepted(timer.now(), self.upstream);
+            balancer.record_connection_accepted(timer.now(), &self.key);
         }
         self.lock().last_reply_at = timer.now();
         edge.reach.on_reply(timer.now());
@@ -159,9 +159,9 @@
         }
         let metadata = W::read_reply(head.status, &head.headers, request_id);
         if let Some(load) = metadata.load {
-            balancer.record_load(timer.now(), self.upstream, load);
+            balancer.record_load(timer.now(), &self.key, load);
         }
-        record_announcements(edge, balancer, &self.instance, &metadata, sent_at);
+        record_announcements(edge, balancer, &self.key.instance, &metadata, sent_at);
         if !is_reply_to_request(&metadata, is_new) {
             return Err(CallFailure::BadReply);
         }
@@ -187,31 +187,31 @@
         }
         let started = timer.now();
         let count_guard = self.count_connection(balancer);
-        let check = balancer.may_refuse_connection(self.upstream).then_some(REFUSAL_CHECK_TIME);
-        let open = OpenConnection::open(timer, self.upstream, check);
+        let check = balancer.may_refuse_connection(&self.key).then_some(REFUSAL_CHECK_TIME);
+        let open = OpenConnection::open(timer, self.key.upstream, check);
         let opened = timer.timeout(CONNECT_TIMEOUT, open).await;
         let now = timer.now();
         match &opened {
             Ok(Ok(_)) => edge.reach.on_connected(now),
             Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                edge.reach.on_failure(self.upstream, ContactFailure::Refused);
+                edge.reach.on_failure(self.key.upstream, ContactFailure::Refused);
             }
-            Ok(Err(_)) | Err(_) => edge.reach.on_failure(self.upstream, ContactFailure::Lost),
+            Ok(Err(_)) | Err(_) => edge.reach.on_failure(self.key.upstream, ContactFailure::Lost),
         }
         match opened {
             Ok(Ok(None)) => {
-                balancer.record_new_connection_failed(now, self.upstream);
+                balancer.record_new_connection_failed(now, &self.key);
                 Err(CallFailure::NotRun {
                     reason: NotRunReason::ConnectionRefused,
                     retry_after: Some(REFUSED_RETRY_DELAY),
                 })
             }
             Ok(Ok(Some(connection))) => {
-                balancer.record_connect(now, self.upstream, Some(now.since(started)));
+                balancer.record_connect(now, &self.key, Some(now.since(started)));
                 Ok((connection, count_guard, true))
             }
             Ok(Err(_)) | Err(_) => {
-                balancer.record_connect(now, self.upstream, None);
+                balancer.record_connect(now, &self.key, None);
                 Err(not_sent())
             }
         }
@@ -223,7 +223,7 @@
             state.open += 1;
             state.open
         };
-        balancer.record_connections(self.upstream, open);
+        balancer.record_connections(&self.key, open);
         ConnectionCountGuard { pool: self, balancer }
     }
 
@@ -257,7 +257,7 @@
         let open = state.open;
         drop(state);
         if 0 < dropped_count {
-            balancer.record_connections(self.upstream, open);
+            balancer.record_connections(&self.key, open);
         }
         taken
     }
--- a/crates/node/src/dispatch/fan_out_driver.rs
+++ b/crates/node/src/dispatch/fan_out_driver.rs
@@ -126,7 +126,7 @@
         reservation: CallReservation,
         deadline: TimePoint,
     ) -> CallCompletion {
-        let CallReservation { shard, upstream } = reservation;
+        let (shard, upstream) = (reservation.shard, reservation.upstream());
         let header = CallHeader {
             request: self.plan.request,
             call,
--- a/crates/query/src/call_table.rs
+++ b/crates/query/src/call_table.rs
@@ -145,7 +145,7 @@
         while let Some(position) = next {
             let call = &self.calls[position];
             if !call.may_repeat {
-                self.tried_replicas.push(call.reservation.upstream);
+                self.tried_replicas.push(call.reservation.upstream());
             }
             next = call.previous;
         }
--- a/crates/query/src/fan_out.rs
+++ b/crates/query/src/fan_out.rs
@@ -170,7 +170,7 @@
         self.cancel_shard(now, router, reply.shard, actions);
         if !self.try_finish(now, router, actions) {
             self.release_held_shards(now, router, actions);
-            self.use_freed_slot(now, router, reservation.upstream, actions);
+            self.use_freed_slot(now, router, reservation.upstream(), actions);
             self.advance(now, router, actions);
         }
     }
--- a/crates/query/tests/crash_fleet/mod.rs
+++ b/crates/query/tests/crash_fleet/mod.rs
@@ -9,7 +9,7 @@
 };
 use mux_query::{FanOut, FanOutAction};
 use mux_routing::{
-    AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter,
+    AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter, UpstreamSlot,
 };
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 
@@ -100,7 +100,7 @@
         let is_up = |it: &UpstreamId| down_until[upstream_number(it) as usize] <= now;
         let usable = candidates.iter().find(|it| !excluded.contains(it) && is_up(it));
         let upstream = *usable.ok_or(AcquireError::NoReplica)?;
-        Ok(CallReservation { shard, upstream })
+        Ok(CallReservation { shard, slot: UpstreamSlot::at_address(upstream) })
     }
 
     fn has_replica(&self, now: TimePoint, _: ShardIndex, candidates: &[UpstreamId]) -> bool {
@@ -272,7 +272,7 @@
         for action in actions {
             match action {
                 FanOutAction::Send { call, reservation, .. } => {
-                    let CallReservation { shard, upstream } = reservation;
+                    let (shard, upstream) = (reservation.shard, reservation.upstream());
                     self.attempts[attempt].shards.insert(call, shard);
                     let process = self.processes[upstream_number(&upstream) as usize];
                     self.running.push((attempt, call, upstream, process));
--- a/crates/routing/src/balancer/balancer_state.rs
+++ b/crates/routing/src/balancer/balancer_state.rs
@@ -9,7 +9,7 @@
     BalancerReport, LatencyEstimate, PriorityArbiter, RetryBudget, RetryBudgetLimits, WarmUpRule,
     tracked_upstream::TrackedUpstream, zone_return::ZoneStates,
 };
-use crate::{AcquireError, CallKind};
+use crate::{AcquireError, CallKind, UpstreamSlot};
 
 /// Delay before a call retries to reserve a connection when all are in use.
 pub(super) const SATURATED_RETRY_DELAY: Duration = Duration::from_millis(2);
@@ -24,6 +24,10 @@
 pub(super) struct BalancerState {
     pub(super) retry_limits: RetryBudgetLimits,
     pub(super) upstreams: Vec<TrackedUpstream>,
+    /// Number of the upstream that is added next.
+    pub(super) next_entry: u64,
+    /// Number of the next call.
+    pub(super) next_call: u64,
     pub(super) retry_budget: RetryBudget,
     pub(super) arbiter: PriorityArbiter,
     pub(super) connection_limit: Option<u32>,
@@ -66,7 +70,7 @@
         kind: CallKind,
         estimate: &LatencyEstimate,
         max_latency: Duration,
-    ) -> Result<UpstreamId, AcquireError> {
+    ) -> Result<UpstreamSlot, AcquireError> {
         self.record_missing_grants(now, excluded, kind);
         let chosen = match self.choose(now, excluded, kind, estimate, max_latency) {
             Ok(it) => it,
@@ -91,7 +95,9 @@
         let upstream = &mut self.upstreams[chosen];
         self.report.rate_limited_calls += u64::from(upstream.is_rate_limited());
         self.report.cold_calls += u64::from(upstream.warm_up.is_bounded(now));
-        upstream.start_call(now, kind);
-        Ok(upstream.id)
+        let call = self.next_call;
+        self.next_call += 1;
+        upstream.start_call(now, kind, call);
+        Ok(UpstreamSlot { upstream: upstream.id, entry: upstream.entry, call })
     }
 }
--- a/crates/routing/src/balancer/query_router.rs
+++ b/crates/routing/src/balancer/query_router.rs
@@ -136,7 +136,7 @@
         if acquired == Err(AcquireError::ReplyTooLate) {
             lock(&self.latency_estimator).record_too_late(now);
         }
-        acquired.map(|upstream| CallReservation { shard, upstream })
+        acquired.map(|slot| CallReservation { shard, slot })
     }
 
     fn has_replica(&self, now: TimePoint, shard: ShardIndex, _candidates: &[UpstreamId]) -> bool {
@@ -145,9 +145,9 @@
     }
 
     fn release(&self, now: TimePoint, reservation: CallReservation, outcome: CallOutcome) {
-        let CallReservation { shard, upstream } = reservation;
-        let latency =
-            self.balancer(shard).record_outcome(now, upstream, outcome, &self.latency_estimate);
+        let CallReservation { shard, slot } = reservation;
+        let balancer = self.balancer(shard);
+        let latency = balancer.record_outcome(now, slot, outcome, &self.latency_estimate);
         if let Some(latency) = latency {
             lock(&self.latency_estimator).record_latency(now, latency);
         }
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -15,7 +15,7 @@
     tracked_upstream::{QuietOutcome, TrackedUpstream},
     zone_return::ZoneStates,
 };
-use crate::{AcquireError, CallKind, CallOutcome};
+use crate::{AcquireError, CallKind, CallOutcome, UpstreamKey, UpstreamSlot};
 
 /// Assumed time to set up a connection before the first measurement.
 const INITIAL_DIAL_US: f64 = 6_000.0;
@@ -45,6 +45,8 @@
         let state = BalancerState {
             retry_limits: limits,
             upstreams: Vec::new(),
+            next_entry: 0,
+            next_call: 0,
             retry_budget,
             arbiter: PriorityArbiter::default(),
             connection_limit: None,
@@ -77,7 +79,9 @@
             let same_zone = record.availability_zone == self.zone;
             let limits = state.retry_limits;
             let is_first_window = state.retry_budget.is_in_first_window(now, &limits);
-            let mut upstream = TrackedUpstream::new(now, record, same_zone, is_first_window);
+            let entry = state.next_entry;
+            state.next_entry += 1;
+            let mut upstream = TrackedUpstream::new(now, entry, record, same_zone, is_first_window);
             let previous = state.upstreams.iter().rfind(|it| it.instance == record.instance);
             if let Some(previous) = previous {
                 upstream.adopt_announcements(previous);
@@ -137,17 +141,17 @@
         self.lock().upstreams.iter_mut().for_each(TrackedUpstream::forget_failures);
     }
 
-    /// Returns the instance registered at the address `upstream`.
-    pub fn instance(&self, upstream: UpstreamId) -> Option<InstanceId> {
+    /// Returns the instance at which `slot` is reserved; `None` if it is not eligible for calls any more.
+    pub fn instance(&self, slot: UpstreamSlot) -> Option<InstanceId> {
         let state = self.lock();
-        let found = state.upstreams.iter().find(|it| it.id == upstream && it.is_active);
+        let found = state.upstreams.iter().find(|it| it.entry == slot.entry && it.is_active);
         found.map(|it| it.instance.clone())
     }
 
-    /// Returns the maximum number of connections that this node may hold to `upstream`.
-    pub fn max_connections(&self, upstream: UpstreamId) -> u32 {
+    /// Returns the maximum number of connections that this node may hold to an upstream.
+    pub fn max_connections(&self, key: &UpstreamKey) -> u32 {
         let state = self.lock();
-        let known = state.upstreams.iter().find(|it| it.id == upstream);
+        let known = state.upstreams.iter().find(|it| it.has_key(key));
         known.map_or(0, |it| state.max_connections(it))
     }
 
@@ -178,7 +182,7 @@
         kind: CallKind,
         estimate: &LatencyEstimate,
         max_latency: Duration,
-    ) -> Result<UpstreamId, AcquireError> {
+    ) -> Result<UpstreamSlot, AcquireError> {
         self.lock().reserve(now, excluded, kind, estimate, max_latency)
     }
 
@@ -207,7 +211,7 @@
         estimate: &LatencyEstimate,
         max_latency: Duration,
         rank: u32,
-    ) -> Result<UpstreamId, AcquireError> {
+    ) -> Result<UpstreamSlot, AcquireError> {
         let mut state = self.lock();
         // A hedge that finds no connection does not count as waiting, as another call to its shard is
         // already in flight.
@@ -230,29 +234,32 @@
     }
 
     /// Records the outcome of a call from the query's point of view. The connection stays reserved
-    /// until [`Self::end_call`], except for a withdrawn call: the connection that was reserved last is
-    /// released.
+    /// until [`Self::end_call`], except for that of a withdrawn call.
     ///
     /// For a reply, returns the latency normalized to an upstream of average speed without a queue.
     pub fn record_outcome(
         &self,
         now: TimePoint,
-        upstream: UpstreamId,
+        slot: UpstreamSlot,
         outcome: CallOutcome,
         estimate: &LatencyEstimate,
     ) -> Option<Duration> {
-        self.with_upstream(upstream, |it| {
+        self.with_slot(slot, |it| {
             if outcome == CallOutcome::Withdrawn {
-                it.withdraw_call();
+                it.withdraw_call(slot.call);
             }
             it.on_outcome(now, outcome, estimate)
         })?
     }
 
-    /// Records that the task of the call that was reserved at `started` has begun; it ends with
-    /// [`Self::end_call`].
-    pub fn begin_call(&self, upstream: UpstreamId, started: TimePoint) {
-        self.with_upstream(upstream, |it| it.begin_call(started));
+    /// Records that the task of a call has begun; it ends with [`Self::end_call`].
+    pub fn begin_call(&self, slot: UpstreamSlot) {
+        self.with_slot(slot, |it| it.begin_call(slot.call));
+    }
+
+    /// Returns the number of connections that are reserved for calls.
+    pub fn reserved_connections(&self) -> u32 {
+        self.lock().upstreams.iter().map(TrackedUpstream::in_flight).sum()
     }
 
     /// Returns the connections that have been reserved for longer than `limit` although their calls have
@@ -277,25 +284,25 @@
         lost
     }
 
-    /// Releases the connection of the call that started at `started`.
-    pub fn end_call(&self, upstream: UpstreamId, started: TimePoint) {
-        self.with_upstream(upstream, |it| it.end_call(started));
+    /// Releases the connection of a call; a second time has no effect.
+    pub fn end_call(&self, slot: UpstreamSlot) {
+        self.with_slot(slot, |it| it.end_call(slot.call));
     }
 
     /// Records a reply that arrived after its query had ended.
     pub fn record_late_reply(
         &self,
         now: TimePoint,
-        upstream: UpstreamId,
+        slot: UpstreamSlot,
         latency: Duration,
         estimate: &LatencyEstimate,
     ) {
-        self.with_upstream(upstream, |it| it.on_reply(now, latency, estimate));
+        self.with_slot(slot, |it| it.on_reply(now, latency, estimate));
     }
 
     /// Records the number of running and queued requests that an upstream reported.
-    pub fn record_load(&self, now: TimePoint, upstream: UpstreamId, in_flight: u32) {
-        self.with_upstream(upstream, |it| it.on_load(now, in_flight));
+    pub fn record_load(&self, now: TimePoint, key: &UpstreamKey, in_flight: u32) {
+        self.with_key(key, |it| it.on_load(now, in_flight));
     }
 
     /// Records that a reply of `instance` announced its exit; returns whether this is new.
@@ -339,34 +346,34 @@
     }
 
     /// Records the number of connections to an upstream that are open or being set up.
-    pub fn record_connections(&self, upstream: UpstreamId, open: u32) {
-        self.with_upstream(upstream, |it| it.set_open_connections(open));
+    pub fn record_connections(&self, key: &UpstreamKey, open: u32) {
+        self.with_key(key, |it| it.set_open_connections(open));
     }
 
     /// Returns whether the upstream may reset a new connection because it accepts no more: it has done
     /// so, or may still hold connections of this node's previous process.
-    pub fn may_refuse_connection(&self, upstream: UpstreamId) -> bool {
-        self.with_upstream(upstream, |it| it.may_refuse_connection()).unwrap_or_default()
+    pub fn may_refuse_connection(&self, key: &UpstreamKey) -> bool {
+        self.with_key(key, |it| it.may_refuse_connection()).unwrap_or_default()
     }
 
     /// Records the first reply on a new connection, which shows that the upstream accepted it.
-    pub fn record_connection_accepted(&self, now: TimePoint, upstream: UpstreamId) {
-        self.with_upstream(upstream, |it| it.on_connection_accepted(now));
+    pub fn record_connection_accepted(&self, now: TimePoint, key: &UpstreamKey) {
+        self.with_key(key, |it| it.on_connection_accepted(now));
     }
 
     /// Records that a new connection was reset before its first reply.
-    pub fn record_new_connection_failed(&self, now: TimePoint, upstream: UpstreamId) {
-        self.with_upstream(upstream, |it| it.on_connection_refused(now));
+    pub fn record_new_connection_failed(&self, now: TimePoint, key: &UpstreamKey) {
+        self.with_key(key, |it| it.on_connection_refused(now));
     }
 
     /// Records the setup time of a connection; `None` if the dial failed.
-    pub fn record_connect(&self, now: TimePoint, upstream: UpstreamId, elapsed: Option<Duration>) {
+    pub fn record_connect(&self, now: TimePoint, key: &UpstreamKey, elapsed: Option<Duration>) {
         let mut state = self.lock();
         if let Some(elapsed) = elapsed {
             let sample = elapsed.as_secs_f64() * 1e6;
             state.dial_us += (sample - state.dial_us) * DIAL_WEIGHT;
         }
-        let Some(known) = state.upstreams.iter_mut().find(|it| it.id == upstream) else {
+        let Some(known) = state.upstreams.iter_mut().find(|it| it.has_key(key)) else {
             return;
         };
         if elapsed.is_none() {
@@ -381,14 +388,22 @@
         }
     }
 
-    fn with_upstream<T>(
+    fn with_slot<T>(
+        &self,
+        slot: UpstreamSlot,
+        update: impl FnOnce(&mut TrackedUpstream) -> T,
+    ) -> Option<T> {
+        let mut state = self.lock();
+        state.upstreams.iter_mut().find(|it| it.entry == slot.entry).map(update)
+    }
+
+    fn with_key<T>(
         &self,
-        upstream: UpstreamId,
+        key: &UpstreamKey,
         update: impl FnOnce(&mut TrackedUpstream) -> T,
     ) -> Option<T> {
         let mut state = self.lock();
-        // If two instances share an address, the newer one is later in the list.
-        state.upstreams.iter_mut().rev().find(|it| it.id == upstream).map(update)
+        state.upstreams.iter_mut().find(|it| it.has_key(key)).map(update)
     }
 
     pub(super) fn with_instance<T>(
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -12,7 +12,7 @@
     rate_limit::{RateLimit, update_rate_limit},
     warm_up::WarmUp,
 };
-use crate::CallKind;
+use crate::{CallKind, UpstreamKey};
 
 /// Minimum of the assumed connection limit. Also its initial value for an upstream first seen
 /// within one retry budget window after the start of this process: it may still hold connections of
@@ -60,6 +60,8 @@
 /// A call that holds a reserved connection.
 #[derive(Debug, Clone, Copy)]
 struct ReservedCall {
+    /// Number of the call among those of the balancer.
+    number: u64,
     reserved_at: TimePoint,
     /// Whether the task of the call has begun, which releases the connection when it ends.
     has_begun: bool,
@@ -70,6 +72,8 @@
 /// One upstream of a balancer.
 #[derive(Debug)]
 pub(super) struct TrackedUpstream {
+    /// Number of the upstream in its balancer; never used for another one.
+    pub(super) entry: u64,
     pub(super) id: UpstreamId,
     pub(super) instance: InstanceId,
     /// Whether the upstream is eligible for new calls.
@@ -117,11 +121,13 @@
     /// first retry budget window.
     pub(super) fn new(
         now: TimePoint,
+        entry: u64,
         record: &UpstreamRecord,
         same_zone: bool,
         is_first_window: bool,
     ) -> Self {
         Self {
+            entry,
             id: record.upstream,
             instance: record.instance.clone(),
             is_active: true,
@@ -153,6 +159,11 @@
         }
     }
 
+    /// Returns whether this is the upstream with `key`.
+    pub(super) fn has_key(&self, key: &UpstreamKey) -> bool {
+        self.instance == key.instance && self.id == key.upstream
+    }
+
     /// Adopts what the same process announced at its previous address.
     pub(super) fn adopt_announcements(&mut self, previous: &Self) {
         if previous.started_ms == self.started_ms {
@@ -280,28 +291,30 @@
         self.slots
     }
 
-    pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind) {
-        let call = ReservedCall { reserved_at: now, has_begun: false, is_reported: false };
-        self.reserved_calls.push(call);
+    pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind, number: u64) {
+        self.reserved_calls.push(ReservedCall {
+            number,
+            reserved_at: now,
+            has_begun: false,
+            is_reported: false,
+        });
         if let Some(limit) = &mut self.rate_limit {
             limit.use_grant(now, self.rate_share, kind);
         }
         self.warm_up.on_call(now, self.rate_share);
     }
 
-    /// Records that the task of the call that was reserved at `started` has begun.
-    pub(super) fn begin_call(&mut self, started: TimePoint) {
-        let mut calls = self.reserved_calls.iter_mut();
-        if let Some(call) = calls.find(|it| it.reserved_at == started && !it.has_begun) {
+    /// Records that the task of a call has begun.
+    pub(super) fn begin_call(&mut self, number: u64) {
+        if let Some(call) = self.reserved_calls.iter_mut().find(|it| it.number == number) {
             call.has_begun = true;
         }
     }
 
-    /// Releases the connection of the call that started at `started`.
-    pub(super) fn end_call(&mut self, started: TimePoint) {
-        if let Some(idx) = self.reserved_calls.iter().position(|it| it.reserved_at == started) {
-            self.reserved_calls.swap_remove(idx);
-        }
+    /// Releases the connection of a call; returns whether it was reserved.
+    pub(super) fn end_call(&mut self, number: u64) -> bool {
+        let idx = self.reserved_calls.iter().position(|it| it.number == number);
+        idx.map(|it| self.reserved_calls.swap_remove(it)).is_some()
     }
 
     /// Returns the age of the oldest connection reserved for longer than `limit` for a call that has not
@@ -319,11 +332,10 @@
         oldest.is_reported.then_some(age)
     }
 
-    /// Releases the connection that was reserved last; calls are withdrawn at once, before others
-    /// start.
-    pub(super) fn withdraw_call(&mut self) {
-        if let Some(latest) = self.reserved_calls.iter().map(|it| it.reserved_at).max() {
-            self.end_call(latest);
+    /// Releases the connection of a call that is not made, and returns its grants.
+    pub(super) fn withdraw_call(&mut self, number: u64) {
+        if !self.end_call(number) {
+            return;
         }
         if let Some(limit) = &mut self.rate_limit {
             limit.return_grant();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,7 +26,7 @@
 mod upstream_state;
 mod upstream_table;
 
-pub use call_reservation::CallReservation;
+pub use call_reservation::{CallReservation, UpstreamKey, UpstreamSlot};
 pub use replica_router::{
     AcquireError, CallKind, CallOutcome, HedgePolicy, QueryRefusal, ReplicaRouter, RoutingPolicy,
     UpstreamHint,
--- a/crates/routing/src/service_router.rs
+++ b/crates/routing/src/service_router.rs
@@ -10,10 +10,11 @@
 
 use crate::{
     AcquireError, CallKind, CallOutcome, CallReservation, QueryRefusal, ReplicaRouter,
-    RouterReport, RoutingPolicy, UpstreamHint, UpstreamLocation, availability::Availability,
-    call_accounting::CallAccounting, candidate_selector::CandidateSelector,
-    hedge_delay_estimator::HedgeDelayEstimator, query_admission::QueryAdmission,
-    router_settings::RouterSettings, upstream_table::UpstreamTable,
+    RouterReport, RoutingPolicy, UpstreamHint, UpstreamLocation, UpstreamSlot,
+    availability::Availability, call_accounting::CallAccounting,
+    candidate_selector::CandidateSelector, hedge_delay_estimator::HedgeDelayEstimator,
+    query_admission::QueryAdmission, router_settings::RouterSettings,
+    upstream_table::UpstreamTable,
 };
 
 /// Maximum number of selections for one call; a concurrent call may take the selected slot first.
@@ -242,7 +243,7 @@
         kind: CallKind,
     ) -> Result<CallReservation, AcquireError> {
         let acquired = self.acquire(now, candidates, excluded, kind);
-        acquired.map(|upstream| CallReservation { shard, upstream })
+        acquired.map(|it| CallReservation { shard, slot: UpstreamSlot::at_address(it) })
     }
 
     fn has_replica(&self, now: TimePoint, _shard: ShardIndex, candidates: &[UpstreamId]) -> bool {
@@ -253,7 +254,7 @@
     }
 
     fn release(&self, now: TimePoint, reservation: CallReservation, outcome: CallOutcome) {
-        self.release(now, reservation.upstream, outcome);
+        self.release(now, reservation.upstream(), outcome);
     }
 
     fn hedge_delay(&self, now: TimePoint) -> Option<Duration> {
--- a/crates/routing/tests/balancer/choice.rs
+++ b/crates/routing/tests/balancer/choice.rs
@@ -8,14 +8,12 @@
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, ms,
     record, reply, upstream,
 };
+use crate::test_balancer::TestBalancer;
 
 const ROUNDS: u64 = 100;
 
 /// Makes sequential calls, each answered after 10 ms, and returns the chosen upstreams.
-fn chosen_upstreams(
-    balancer: &mux_routing::balancer::ServiceBalancer,
-    from: u64,
-) -> Vec<UpstreamId> {
+fn chosen_upstreams(balancer: &TestBalancer, from: u64) -> Vec<UpstreamId> {
     let call = |round: u64| {
         let started = from + round * 20;
         let chosen = acquire_first(balancer, at(started)).expect("an upstream is free");
@@ -103,12 +101,19 @@
     for failure in failures {
         let balancer = balancer(&[record(0, OTHER_ZONE), record(1, OWN_ZONE)]);
         for round in 0..4 {
-            balancer.record_outcome(
+            let excluded = [upstream(0)];
+            let estimate = latency_estimate();
+            let called = balancer.acquire(
                 at(round),
-                upstream(1),
-                CallOutcome::Failed(failure, ms(1)),
-                &latency_estimate(),
+                &excluded,
+                CallKind::First,
+                &estimate,
+                NO_LATENCY_LIMIT,
             );
+            expect_that!(called, eq(Ok(upstream(1))));
+            balancer.end_call(upstream(1), at(round));
+            let outcome = CallOutcome::Failed(failure, ms(1));
+            balancer.record_outcome(at(round), upstream(1), outcome, &estimate);
         }
 
         expect_that!(acquire_first(&balancer, at(10)), eq(Ok(upstream(0))), "{failure}");
--- a/crates/routing/tests/balancer/connections.rs
+++ b/crates/routing/tests/balancer/connections.rs
@@ -2,20 +2,18 @@
 
 use googletest::prelude::*;
 use mux_model::{TimePoint, UpstreamId};
-use mux_routing::{
-    AcquireError, CallKind, CallOutcome,
-    balancer::{RetryBudget, ServiceBalancer},
-};
+use mux_routing::{AcquireError, CallKind, CallOutcome, balancer::RetryBudget};
 
 use crate::fixtures::{
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits,
     ms, record, upstream,
 };
+use crate::test_balancer::TestBalancer;
 
 /// Returns a balancer of a process that has just started.
-fn started_balancer() -> ServiceBalancer {
+fn started_balancer() -> TestBalancer {
     let budget = RetryBudget::started(TimePoint::ZERO, false);
-    let balancer = ServiceBalancer::with_retry_budget(limits(), OWN_ZONE.into(), budget);
+    let balancer = TestBalancer::with_retry_budget(limits(), OWN_ZONE.into(), budget);
     balancer.set_upstreams(TimePoint::ZERO, &[&record(0, OWN_ZONE)]);
     balancer
 }
@@ -154,7 +152,7 @@
 }
 
 /// Refuses the only connection to an upstream.
-fn refuse_connection(balancer: &ServiceBalancer, now: u64, idx: u16) {
+fn refuse_connection(balancer: &TestBalancer, now: u64, idx: u16) {
     balancer.record_connections(upstream(idx), 1);
     balancer.record_new_connection_failed(at(now), upstream(idx));
     balancer.record_connections(upstream(idx), 0);
@@ -193,7 +191,7 @@
 #[gtest]
 fn call_that_replaces_an_unsent_one_needs_no_budget() {
     let budget = RetryBudget::started(TimePoint::ZERO, true);
-    let balancer = ServiceBalancer::with_retry_budget(limits(), OWN_ZONE.into(), budget);
+    let balancer = TestBalancer::with_retry_budget(limits(), OWN_ZONE.into(), budget);
     balancer.set_upstreams(TimePoint::ZERO, &[&record(0, OWN_ZONE), &record(1, OTHER_ZONE)]);
     let acquire = |now, kind| {
         let excluded = [upstream(0)];
--- a/crates/routing/tests/balancer/evacuation.rs
+++ b/crates/routing/tests/balancer/evacuation.rs
@@ -4,17 +4,18 @@
 use mux_model::{AvailabilityZone, FastSet, ServiceName, TimePoint};
 use mux_routing::{
     AcquireError,
-    balancer::{ServiceBalancer, UpstreamRecord, UpstreamRegistry},
+    balancer::{UpstreamRecord, UpstreamRegistry},
 };
 
 use crate::fixtures::{OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, record, reply, upstream};
+use crate::test_balancer::TestBalancer;
 
 const REVISION: u64 = 40;
 
 /// A registry and the balancer of its only service.
 struct TestTier {
     registry: UpstreamRegistry,
-    balancer: ServiceBalancer,
+    balancer: TestBalancer,
 }
 
 impl TestTier {
--- a/crates/routing/tests/balancer/fixtures.rs
+++ b/crates/routing/tests/balancer/fixtures.rs
@@ -5,11 +5,11 @@
 use mux_model::{InstanceId, ServiceName, TimePoint, UpstreamId};
 use mux_routing::{
     AcquireError, CallKind, CallOutcome,
-    balancer::{
-        LatencyEstimate, RetryBudgetLimits, ServiceBalancer, UpstreamPhase, UpstreamRecord,
-    },
+    balancer::{LatencyEstimate, RetryBudgetLimits, UpstreamPhase, UpstreamRecord},
 };
 
+use crate::test_balancer::TestBalancer;
+
 pub(crate) const OWN_ZONE: &str = "muc-a";
 pub(crate) const OTHER_ZONE: &str = "muc-b";
 pub(crate) const NO_LATENCY_LIMIT: Duration = Duration::from_secs(60);
@@ -49,21 +49,21 @@
     LatencyEstimate { typical: ms(10), hedge_delay: ms(20), cross_zone_penalty: ms(10) }
 }
 
-pub(crate) fn balancer(records: &[UpstreamRecord]) -> ServiceBalancer {
-    let balancer = ServiceBalancer::new(limits(), OWN_ZONE.into());
+pub(crate) fn balancer(records: &[UpstreamRecord]) -> TestBalancer {
+    let balancer = TestBalancer::new(limits(), OWN_ZONE.into());
     balancer.set_upstreams(TimePoint::ZERO, &records.iter().collect::<Vec<_>>());
     balancer
 }
 
 pub(crate) fn acquire_first(
-    balancer: &ServiceBalancer,
+    balancer: &TestBalancer,
     now: TimePoint,
 ) -> Result<UpstreamId, AcquireError> {
     balancer.acquire(now, &[], CallKind::First, &latency_estimate(), NO_LATENCY_LIMIT)
 }
 
 /// Completes the call that started at `started` with a reply at `now`.
-pub(crate) fn reply(balancer: &ServiceBalancer, upstream: UpstreamId, started: u64, now: u64) {
+pub(crate) fn reply(balancer: &TestBalancer, upstream: UpstreamId, started: u64, now: u64) {
     balancer.end_call(upstream, at(started));
     let outcome = CallOutcome::Replied(at(now).since(at(started)));
     balancer.record_outcome(at(now), upstream, outcome, &latency_estimate());
--- a/crates/routing/tests/balancer/main.rs
+++ b/crates/routing/tests/balancer/main.rs
@@ -13,4 +13,5 @@
 mod reservations;
 mod retry_budget;
 mod spent_budget_markers;
+mod test_balancer;
 mod warm_up;
--- a/crates/routing/tests/balancer/overload.rs
+++ b/crates/routing/tests/balancer/overload.rs
@@ -4,9 +4,10 @@
 
 use googletest::prelude::*;
 use mux_model::{FastMap, TimePoint, UpstreamId};
-use mux_routing::{AcquireError, CallKind, CallOutcome, balancer::ServiceBalancer};
+use mux_routing::{AcquireError, CallKind, CallOutcome};
 
 use crate::fixtures::{NO_LATENCY_LIMIT, OWN_ZONE, balancer, latency_estimate, ms, record};
+use crate::test_balancer::TestBalancer;
 
 const SLOTS: usize = 3;
 /// Processing time of one request.
@@ -90,7 +91,7 @@
 }
 
 fn arrive(
-    balancer: &ServiceBalancer,
+    balancer: &TestBalancer,
     now: u64,
     max_latency: Duration,
     upstream: &mut BusyUpstream,
@@ -105,7 +106,7 @@
 }
 
 fn finish(
-    balancer: &ServiceBalancer,
+    balancer: &TestBalancer,
     upstream: UpstreamId,
     started: u64,
     now: u64,
--- a/crates/routing/tests/balancer/priority_arbiter.rs
+++ b/crates/routing/tests/balancer/priority_arbiter.rs
@@ -2,14 +2,12 @@
 
 use googletest::prelude::*;
 use mux_model::TimePoint;
-use mux_routing::{
-    CallKind,
-    balancer::{PriorityArbiter, ServiceBalancer},
-};
+use mux_routing::{CallKind, balancer::PriorityArbiter};
 
 use crate::fixtures::{
     NO_LATENCY_LIMIT, OWN_ZONE, at, balancer, latency_estimate, record, upstream,
 };
+use crate::test_balancer::TestBalancer;
 
 /// Priority ranks of the two routes.
 const URGENT: u32 = 0;
@@ -77,7 +75,7 @@
     Shares { urgent: share(0), ordinary: share(1) }
 }
 
-fn try_acquire(balancer: &ServiceBalancer, now: u64, call: WaitingCall, by_rank: bool) -> bool {
+fn try_acquire(balancer: &TestBalancer, now: u64, call: WaitingCall, by_rank: bool) -> bool {
     let (now, kind) = (at(now), CallKind::First);
     if by_rank {
         return balancer
--- a/crates/routing/tests/balancer/query_router.rs
+++ b/crates/routing/tests/balancer/query_router.rs
@@ -11,7 +11,7 @@
 
 use crate::fixtures::{NO_LATENCY_LIMIT, OWN_ZONE, at, balancer, ms, record, upstream};
 
-fn router(balancers: Vec<Arc<ServiceBalancer>>) -> QueryRouter {
+pub(crate) fn router(balancers: Vec<Arc<ServiceBalancer>>) -> QueryRouter {
     let constraints = QueryConstraints {
         rank: 0,
         started: TimePoint::ZERO,
@@ -26,7 +26,7 @@
 /// cause.
 #[gtest]
 fn shard_without_an_upstream_is_listed_as_refused() {
-    let router = router(vec![Arc::new(balancer(&[record(0, OWN_ZONE)])), Arc::new(balancer(&[]))]);
+    let router = router(vec![balancer(&[record(0, OWN_ZONE)]).shared(), balancer(&[]).shared()]);
 
     let expected = vec![(ShardIndex(1), AcquireError::NoReplica)];
     expect_that!(router.refusals(), eq(&expected));
@@ -36,15 +36,15 @@
 /// outcome must reach the balancer.
 #[gtest]
 fn outcome_of_an_upstream_added_during_the_query_is_recorded() {
-    let balancer = Arc::new(balancer(&[record(0, OWN_ZONE)]));
-    let router = router(vec![Arc::clone(&balancer)]);
+    let balancer = balancer(&[record(0, OWN_ZONE)]);
+    let router = router(vec![balancer.shared()]);
     balancer.set_upstreams(at(1), &[&record(1, OWN_ZONE)]);
 
     let acquired =
         router.acquire(at(2), ShardIndex(0), &[upstream(0)], &[], CallKind::First).unwrap();
     router.release(at(3), acquired, CallOutcome::Withdrawn);
 
-    expect_that!(acquired.upstream, eq(upstream(1)));
+    expect_that!(acquired.upstream(), eq(upstream(1)));
     // An upstream without calls is forgotten once it is not active any more.
     balancer.set_upstreams(at(4), &[&record(0, OWN_ZONE)]);
     expect_that!(balancer.max_connections(upstream(1)), eq(0));
--- a/crates/routing/tests/balancer/rate_limit.rs
+++ b/crates/routing/tests/balancer/rate_limit.rs
@@ -4,28 +4,26 @@
 
 use googletest::prelude::*;
 use mux_model::{AvailabilityZone, FastMap, InstanceId, TimePoint, UpstreamId};
-use mux_routing::{
-    AcquireError, CallKind, CallOutcome,
-    balancer::{RateLimitChange, ServiceBalancer},
-};
+use mux_routing::{AcquireError, CallKind, CallOutcome, balancer::RateLimitChange};
 use mux_sharing::{BoundKey, NodeShares, NodeStanding};
 
 use crate::fixtures::{
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, balancer, latency_estimate, limits,
     ms, record, reply, upstream,
 };
+use crate::test_balancer::TestBalancer;
 
 /// Interval of the attempts of a node that presses; each makes as many calls as are granted.
 const ATTEMPT_PERIOD_MS: u64 = 10;
 const WINDOW: Duration = Duration::from_secs(4);
 
-fn state_limit(balancer: &ServiceBalancer, idx: u16, now: u64, rate: f64) {
+fn state_limit(balancer: &TestBalancer, idx: u16, now: u64, rate: f64) {
     let instance = InstanceId::from(format!("i-{idx}"));
     balancer.record_rate_limit(at(now), &instance, at(now), Some(rate));
 }
 
 /// Calls upstream 0, which replies at once; returns whether the call was made.
-fn try_call(balancer: &ServiceBalancer, now: u64) -> bool {
+fn try_call(balancer: &TestBalancer, now: u64) -> bool {
     let acquired = acquire_first(balancer, at(now));
     acquired.is_ok_and(|it| {
         reply(balancer, it, now, now);
@@ -41,13 +39,13 @@
 }
 
 /// Returns one balancer for each node of a fleet, with upstream 0 in [`OWN_ZONE`].
-fn fleet(nodes: &[(&str, u32)]) -> Vec<ServiceBalancer> {
+fn fleet(nodes: &[(&str, u32)]) -> Vec<TestBalancer> {
     let of_zone = |(zone, count): &(&str, u32)| {
         let zone = (*zone).to_owned();
         (0..*count).map(move |_| zone.clone())
     };
     let balancers = nodes.iter().flat_map(of_zone).map(|zone| {
-        let balancer = ServiceBalancer::new(limits(), zone.as_str().into());
+        let balancer = TestBalancer::new(limits(), zone.as_str().into());
         balancer.set_rate_shares(&shares(&zone, nodes, NodeStanding::Counted));
         balancer.set_upstreams(TimePoint::ZERO, &[&record(0, OWN_ZONE)]);
         balancer
@@ -64,7 +62,7 @@
 
 /// Returns the times of the calls of all nodes, each of which makes as many as are granted in these
 /// periods.
-fn press(balancers: &[ServiceBalancer], periods: &[(u64, u64)]) -> Vec<u64> {
+fn press(balancers: &[TestBalancer], periods: &[(u64, u64)]) -> Vec<u64> {
     let mut calls = Vec::new();
     for (from, until) in periods {
         for now in (*from..*until).step_by(ATTEMPT_PERIOD_MS as usize) {
--- a/crates/routing/tests/balancer/warm_up.rs
+++ b/crates/routing/tests/balancer/warm_up.rs
@@ -6,7 +6,7 @@
 use mux_model::{AvailabilityZone, FastMap, FastSet, InstanceId, TimePoint, UpstreamId};
 use mux_routing::{
     AcquireError, CallKind, CallOutcome,
-    balancer::{NodePlace, ServiceBalancer, UpstreamRecord, WarmUpBounds, WarmUpRule},
+    balancer::{NodePlace, UpstreamRecord, WarmUpBounds, WarmUpRule},
 };
 use mux_sharing::{BoundKey, NodeShares, NodeStanding};
 
@@ -14,6 +14,7 @@
     NO_LATENCY_LIMIT, OTHER_ZONE, OWN_ZONE, acquire_first, at, latency_estimate, limits, ms,
     record, reply, upstream,
 };
+use crate::test_balancer::TestBalancer;
 
 const BOUNDS: WarmUpBounds = WarmUpBounds { overage: 1.5, slack: 5.0 };
 const PERIOD: Duration = Duration::from_secs(20);
@@ -38,7 +39,7 @@
 }
 
 /// Returns the balancers of nodes in [`OWN_ZONE`] and [`OTHER_ZONE`] under the rule of a rate.
-fn fleet(nodes: [u32; 2], rate_per_s: f64, records: &[UpstreamRecord]) -> Vec<ServiceBalancer> {
+fn fleet(nodes: [u32; 2], rate_per_s: f64, records: &[UpstreamRecord]) -> Vec<TestBalancer> {
     let counts = [OWN_ZONE, OTHER_ZONE].into_iter().zip(nodes);
     let counts: FastMap<AvailabilityZone, u32> =
         counts.map(|(zone, count)| (AvailabilityZone::from(zone), count)).collect();
@@ -54,7 +55,7 @@
         },
     );
     let balancers = places.map(|(zone, place)| {
-        let balancer = ServiceBalancer::new(limits(), zone.clone());
+        let balancer = TestBalancer::new(limits(), zone.clone());
         balancer.set_rate_shares(&NodeShares::new(&zone, &counts, NodeStanding::Counted));
         balancer.set_warm_up_rule(
             TimePoint::ZERO,
@@ -67,7 +68,7 @@
 }
 
 /// Makes the calls of a node that are granted at `now`, `most` at the most.
-fn call(balancer: &ServiceBalancer, now: u64, most: usize, calls: &mut Calls) -> usize {
+fn call(balancer: &TestBalancer, now: u64, most: usize, calls: &mut Calls) -> usize {
     let granted = (0..most).map_while(|_| acquire_first(balancer, at(now)).ok());
     let granted: Vec<_> = granted.collect();
     for chosen in &granted {
@@ -78,7 +79,7 @@
 }
 
 /// Returns the calls of nodes that press from `from` to `until`.
-fn press(balancers: &[ServiceBalancer], from: u64, until: u64) -> Calls {
+fn press(balancers: &[TestBalancer], from: u64, until: u64) -> Calls {
     let mut calls = Calls::default();
     for now in (from..until).step_by(ATTEMPT_PERIOD_MS as usize) {
         for balancer in balancers {
