Tell a first reply of the store from the end of an outage after reading a peer

Cause: a node without an entry in the store reads the copies of its peers, and its own record of the store holds no reply. Its first own reply looked like the end of an outage, after which removals are doubtful for 3 s. What it had heard through its peers was dropped at the same moment.

Change: when a node leaves the copy of a peer, or the store answers it meanwhile, it adopts what the peer had heard, with the age at the source: the last reply, the end of an outage, a restore. The peer's own failures are not adopted: they may be a cut of that peer alone, and a real outage fails this node's first call as well. A node that starts without a peer is as careful as before.

--- a/crates/config/src/store_reachability.rs
+++ b/crates/config/src/store_reachability.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Adopts what another node had heard of the store until this node asks it itself, so that its first
+    /// reply does not pass for the end of an outage. Failures of the other node say nothing about this
+    /// one.
+    pub fn adopt(&mut self, other: &Self) {
+        self.replied_at = self.replied_at.max(other.replied_at);
+        self.recovered_at = self.recovered_at.max(other.recovered_at);
+        self.restored_at = self.restored_at.max(other.restored_at);
+    }
+
     /// Records a reply; returns whether the store was unreachable before.
     pub fn on_reply(&mut self, now: TimePoint) -> bool {
         let has_recovered = self.is_unreachable();
--- a/crates/config/tests/store_reachability.rs
+++ b/crates/config/tests/store_reachability.rs
@@ -104,3 +104,65 @@
 
     expect_that!(adopted.time_since_reply(TimePoint::from_millis(500)), none());
 }
+
+/// A node that took over from the peer whose copy it had read took its first reply for the end of an outage,
+/// and kept upstreams whose entries were removed for three more seconds.
+#[gtest]
+fn first_reply_after_reading_the_copy_of_a_peer_ends_no_outage() {
+    let at = TimePoint::from_millis;
+    let mut peer = StoreReachability::default();
+    peer.on_reply(at(1_000));
+    peer.on_reply(at(20_000));
+    let mut own = StoreReachability::default();
+
+    own.adopt(&StoreReachability::from_report(
+        &peer.report(at(20_400)),
+        at(50_000),
+        Duration::ZERO,
+    ));
+    let has_recovered = own.on_reply(at(52_500));
+
+    expect_that!(has_recovered, eq(false));
+    expect_that!(own.may_lack_live_entries(at(52_500)), eq(false));
+}
+
+/// What the peer had heard of an outage holds for the reader as well, also if the peer is cut off now.
+#[gtest]
+fn outage_that_the_peer_had_seen_is_adopted_with_its_age() {
+    let at = TimePoint::from_millis;
+    let mut peer = StoreReachability::default();
+    peer.on_reply(at(1_000));
+    peer.on_failure(at(18_000));
+    peer.on_reply(at(20_000));
+    peer.on_failure(at(20_300));
+    let mut own = StoreReachability::default();
+
+    own.adopt(&StoreReachability::from_report(
+        &peer.report(at(20_400)),
+        at(50_000),
+        Duration::ZERO,
+    ));
+
+    expect_that!(own.is_unreachable(), eq(false));
+    expect_that!(own.on_reply(at(50_100)), eq(false));
+    expect_that!(own.may_lack_live_entries(at(52_500)), eq(true));
+    expect_that!(own.may_lack_live_entries(at(52_700)), eq(false));
+}
+
+/// A node that failed to reach the store itself has seen an outage, unless a peer heard the store later.
+#[gtest]
+fn own_failure_is_an_outage_unless_a_peer_heard_the_store_later() {
+    let at = TimePoint::from_millis;
+    for (failed_at, expected) in [(4_000, false), (6_000, true)] {
+        let mut own = StoreReachability::default();
+        own.on_reply(at(1_000));
+        own.on_failure(at(failed_at));
+        let mut peer = StoreReachability::default();
+        peer.on_reply(at(500));
+        peer.on_reply(at(5_000));
+
+        own.adopt(&peer);
+
+        expect_that!(own.on_reply(at(6_500)), eq(expected), "{failed_at}");
+    }
+}
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -246,9 +246,26 @@
         ReachabilityReport { since_reply: self.copy_currency().age(now), ..report }
     }
 
+    /// Records that this node no longer reads the copy of another one, and keeps what that node had heard
+    /// of the store.
+    pub(crate) fn leave_relayed_reachability(&self) {
+        let relayed = lock(&self.relayed_reachability).take();
+        if let Some(relayed) = relayed {
+            lock(&self.store_reachability).adopt(&relayed);
+        }
+    }
+
     /// Records a reply of the store.
     pub(crate) fn on_store_reply(&self) {
-        if lock(&self.store_reachability).on_reply(self.timer.now()) {
+        let relayed = *lock(&self.relayed_reachability);
+        let has_recovered = {
+            let mut reachability = lock(&self.store_reachability);
+            if let Some(relayed) = relayed {
+                reachability.adopt(&relayed);
+            }
+            reachability.on_reply(self.timer.now())
+        };
+        if has_recovered {
             info!(self.logger, "store: reachable");
             // A watch that was pending during the outage may have lost its connection and missed
             // changes.
--- a/crates/edge/src/sync/store_reader.rs
+++ b/crates/edge/src/sync/store_reader.rs
@@ -141,7 +141,7 @@
         }
         let outcome = self.read_from_peers().await;
         if outcome != PeerRead::Fresh {
-            self.edge.set_relayed_reachability(None);
+            self.edge.leave_relayed_reachability();
         }
         let had_stale_peers =
             std::mem::replace(&mut self.had_stale_peers, outcome == PeerRead::Stale);
@@ -349,7 +349,7 @@
                 // The first update after an outage contains the entries that expired during it, so
                 // the reply has to be recorded before the update is applied.
                 self.edge.on_store_reply();
-                self.edge.set_relayed_reachability(None);
+                self.edge.leave_relayed_reachability();
                 let changes = update.changes.len();
                 let now = self.edge.timer.now();
                 if let Some(at) = copied_at(kind, sent_at, now, changes) {
