Release a connection that stays reserved without a call

The check once a second, which logged and counted such reservations, now releases them too, 2 s after they were made. A call that begins later is made without a reservation; its end has no effect.

--- a/crates/edge/src/run_edge.rs
+++ b/crates/edge/src/run_edge.rs
@@ -25,7 +25,7 @@
     relay::RelayServer,
     sharing::{maintain_borrowing, maintain_shares},
     sync,
-    upstream::watch_reservations,
+    upstream::release_lost_reservations,
 };
 
 /// Duration of a pause of the process above which its copy of the store may be outdated.
@@ -102,7 +102,7 @@
     tokio::spawn(sync::log_warm_ups(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_spent_budget_markers(Arc::clone(&edge), store.clone()));
     tokio::spawn(watch_reach(Arc::clone(&edge)));
-    tokio::spawn(watch_reservations(Arc::clone(&edge)));
+    tokio::spawn(release_lost_reservations(Arc::clone(&edge)));
     tokio::spawn(sync::share_evidence(Arc::clone(&edge), store.clone()));
     tokio::spawn(sync::pass_on_evidence(Arc::clone(&edge)));
     tokio::spawn(sync::maintain_announcement(Arc::clone(&edge), store));
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -15,5 +15,5 @@
 pub(crate) use connection_pools::ConnectionPools;
 pub use limited_stream::LimitedStream;
 pub use reply_buffers::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
-pub(crate) use reservation_task::watch_reservations;
+pub(crate) use reservation_task::release_lost_reservations;
 pub(crate) use upstream_reply::UpstreamReply;
--- a/crates/routing/src/balancer/lost_reservation.rs
+++ b/crates/routing/src/balancer/lost_reservation.rs
@@ -1,4 +1,4 @@
-//! A connection that stays reserved without a call.
+//! A connection that stayed reserved without a call.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
     pub is_active: bool,
     /// Time since the reservation.
     pub age: Duration,
-    /// Connections to the instance that this node has reserved, this one included.
+    /// Connections to the instance that this node has reserved besides this one.
     pub reserved: u32,
     /// Maximum number of connections to the instance that this node reserves.
     pub max_connections: u32,
--- a/crates/routing/src/balancer/service_balancer.rs
+++ b/crates/routing/src/balancer/service_balancer.rs
@@ -262,15 +262,19 @@
         self.lock().upstreams.iter().map(TrackedUpstream::in_flight).sum()
     }
 
-    /// Returns the connections that have been reserved for longer than `limit` although their calls have
-    /// not begun; each one is returned once.
-    pub fn take_lost_reservations(&self, now: TimePoint, limit: Duration) -> Vec<LostReservation> {
+    /// Releases the connections that have been reserved for longer than `limit` although their calls have
+    /// not begun, and returns them. A call that begins later is made without a reservation.
+    pub fn release_lost_reservations(
+        &self,
+        now: TimePoint,
+        limit: Duration,
+    ) -> Vec<LostReservation> {
         let mut state = self.lock();
         let max_connections: Vec<_> =
             state.upstreams.iter().map(|it| state.max_connections(it)).collect();
         let mut lost = Vec::new();
         for (upstream, max_connections) in state.upstreams.iter_mut().zip(max_connections) {
-            while let Some(age) = upstream.take_lost_reservation(now, limit) {
+            while let Some(age) = upstream.release_lost_reservation(now, limit) {
                 lost.push(LostReservation {
                     instance: upstream.instance.clone(),
                     upstream: upstream.id,
--- a/crates/routing/src/balancer/tracked_upstream.rs
+++ b/crates/routing/src/balancer/tracked_upstream.rs
@@ -65,8 +65,6 @@
     reserved_at: TimePoint,
     /// Whether the task of the call has begun, which releases the connection when it ends.
     has_begun: bool,
-    /// Whether it was counted as lost.
-    is_reported: bool,
 }
 
 /// One upstream of a balancer.
@@ -292,12 +290,7 @@
     }
 
     pub(super) fn start_call(&mut self, now: TimePoint, kind: CallKind, number: u64) {
-        self.reserved_calls.push(ReservedCall {
-            number,
-            reserved_at: now,
-            has_begun: false,
-            is_reported: false,
-        });
+        self.reserved_calls.push(ReservedCall { number, reserved_at: now, has_begun: false });
         if let Some(limit) = &mut self.rate_limit {
             limit.use_grant(now, self.rate_share, kind);
         }
@@ -317,19 +310,17 @@
         idx.map(|it| self.reserved_calls.swap_remove(it)).is_some()
     }
 
-    /// Returns the age of the oldest connection reserved for longer than `limit` for a call that has not
-    /// begun; each one is returned once.
-    pub(super) fn take_lost_reservation(
+    /// Releases the oldest connection reserved for longer than `limit` for a call that has not begun, and
+    /// returns its age.
+    pub(super) fn release_lost_reservation(
         &mut self,
         now: TimePoint,
         limit: Duration,
     ) -> Option<Duration> {
-        let lost = self.reserved_calls.iter_mut();
-        let lost = lost.filter(|it| !it.has_begun && !it.is_reported);
-        let oldest = lost.min_by_key(|it| it.reserved_at)?;
-        let age = now.since(oldest.reserved_at);
-        oldest.is_reported = limit < age;
-        oldest.is_reported.then_some(age)
+        let unused = self.reserved_calls.iter().filter(|it| !it.has_begun);
+        let ReservedCall { number, reserved_at, .. } = *unused.min_by_key(|it| it.reserved_at)?;
+        let age = now.since(reserved_at);
+        (limit < age && self.end_call(number)).then_some(age)
     }
 
     /// Releases the connection of a call that is not made, and returns its grants.
--- a/crates/routing/tests/balancer/reservations.rs
+++ b/crates/routing/tests/balancer/reservations.rs
@@ -19,20 +19,21 @@
 
 /// Reservations that were never released took upstreams out of use, and no log line said so.
 #[gtest]
-fn reservation_without_a_call_is_reported_once() {
+fn reservation_without_a_call_is_reported_once_and_released() {
     let balancer = balancer(&[record(0, OWN_ZONE)]);
     acquire_first(&balancer, at(0)).unwrap();
 
-    let early = balancer.take_lost_reservations(at(2_000), LIMIT);
-    let lost = balancer.take_lost_reservations(at(2_001), LIMIT);
-    let again = balancer.take_lost_reservations(at(9_000), LIMIT);
+    let early = balancer.release_lost_reservations(at(2_000), LIMIT);
+    let lost = balancer.release_lost_reservations(at(2_001), LIMIT);
+    let again = balancer.release_lost_reservations(at(9_000), LIMIT);
 
     expect_that!(early, is_empty());
     expect_that!(lost, len(eq(1)));
     expect_that!(lost[0].upstream, eq(upstream(0)));
-    expect_that!((lost[0].reserved, lost[0].is_active), eq((1, true)));
+    expect_that!((lost[0].reserved, lost[0].is_active), eq((0, true)));
     expect_that!(lost[0].age, eq(Duration::from_millis(2_001)));
     expect_that!(again, is_empty());
+    expect_that!(balancer.reserved_connections(), eq(0));
 }
 
 #[gtest]
@@ -41,9 +42,10 @@
     acquire_first(&balancer, at(0)).unwrap();
     balancer.begin_call(upstream(0), at(0));
 
-    let lost = balancer.take_lost_reservations(at(60_000), LIMIT);
+    let lost = balancer.release_lost_reservations(at(60_000), LIMIT);
 
     expect_that!(lost, is_empty());
+    expect_that!(balancer.reserved_connections(), eq(1));
 }
 
 /// Two records share an address, that of an earlier process and that of the present one. The connection of
@@ -105,7 +107,7 @@
     }
 
     for it in [first, second] {
-        expect_that!(it.take_lost_reservations(at(60_000), LIMIT), is_empty());
+        expect_that!(it.release_lost_reservations(at(60_000), LIMIT), is_empty());
     }
 }
 
