Keep an upstream in use when a call to its former address is rejected

The registry marked the instance as unusable whatever address had been called, and it stayed unused at that node until its entry changed again.

The rejection now counts only for the address that was called.

--- a/crates/edge/src/upstream/call_task.rs
+++ b/crates/edge/src/upstream/call_task.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
 use mux_config::traffic::ExecutionSemantics;
-use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint};
+use mux_model::{CallFailure, InstanceId, ServiceName, TimePoint, UpstreamId};
 use mux_quarantine::RequestFingerprint;
 use mux_routing::{
     UpstreamSlot,
@@ -250,7 +250,7 @@
     let result = pool.exchange::<W>(edge, &spec.balancer, request, id, reuse_policy).await;
     if let Err(CallFailure::NotRun { reason: mux_model::NotRunReason::WrongInstance, .. }) = result
     {
-        record_misdirected(edge, &instance);
+        record_misdirected(edge, &instance, spec.slot.upstream);
     }
     if matches!(result, Err(CallFailure::ConnectionLost)) && pool.has_ended(&edge.timer).await {
         record_upstream_end(edge, spec, &instance);
@@ -264,9 +264,9 @@
     Ok(result?)
 }
 
-/// Records that another instance replied at the address of `instance`.
-fn record_misdirected(edge: &EdgeState, instance: &InstanceId) {
-    if edge.upstreams().on_misdirected(instance) {
+/// Records that another instance replied at the address `upstream` of `instance`.
+fn record_misdirected(edge: &EdgeState, instance: &InstanceId, upstream: UpstreamId) {
+    if edge.upstreams().on_misdirected(instance, upstream) {
         info!(edge.logger, "upstream: another instance replied at its address";
             "instance" => instance.as_str());
         edge.refresh_balancers(edge.timer.now());
--- a/crates/routing/src/balancer/upstream_registry.rs
+++ b/crates/routing/src/balancer/upstream_registry.rs
@@ -162,10 +162,11 @@
         self.known.values().any(|it| it.missing)
     }
 
-    /// Records that another instance answered at the address of `instance`; returns whether this
-    /// was not known before.
-    pub fn on_misdirected(&mut self, instance: &InstanceId) -> bool {
-        let known = self.known.get_mut(instance);
+    /// Records that another instance answered at the address `upstream`, where `instance` was expected;
+    /// returns whether this was not known before. It says nothing about an address to which the instance
+    /// has moved since the call.
+    pub fn on_misdirected(&mut self, instance: &InstanceId, upstream: UpstreamId) -> bool {
+        let known = self.known.get_mut(instance).filter(|it| it.record.upstream == upstream);
         known.is_some_and(|it| !std::mem::replace(&mut it.misdirected, true))
     }
 
--- a/crates/routing/tests/balancer/registry.rs
+++ b/crates/routing/tests/balancer/registry.rs
@@ -106,11 +106,24 @@
 fn misdirected_instance_is_unused_until_a_newer_entry() {
     let mut registry = registry(&[record(0, OWN_ZONE)]);
 
-    expect_that!(registry.on_misdirected(&name(0)), eq(true));
-    expect_that!(registry.on_misdirected(&name(0)), eq(false));
+    expect_that!(registry.on_misdirected(&name(0), upstream(0)), eq(true));
+    expect_that!(registry.on_misdirected(&name(0), upstream(0)), eq(false));
     expect_that!(serving(&registry), is_empty());
 
     registry.on_record(UpstreamRecord { sequence: 2, ..record(0, OWN_ZONE) });
 
     expect_that!(serving(&registry).len(), eq(1));
 }
+
+/// A rejection by another instance at the former address of an upstream arrives after the upstream was
+/// read at its new one. The upstream stayed unused until its entry changed again.
+#[gtest]
+fn misdirected_call_to_a_former_address_says_nothing_about_the_new_one() {
+    let mut registry = registry(&[record(0, OWN_ZONE)]);
+    let moved = UpstreamRecord { sequence: 2, upstream: upstream(5), ..record(0, OWN_ZONE) };
+    registry.on_record(moved);
+
+    expect_that!(registry.on_misdirected(&name(0), upstream(0)), eq(false));
+
+    expect_that!(serving(&registry).len(), eq(1));
+}
