--- a/crates/routing/src/balancer/mod.rs
+++ b/crates/routing/src/balancer/mod.rs
@@ -8,6 +8,7 @@
 mod balancer_state;
 mod closed_zones;
 mod cold_upstreams;
+mod connection_records;
 mod evacuated_zones;
 mod latency_estimator;
 mod lost_reservation;
