Test nodes beside callers that keep unfinished bodies open

What callers saw: clients that send many bodies of legal size at once, most of them a byte short of their end, made a process run out of memory.

The tests start the system's own processes on loopback. A crowd of 700 (edge) or 900 (node) connections sends bodies of 262,144 bytes with a length (at once, in sixteen pieces), in four chunks, or whole while upstreams do not reply, also by way of a second node; 300 connections send chunks of one byte (16,000 at once; 300 one by one). They check that the process lives, that its peak of memory and its descriptors stay under the limits of its settings (edge: MemoryMb 112 and MaxFds 2,870, the smallest machines of the users' pages; node, which has no such settings: 160 MiB, 4,100), and that an ordinary request is answered during the crowd and after it. One runs at a time. No time and no served share is checked.

--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -3,6 +3,7 @@
 //! The programs have to be built first: `cargo build -p mustardmux -p standins`.
 
 mod caller_client;
+mod caller_crowd;
 mod change_client;
 mod child_process;
 mod fixtures;
@@ -14,6 +15,7 @@
 mod node_process;
 mod operator_client;
 mod process_relay;
+mod process_usage;
 mod query_load;
 mod relay_process;
 mod revision_sampler;
@@ -23,6 +25,7 @@
 mod zones;
 
 pub use caller_client::{AddressReply, CallerClient, QueryOutcome, QueryRequest};
+pub use caller_crowd::{BodyForm, CallerCrowd, CrowdRequest, send_request};
 pub use change_client::ChangeClient;
 pub use child_process::{ChildProcess, Program};
 pub use fixtures::{
@@ -36,6 +39,7 @@
 pub use node_process::{NodeAddresses, NodeProcess};
 pub use operator_client::OperatorClient;
 pub use process_relay::{CutMode, ProcessCuts, ProcessRelay};
+pub use process_usage::{ProcessUsage, unread_bytes};
 pub use query_load::QueryLoad;
 pub use relay_process::RelayProcess;
 pub use revision_sampler::{RevisionHistory, RevisionSampler};
