Bound the memory of the bodies that callers send to an edge node

What callers saw: many unfinished bodies of legal size ended a process, and with it the requests of all.

Cause: `read_body` collected each body as a list of frames, bounded by MaxBodyBytes alone. There was no bound over all connections, a frame of one byte kept the read buffer of its connection (about 4 KB), and the whole was copied once more at its end.

Change: the new crate `mux-buffers` holds an account of memory with a limit and buffers that count their capacity in it, until the last holder of the message is dropped (`Bytes::from_owner`), so that hedges, cancelled calls and requests on their way to other nodes count too. The limit is a quarter of Limits.MemoryMb, 64 MiB without it. If it is reached, the unfinished body that has made no progress for the longest time, and is a second old, gives its memory back at once, and its request is refused as not run (503 with Retry-After). If newcomers were refused instead, a crowd that stops short of its end would keep ordinary callers out until its time is up; the second keeps bodies that arrive together from displacing each other. The rest of a refused body is read and discarded for a second.

The property test of the account passes.

--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -17,7 +17,10 @@
     registry::{Registry, Unit},
 };
 
-use crate::{evacuation_metrics::EvacuationMetrics, warm_up_metrics::WarmUpMetrics};
+use crate::{
+    buffer_metrics::BufferMetrics, evacuation_metrics::EvacuationMetrics,
+    warm_up_metrics::WarmUpMetrics,
+};
 
 /// Lowest bound of the latency histogram, in seconds.
 const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.002;
@@ -145,6 +148,7 @@
     pub(crate) quiet_requests: Counter,
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
     pub(crate) rate_limited_upstreams: Gauge,
+    pub(crate) body_buffers: BufferMetrics,
     pub(crate) reply_buffer_bytes: Gauge,
     pub(crate) lost_reservations: Counter,
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
@@ -188,6 +192,7 @@
             quiet_requests: Counter::default(),
             rate_limit_changes: Family::default(),
             rate_limited_upstreams: Gauge::default(),
+            body_buffers: BufferMetrics::default(),
             reply_buffer_bytes: Gauge::default(),
             lost_reservations: Counter::default(),
             rate_share: Gauge::default(),
@@ -267,6 +272,7 @@
         for (name, help, family) in grants {
             registry.register(name, format!("{help}, by kind of bound"), family.clone());
         }
+        self.body_buffers.register(registry);
         registry.register(
             "reply_buffer_bytes",
             "Memory used by the bodies of upstreams' replies",
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -22,9 +22,35 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// What a process may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ProcessLimits {
+    /// Memory, in bytes.
+    pub memory_bytes: usize,
+}
+
+impl ProcessLimits {
+    /// Share of the memory for the bodies of requests, in percent.
+    const BODY_SHARE_PERCENT: usize = 25;
+
+    /// Returns the memory for the bodies of requests, in bytes.
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.memory_bytes / 100 * Self::BODY_SHARE_PERCENT
+    }
+}
+
+impl Default for ProcessLimits {
+    /// Returns the limits of a small machine.
+    fn default() -> Self {
+        Self { memory_bytes: 256 << 20 }
+    }
+}
+
 /// Limits of a node, which may change while its process runs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RuntimeLimits {
+    /// What the process may use.
+    pub process: ProcessLimits,
     /// Limits of the budget for hedges and retries.
     pub retry: RetryBudgetLimits,
     /// Longest lifetime of an address answer that callers accept.
@@ -80,6 +106,7 @@
     pub fn between(current: &EdgeSettings, changed: &EdgeSettings) -> Self {
         let (old, new) = (&current.limits, &changed.limits);
         let limits = [
+            ("limits of the process", old.process != new.process),
             ("retry budget", old.retry != new.retry),
             ("maximum address lifetime", old.max_address_lifetime != new.max_address_lifetime),
             ("stop grace period", old.stop_grace_period != new.stop_grace_period),
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -8,6 +8,7 @@
     time::Duration,
 };
 
+use mux_buffers::BufferAccount;
 use mux_config::{
     ReachabilityReport, StoreReachability,
     traffic::{ActiveRoutes, RouteTable},
@@ -69,6 +70,8 @@
     pub(crate) logger: Logger,
     pub(crate) metrics: EdgeMetrics,
     pub(crate) connection_pools: ConnectionPools,
+    /// Memory for the bodies of requests.
+    pub(crate) body_buffers: BufferAccount,
     pub(crate) reply_buffers: ReplyBuffers,
     pub(crate) stop_phase: watch::Sender<StopPhase>,
     pub(crate) connection_tracker: ConnectionTracker,
@@ -110,6 +113,7 @@
         let nodes = NodeRegistry::new(settings.node.clone());
         let zone = settings.node.availability_zone.clone();
         let balancers = BalancerTable::new(zone, timer.now());
+        let body_buffers = BufferAccount::new(settings.limits.process.body_bytes());
         let mut upstreams = UpstreamRegistry::default();
         upstreams.set_obeys_evacuations(settings.limits.evacuation.is_some());
         Self {
@@ -119,6 +123,7 @@
             logger,
             metrics: EdgeMetrics::new(),
             connection_pools: ConnectionPools::new(),
+            body_buffers,
             reply_buffers: ReplyBuffers::default(),
             stop_phase: watch::Sender::new(StopPhase::Serving),
             connection_tracker: ConnectionTracker::new(),
@@ -158,6 +163,7 @@
         let current = EdgeSettings { limits: self.limits(), ..self.settings.clone() };
         let change = SettingsChange::between(&current, changed);
         *self.limits.write().unwrap_or_else(PoisonError::into_inner) = changed.limits;
+        self.body_buffers.set_limit(changed.limits.process.body_bytes());
         self.balancers.for_each(|it| {
             it.set_retry_limits(changed.limits.retry);
             it.set_drain_limit(changed.limits.drain_limit);
@@ -371,6 +377,7 @@
         let (suspects, quarantined) = self.quarantine.ledger.update(|it| it.counts());
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
+        self.metrics.body_buffers.set(self.body_buffers.usage());
         let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
         self.metrics.reply_buffer_bytes.set(buffered_bytes);
         self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! implements [`WireProtocol`] and [`ClusterStore`].
 
 mod balancer_table;
+mod buffer_metrics;
 mod caller;
 mod edge_metrics;
 mod edge_settings;
@@ -28,7 +29,9 @@
 mod wire;
 mod workspace_quotas;
 
-pub use edge_settings::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
+pub use edge_settings::{
+    EdgeSettings, ListenAddresses, ProcessLimits, RuntimeLimits, SettingsChange,
+};
 pub use errors::EdgeError;
 pub use relay::{
     CopyCurrency, CopyLease, HelperRefusal, HelperTable, MirrorUpdate, PeerRotation, RelayedUpdate,
--- a/crates/edge/src/query/mod.rs
+++ b/crates/edge/src/query/mod.rs
@@ -11,6 +11,6 @@
 mod workspace_admission;
 
 pub(crate) use caller_request::{CallerRequest, RequestOrigin};
-pub(crate) use final_answer::{FinalAnswer, failure_answer, stopping_answer};
+pub(crate) use final_answer::{FinalAnswer, failure_answer, refusal_answer, stopping_answer};
 pub(crate) use helped_request::serve_forwarded;
 pub(crate) use request_handler::RequestHandler;
--- a/crates/edge/tests/settings_change.rs
+++ b/crates/edge/tests/settings_change.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
-use mux_edge::{EdgeSettings, ListenAddresses, RuntimeLimits, SettingsChange};
+use mux_edge::{EdgeSettings, ListenAddresses, ProcessLimits, RuntimeLimits, SettingsChange};
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
 use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
@@ -29,6 +29,7 @@
             metrics: None,
         },
         limits: RuntimeLimits {
+            process: ProcessLimits::default(),
             retry: RetryBudgetLimits { ratio: 0.2, window: Duration::from_secs(10), slack: 54.0 },
             max_address_lifetime: Duration::from_secs(5),
             stop_grace_period: Duration::from_secs(6),
@@ -48,7 +49,8 @@
 
 #[gtest]
 fn limits_are_applied_and_other_settings_wait_for_the_next_start() {
-    let cases: [(&str, bool, Edit); 11] = [
+    let cases: [(&str, bool, Edit); 12] = [
+        ("limits of the process", true, |it| it.limits.process.memory_bytes = 1),
         ("retry budget", true, |it| it.limits.retry.ratio = 0.1),
         ("maximum address lifetime", true, |it| {
             it.limits.max_address_lifetime = Duration::from_secs(2);
