Let a connection read ahead by no more than the longest head

What callers saw: a node beside 700 callers that send large bodies used 152 to 167 MiB although the bodies themselves were bounded by 28 MiB.

Cause: the buffer of each connection grew to 64 KiB, and the HTTP library fills one while the previous one waits for its reader: up to three for each connection, four times what MaxHeaderBytes calls for.

Change: the buffer has MaxHeaderBytes of the configuration and 8 KiB for the request line; until the configuration has been read, and in `mustardmux node`, 16 KiB and 8 KiB.

--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -41,6 +41,8 @@
 
 /// Idle time-out of callers' connections until the operators' configuration has been read.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Longest headers of a request until the operators' configuration has been read, in bytes.
+const DEFAULT_HEADER_BYTES: usize = 16 * 1_024;
 /// Maximum number of log lines about single requests in one [`REQUEST_LOG_PERIOD`].
 const REQUEST_LOG_LINES: u32 = 200;
 /// Period to which [`REQUEST_LOG_LINES`] applies.
@@ -446,6 +448,10 @@
         self.route_table().map_or(DEFAULT_IDLE_TIMEOUT, |it| it.request_limits().idle_timeout)
     }
 
+    fn max_header_bytes(&self) -> usize {
+        self.route_table().map_or(DEFAULT_HEADER_BYTES, |it| it.request_limits().header_bytes)
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
         &self.connection_tracker
     }
--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -24,8 +24,9 @@
 /// Time for which a connection without a request so far is kept open during the shutdown: its first
 /// request may be on its way.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
-/// Size of the buffer for the head of a request; the library rejects a longer head.
-const HEAD_BUFFER_BYTES: usize = 64 * 1_024;
+/// Bytes that a connection buffers for the request line, besides the headers; the library rejects a longer
+/// head.
+const REQUEST_LINE_BYTES: usize = 8 * 1_024;
 
 /// State of the process that its listeners share.
 pub trait ListenerContext: Send + Sync + 'static {
@@ -39,6 +40,9 @@
     /// idle time included.
     fn header_timeout(&self) -> Duration;
 
+    /// Returns the longest headers of a request, in bytes. A connection reads ahead a few times as much.
+    fn max_header_bytes(&self) -> usize;
+
     /// Returns the tracker of the open connections.
     fn connection_tracker(&self) -> &ConnectionTracker;
 }
@@ -143,6 +147,7 @@
     // If the option cannot be set because the socket is already closed, the first read fails.
     let _ = stream.set_nodelay(true);
     let header_timeout = context.header_timeout();
+    let buffer_bytes = context.max_header_bytes().saturating_add(REQUEST_LINE_BYTES);
     let timer = context.timer().clone();
     let first_request = Arc::new(Notify::new());
     let received = Arc::clone(&first_request);
@@ -154,7 +159,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(header_timeout)
-        .max_buf_size(HEAD_BUFFER_BYTES)
+        .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     tokio::select! {
--- a/crates/http/tests/connection_shutdown.rs
+++ b/crates/http/tests/connection_shutdown.rs
@@ -20,6 +20,7 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
+const MAX_HEADER_BYTES: usize = 16 * 1_024;
 
 /// Listener context whose handler waits for `release` before it responds.
 struct BlockingContext {
@@ -53,6 +54,10 @@
         HEADER_TIMEOUT
     }
 
+    fn max_header_bytes(&self) -> usize {
+        MAX_HEADER_BYTES
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
         &self.connection_tracker
     }
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -29,6 +29,8 @@
 const TOO_MANY_REQUESTS_RETRY_MS: u64 = 100;
 /// Interval at which a stopping server checks whether its connections have ended.
 const STOP_CHECK_PERIOD: Duration = Duration::from_millis(20);
+/// Longest headers of a request, in bytes.
+const MAX_HEADER_BYTES: usize = 16 * 1_024;
 
 /// A response of this server.
 pub(super) type Reply = Response<Full<Bytes>>;
@@ -198,6 +200,10 @@
         Duration::from_millis(self.limits.receive_ms)
     }
 
+    fn max_header_bytes(&self) -> usize {
+        MAX_HEADER_BYTES
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
         &self.connections
     }
