Name the constructor of a counted message by what it returns

Change: it is `CountedMessage::count`. Measured: clippy passes with warnings denied; no other change.

--- a/crates/buffers/src/buffer_account.rs
+++ b/crates/buffers/src/buffer_account.rs
@@ -84,7 +84,7 @@
     pub fn store(&self, now: TimePoint, message: &[u8]) -> Result<Bytes, BufferError> {
         self.lock().reserve(now, message.len())?;
         let reservation = BufferReservation { account: self.clone(), bytes: message.len() };
-        Ok(CountedMessage::new(message.to_vec(), reservation))
+        Ok(CountedMessage::count(message.to_vec(), reservation))
     }
 
     /// Counts a message that is in memory of its own until it is dropped.
@@ -98,7 +98,7 @@
         }
         self.lock().reserve(now, message.len())?;
         let reservation = BufferReservation { account: self.clone(), bytes: message.len() };
-        Ok(CountedMessage::new(message, reservation))
+        Ok(CountedMessage::count(message, reservation))
     }
 
     pub(crate) fn lock(&self) -> MutexGuard<'_, AccountState> {
@@ -134,7 +134,7 @@
 
 impl<T: AsRef<[u8]> + Send + 'static> CountedMessage<T> {
     /// Returns the message; its memory counts until the last copy of the returned value is dropped.
-    pub(crate) fn new(content: T, reservation: BufferReservation) -> Bytes {
+    pub(crate) fn count(content: T, reservation: BufferReservation) -> Bytes {
         Bytes::from_owner(Self { content, _reservation: reservation })
     }
 }
--- a/crates/buffers/src/growing_buffer.rs
+++ b/crates/buffers/src/growing_buffer.rs
@@ -133,7 +133,7 @@
         let held = self.account.lock().end_growth(key).ok_or(BufferError::Displaced)?;
         let reservation = BufferReservation::new(self.account.clone(), held);
         let content = self.slot.content.lock().unwrap_or_else(PoisonError::into_inner).take();
-        Ok(CountedMessage::new(content.ok_or(BufferError::Displaced)?, reservation))
+        Ok(CountedMessage::count(content.ok_or(BufferError::Displaced)?, reservation))
     }
 
     /// Moves the content to a memory of `needed` bytes or more.
