Bound the memory of the bodies that callers send to a node of the own interface

What callers saw: as at the edge, a crowd of unfinished or whole bodies made `mustardmux node` grow without a bound (256 KiB times 8,192 requests by its settings).

Cause: `read_body` collected frames, copied the whole at its end, and the query was copied out of it once more, so that a body was held up to three times.

Change: bodies count in an account of `caller_limits.body_memory_bytes` (48 MiB by default, checked, and refused at start if it is below `body_bytes`), and the query is a slice of its body. A request without room is answered `too_many_requests` (429, not run) with a delay. Gauges as at the edge; their type moves to `mux-buffers`.

--- a/crates/edge/src/buffer_metrics.rs
+++ b/crates/buffers/src/buffer_metrics.rs
@@ -1,11 +1,12 @@
 //! Metrics of the memory for the bodies of requests.
 
-use mux_buffers::BufferUsage;
 use prometheus_client::{metrics::gauge::Gauge, registry::Registry};
 
+use crate::BufferUsage;
+
 /// Metrics of the memory for the bodies of requests; updated before each export.
 #[derive(Debug, Default)]
-pub(crate) struct BufferMetrics {
+pub struct BufferMetrics {
     limit_bytes: Gauge,
     used_bytes: Gauge,
     displaced: Gauge,
@@ -14,7 +15,7 @@
 
 impl BufferMetrics {
     /// Sets the gauges.
-    pub(crate) fn set(&self, usage: BufferUsage) {
+    pub fn set(&self, usage: BufferUsage) {
         let to_gauge = |count: u64| i64::try_from(count).unwrap_or(i64::MAX);
         self.limit_bytes.set(i64::try_from(usage.limit_bytes).unwrap_or(i64::MAX));
         self.used_bytes.set(i64::try_from(usage.used_bytes).unwrap_or(i64::MAX));
@@ -23,7 +24,7 @@
     }
 
     /// Registers the metrics.
-    pub(crate) fn register(&self, registry: &mut Registry) {
+    pub fn register(&self, registry: &mut Registry) {
         let rows = [
             ("body_buffer_limit_bytes", "Memory for the bodies of requests", &self.limit_bytes),
             ("body_buffer_bytes", "Memory used by the bodies of requests", &self.used_bytes),
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use mux_buffers::BufferMetrics;
 use mux_routing::balancer::BalancerReport;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -17,10 +18,7 @@
     registry::{Registry, Unit},
 };
 
-use crate::{
-    buffer_metrics::BufferMetrics, evacuation_metrics::EvacuationMetrics,
-    warm_up_metrics::WarmUpMetrics,
-};
+use crate::{evacuation_metrics::EvacuationMetrics, warm_up_metrics::WarmUpMetrics};
 
 /// Lowest bound of the latency histogram, in seconds.
 const LATENCY_FIRST_BOUND_SECONDS: f64 = 0.002;
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,6 @@
 //! implements [`WireProtocol`] and [`ClusterStore`].
 
 mod balancer_table;
-mod buffer_metrics;
 mod caller;
 mod edge_metrics;
 mod edge_settings;
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -8,9 +8,11 @@
 };
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::{Method, Request, Response, body::Incoming, header, http::request::Parts};
-use mux_http::{ConnectionTracker, HttpListener, ListenerContext};
+use mux_http::{
+    BodyError, BodyLimits, ConnectionTracker, HttpListener, ListenerContext, receive_body,
+};
 use mux_model::{RequestId, ServiceName};
 use mux_timer::TimerService;
 use slog::Logger;
@@ -120,7 +122,8 @@
         let command = QueryCommand {
             request: RequestId::random(),
             service: ServiceName::from(service),
-            body: Bytes::copy_from_slice(request.query.get().as_bytes()),
+            // A copy would not count in the memory for bodies.
+            body: body.slice_ref(request.query.get().as_bytes()),
             deadline_ms: request.deadline_ms,
             deduplication: request
                 .session
@@ -164,26 +167,26 @@
     }
 
     async fn receive_body(&self, body: Incoming) -> Result<Bytes, QueryProblem> {
-        let limit = Duration::from_millis(self.limits.receive_ms);
-        let received = self.node.timer().timeout(limit, self.read_body(body)).await;
-        received.unwrap_or_else(|_| {
-            let message = "the body did not arrive in time; send it at once";
-            Err(QueryProblem::not_run(ProblemCode::ReceiveTimeout, message))
-        })
-    }
-
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, QueryProblem> {
-        match Limited::new(body, self.limits.body_bytes).collect().await {
-            Ok(collected) => Ok(collected.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => {
+        let limits = BodyLimits {
+            max_bytes: self.limits.body_bytes,
+            receive_time: Duration::from_millis(self.limits.receive_ms),
+        };
+        let received = receive_body(self.node.timer(), self.node.body_buffers(), body, limits);
+        received.await.map_err(|error| match error {
+            BodyError::TooLong => {
                 let message = format!("the body is larger than {} bytes", self.limits.body_bytes);
-                Err(QueryProblem::not_run(ProblemCode::BodyTooLarge, message))
+                QueryProblem::not_run(ProblemCode::BodyTooLarge, message)
+            }
+            BodyError::TimedOut => {
+                let message = "the body did not arrive in time; send it at once";
+                QueryProblem::not_run(ProblemCode::ReceiveTimeout, message)
             }
-            Err(error) => {
+            BodyError::Malformed(error) => {
                 let message = format!("the body ended early: {error}");
-                Err(QueryProblem::not_run(ProblemCode::MalformedRequest, message))
+                QueryProblem::not_run(ProblemCode::MalformedRequest, message)
             }
-        }
+            BodyError::NoMemory(error) => self.node.no_memory_problem(error),
+        })
     }
 }
 
--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -119,6 +119,8 @@
 pub struct CallerLimits {
     /// Largest request body, in bytes; 1024 to 16777216.
     pub body_bytes: usize,
+    /// Memory for the bodies of all requests, in bytes; 1048576 to 17179869184, and at least `body_bytes`.
+    pub body_memory_bytes: usize,
     /// Time limit for receiving the head of a request, idle time included, and again for its body,
     /// in milliseconds; 100 to 60000.
     pub receive_ms: u64,
@@ -130,7 +132,13 @@
 
 impl Default for CallerLimits {
     fn default() -> Self {
-        Self { body_bytes: 262_144, receive_ms: 5_000, requests_per_ip: 2_048, requests: 8_192 }
+        Self {
+            body_bytes: 262_144,
+            body_memory_bytes: 48 << 20,
+            receive_ms: 5_000,
+            requests_per_ip: 2_048,
+            requests: 8_192,
+        }
     }
 }
 
@@ -288,6 +296,19 @@
             1_024..=16_777_216,
             "1024 to 16777216",
         )?;
+        check_range(
+            "caller_limits.body_memory_bytes",
+            self.body_memory_bytes as u64,
+            1_048_576..=17_179_869_184,
+            "1048576 to 17179869184",
+        )?;
+        if self.body_memory_bytes < self.body_bytes {
+            return Err(SettingsError::BadValue {
+                key: "caller_limits.body_memory_bytes",
+                value: self.body_memory_bytes.to_string(),
+                allowed: "caller_limits.body_bytes or more",
+            });
+        }
         check_range("caller_limits.receive_ms", self.receive_ms, 100..=60_000, "100 to 60000")?;
         check_range(
             "caller_limits.requests_per_ip",
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -5,6 +5,7 @@
     time::Duration,
 };
 
+use mux_buffers::BufferMetrics;
 use mux_model::{Coverage, ServiceName};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -75,6 +76,8 @@
     pub(crate) draining: Gauge,
     /// Members by state.
     pub(crate) members: Family<StateLabel, Gauge>,
+    /// Memory for the bodies of requests.
+    pub(crate) body_buffers: BufferMetrics,
     /// Queries in flight.
     pub(crate) queries_in_flight: Gauge,
     /// Gossip datagrams sent since the start.
@@ -206,6 +209,7 @@
         registry.register("node_cut", "Whether the node is cut from all upstreams", node_cut);
         registry.register("draining", "Whether the node is stopping", it.draining.clone());
         registry.register("members", "Members by state", it.members.clone());
+        it.body_buffers.register(registry);
         registry.register("queries_in_flight", "Queries in flight", it.queries_in_flight.clone());
         registry.register(
             "gossip_datagrams_out",
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -20,6 +20,7 @@
 };
 
 use mux_adapter::KvClient;
+use mux_buffers::BufferAccount;
 use mux_config::{ConfigReplica, FreshnessGuard};
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
@@ -66,6 +67,7 @@
     last_contacts: Mutex<LastContacts>,
     rejection_throttle: LogThrottle,
     quarantine: SharedLedger,
+    body_buffers: BufferAccount,
 }
 
 /// Times of the last replies from the store and from a peer.
@@ -102,6 +104,11 @@
         &self.settings
     }
 
+    /// Returns the memory for the bodies of requests.
+    pub(crate) fn body_buffers(&self) -> &BufferAccount {
+        &self.body_buffers
+    }
+
     /// Returns the timer service.
     pub(crate) fn timer(&self) -> &TimerService {
         &self.timer
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -6,6 +6,7 @@
 };
 
 use mux_adapter::{KvClient, KvSettings};
+use mux_buffers::BufferAccount;
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
@@ -78,6 +79,7 @@
                 SessionLedger::new(mint, LedgerLimits::default()),
                 Arc::clone(&peers),
             ),
+            body_buffers: BufferAccount::new(settings.caller_limits.body_memory_bytes),
             settings,
             timer,
             logger,
--- a/crates/node/src/node/telemetry.rs
+++ b/crates/node/src/node/telemetry.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mux_buffers::BufferError;
 use mux_config::ReadyState;
 use mux_membership::MemberState;
 use mux_model::ServiceName;
@@ -10,10 +11,13 @@
 
 use super::{Node, StopPhase};
 use crate::{
-    dispatch::{QueryAnswer, QueryProblem, ServiceRuntime},
+    dispatch::{ProblemCode, QueryAnswer, QueryProblem, ServiceRuntime},
     metrics::{self, NodeGauges},
 };
 
+/// Suggested retry delay if there is no memory for a body, long enough for some queries to end.
+const NO_MEMORY_RETRY_MS: u64 = 250;
+
 const MEMBER_STATES: [(MemberState, &str); 4] = [
     (MemberState::Alive, "alive"),
     (MemberState::Leaving, "leaving"),
@@ -32,6 +36,17 @@
         }
     }
 
+    /// Returns the problem of a request for whose body there is no memory.
+    pub(crate) fn no_memory_problem(&self, error: BufferError) -> QueryProblem {
+        let usage = self.body_buffers.usage();
+        let message = format!(
+            "no memory for the body: {error}; {} of {} bytes are in use",
+            usage.used_bytes, usage.limit_bytes
+        );
+        QueryProblem::not_run(ProblemCode::TooManyRequests, message)
+            .retry_after_ms(NO_MEMORY_RETRY_MS)
+    }
+
     /// Counts a query that was rejected because its service is overloaded.
     pub(crate) fn count_overload_rejection(&self, service: &ServiceName) {
         self.metrics.count_overload_rejection(service);
@@ -76,6 +91,7 @@
     }
 
     fn fill_node_gauges(&self, gauges: &NodeGauges) {
+        gauges.body_buffers.set(self.body_buffers.usage());
         let now = self.timer.now();
         let last_contacts = self.last_contacts();
         let age = |it: Option<_>| it.map_or(f64::NAN, |at| now.since(at).as_secs_f64());
--- a/crates/node/tests/node_settings.rs
+++ b/crates/node/tests/node_settings.rs
@@ -47,6 +47,12 @@
         ("/timing/session_lifetime_ms", json!(1), "`timing.session_lifetime_ms`", "10000 to"),
         ("/timing/pause_limit_ms", json!(9000), "`timing.pause_limit_ms`", "200 to 5000"),
         ("/caller_limits/body_bytes", json!(1), "`caller_limits.body_bytes`", "1024 to"),
+        (
+            "/caller_limits/body_memory_bytes",
+            json!(1),
+            "`caller_limits.body_memory_bytes`",
+            "1048576 to",
+        ),
         ("/caller_limits/requests", json!(0), "`caller_limits.requests`", "1 to"),
         (
             "/caller_limits/requests_per_ip",
