Count the bodies of requests from other nodes in the memory of an edge node

Cause: a node that serves the requests of one cut from all upstreams held their bodies (up to 256 of MaxBodyBytes, 64 MiB) outside the account, so that what callers may hold at one node was held at a second one without a bound of its own.

Change: it takes a request only if its body has room, and is busy otherwise, as with too many requests; nothing has run then, and the other node tries the next one.

Evidence: read, not shown.

--- a/crates/edge/src/query/helped_request.rs
+++ b/crates/edge/src/query/helped_request.rs
@@ -2,6 +2,7 @@
 
 use std::sync::{Arc, atomic::Ordering};
 
+use bytes::Bytes;
 use http::StatusCode;
 use mux_config::traffic::RouteTable;
 use mux_model::RevisionNumber;
@@ -28,11 +29,12 @@
 /// Serves a request that another node forwards because it is cut from all upstreams.
 pub(crate) async fn serve_forwarded<W: WireProtocol>(
     edge: &Arc<EdgeState>,
-    request: ForwardedRequest,
+    mut request: ForwardedRequest,
 ) -> ForwardedAnswer {
     let routes = edge.route_table();
     let answer = match take_request(edge, &request, routes.as_ref().map(|it| it.version())) {
-        Ok(guard) => {
+        Ok((guard, body)) => {
+            request.body = body;
             let answer = run_forwarded::<W>(edge, request, routes).await;
             drop(guard);
             answer
@@ -59,12 +61,13 @@
     }
 }
 
-/// Decides whether this node serves a request of another one.
+/// Decides whether this node serves a request of another one; returns its body, which counts in the memory
+/// for bodies.
 fn take_request<'a>(
     edge: &'a EdgeState,
     request: &ForwardedRequest,
     version: Option<RevisionNumber>,
-) -> Result<HelpedRequestGuard<'a>, NotTakenReason> {
+) -> Result<(HelpedRequestGuard<'a>, Bytes), NotTakenReason> {
     if edge.stop_phase() != StopPhase::Serving {
         return Err(NotTakenReason::Stopping);
     }
@@ -83,7 +86,8 @@
     if limit <= in_flight {
         return Err(NotTakenReason::Busy);
     }
-    Ok(guard)
+    let body = edge.body_buffers.adopt(edge.timer.now(), request.body.clone());
+    Ok((guard, body.map_err(|_| NotTakenReason::Busy)?))
 }
 
 async fn run_forwarded<W: WireProtocol>(
