Count the bodies of queries from other nodes in the memory of a node of the own interface

Cause: a home node, or the owner of a session, held the queries that other nodes handed on (up to 4,096 on each connection) outside the account of the memory for bodies.

Change: such a query counts from its decoding until its last call has ended; without room it is answered `too_many_requests`, not run, as API.md says for callers.

--- a/crates/node/src/peer/peer_server.rs
+++ b/crates/node/src/peer/peer_server.rs
@@ -73,9 +73,15 @@
 }
 
 impl PeerProtocol for PeerServer {
-    async fn run_query(self, _: Context, command: QueryCommand) -> QueryOutcome {
+    async fn run_query(self, _: Context, mut command: QueryCommand) -> QueryOutcome {
         let request = command.request;
         let node = Arc::clone(&self.node);
+        command.body = match node.body_buffers().adopt(node.timer().now(), command.body) {
+            Ok(body) => body,
+            Err(error) => {
+                return QueryOutcome { request, result: Err(node.no_memory_problem(error)) };
+            }
+        };
         let (caller_guard, caller_disconnected) = mpsc::channel(1);
         let task =
             tokio::spawn(
