Test nodes beside callers that take all descriptors

What callers saw: connections that stay silent, or stop within a head or a short body, take all descriptors of a process. Others wait in the queue of the listener, and upstreams, the store and other nodes compete for what becomes free.

--- a/crates/proofs/src/child_process.rs
+++ b/crates/proofs/src/child_process.rs
@@ -64,6 +64,25 @@
         Self::start_path(directory, name, &program.path(), arguments)
     }
 
+    /// Starts `program` like [`Self::start`], with at most `descriptors` open descriptors.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it can't be started.
+    pub fn start_limited(
+        directory: &WorkDirectory,
+        name: &str,
+        program: Program,
+        arguments: &[&str],
+        descriptors: usize,
+    ) -> Self {
+        let script = format!("ulimit -n {descriptors}; exec \"$0\" \"$@\"");
+        let path = program.path();
+        let program = path.to_string_lossy();
+        let arguments = [&["-c", &script, &program], arguments].concat();
+        Self::start_path(directory, name, Path::new("sh"), &arguments)
+    }
+
     /// Starts the program at `path` like [`Self::start`].
     ///
     /// # Panics
--- a/crates/proofs/src/installation.rs
+++ b/crates/proofs/src/installation.rs
@@ -28,6 +28,8 @@
     pub caller: CallerClient,
     /// Directory of settings files and logs.
     pub directory: WorkDirectory,
+    /// Limit of open descriptors of each node; `None` for that of the test.
+    max_descriptors: Option<usize>,
     /// Random installation name, so that nodes of concurrent test programs ignore one another.
     name: String,
 }
@@ -55,12 +57,27 @@
     ///
     /// Panics if a process doesn't start.
     pub async fn start_with(count: usize, settings: &Value) -> Self {
+        Self::start_limited(count, settings, None).await
+    }
+
+    /// Starts like [`Self::start_with`], with a limit of open descriptors of each node unless that is
+    /// `None`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a process doesn't start.
+    pub async fn start_limited(
+        count: usize,
+        settings: &Value,
+        max_descriptors: Option<usize>,
+    ) -> Self {
         let timer = TimerService::start(PAUSE_LIMIT);
         let directory = WorkDirectory::create();
         let kv = start_kv(&timer, &directory).await;
         let caller = CallerClient::new();
         let name = format!("proof-{:08x}", rand::random::<u32>());
-        let mut installation = Self { timer, nodes: Vec::new(), kv, caller, directory, name };
+        let nodes = Vec::new();
+        let mut installation = Self { timer, nodes, kv, caller, directory, max_descriptors, name };
         for _ in 0..count {
             installation.start_node(settings).await;
         }
@@ -87,7 +104,9 @@
         let node_settings = with_overrides(node_settings, settings);
         for _ in 0..START_ATTEMPTS {
             let addresses = NodeAddresses::allocate();
-            let mut node = NodeProcess::start(&self.directory, &name, addresses, &node_settings);
+            let limit = self.max_descriptors;
+            let mut node =
+                NodeProcess::start(&self.directory, &name, addresses, &node_settings, limit);
             if let StartOutcome::Ready = self.wait_for_node(&mut node).await {
                 self.nodes.push(node);
                 return;
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -39,7 +39,7 @@
 pub use node_process::{NodeAddresses, NodeProcess};
 pub use operator_client::OperatorClient;
 pub use process_relay::{CutMode, ProcessCuts, ProcessRelay};
-pub use process_usage::{ProcessUsage, unread_bytes};
+pub use process_usage::{ProcessUsage, unread_bytes, waiting_connections};
 pub use query_load::QueryLoad;
 pub use relay_process::RelayProcess;
 pub use revision_sampler::{RevisionHistory, RevisionSampler};
--- a/crates/proofs/src/node_process.rs
+++ b/crates/proofs/src/node_process.rs
@@ -20,6 +20,8 @@
     /// Client of the node's operator interface.
     pub operator_client: OperatorClient,
     settings: PathBuf,
+    /// Limit of open descriptors; `None` for that of the test.
+    max_descriptors: Option<usize>,
     http: HttpClient,
 }
 
@@ -56,8 +58,8 @@
 }
 
 impl NodeProcess {
-    /// Starts a node with `settings` besides its name and addresses, without waiting until it
-    /// serves.
+    /// Starts a node with `settings` besides its name and addresses, and with a limit of open
+    /// descriptors unless that is `None`, without waiting until it serves.
     ///
     /// # Panics
     ///
@@ -67,6 +69,7 @@
         name: &str,
         addresses: NodeAddresses,
         settings: &Value,
+        max_descriptors: Option<usize>,
     ) -> Self {
         let node = json!({ "node": name, "listen": addresses.to_json() });
         let node = with_overrides(node, settings);
@@ -74,9 +77,10 @@
         Self {
             name: name.to_owned(),
             addresses,
-            process: Self::spawn(directory, name, &settings),
+            process: Self::spawn(directory, name, &settings, max_descriptors),
             operator_client: OperatorClient::new(addresses.operator),
             settings,
+            max_descriptors,
             http: HttpClient::new(),
         }
     }
@@ -88,7 +92,7 @@
     /// Panics if the process can't be started.
     pub fn restart(&mut self, directory: &WorkDirectory) {
         self.process.kill();
-        self.process = Self::spawn(directory, &self.name, &self.settings);
+        self.process = Self::spawn(directory, &self.name, &self.settings, self.max_descriptors);
     }
 
     /// Returns the metrics as text, or `None` if the node does not reply.
@@ -106,8 +110,17 @@
         Some(values.filter_map(|(_, value)| value.parse::<f64>().ok()).sum())
     }
 
-    fn spawn(directory: &WorkDirectory, name: &str, settings: &std::path::Path) -> ChildProcess {
+    fn spawn(
+        directory: &WorkDirectory,
+        name: &str,
+        settings: &std::path::Path,
+        max_descriptors: Option<usize>,
+    ) -> ChildProcess {
         let arguments = ["node", "--settings", &settings.to_string_lossy()];
-        ChildProcess::start(directory, name, Program::Mustardmux, &arguments)
+        let program = Program::Mustardmux;
+        match max_descriptors {
+            Some(limit) => ChildProcess::start_limited(directory, name, program, &arguments, limit),
+            None => ChildProcess::start(directory, name, program, &arguments),
+        }
     }
 }
--- a/crates/proofs/src/process_usage.rs
+++ b/crates/proofs/src/process_usage.rs
@@ -32,6 +32,15 @@
     }
 }
 
+/// Returns the number of connections that wait at the IPv4 address `address` to be accepted.
+///
+/// # Panics
+///
+/// Panics if the operating system does not list its sockets.
+pub fn waiting_connections(address: SocketAddr) -> u64 {
+    receive_queues(address, true)
+}
+
 /// Returns the bytes that were received at the IPv4 address `address` and are not read yet, over all
 /// connections.
 ///
@@ -39,7 +48,12 @@
 ///
 /// Panics if the operating system does not list its connections.
 pub fn unread_bytes(address: SocketAddr) -> u64 {
-    let table = fs::read_to_string("/proc/net/tcp").expect("the connections are listed");
+    receive_queues(address, false)
+}
+
+/// Returns the sum of the receive queues of the listening sockets at `address`, or of the connections.
+fn receive_queues(address: SocketAddr, of_listeners: bool) -> u64 {
+    let table = fs::read_to_string("/proc/net/tcp").expect("the sockets are listed");
     let SocketAddr::V4(address) = address else {
         return 0;
     };
@@ -47,9 +61,11 @@
     let local = format!("{ip:08X}:{:04X}", address.port());
     let unread = |line: &str| {
         let mut fields = line.split_whitespace().skip(1);
-        let is_connection = fields.next()? == local && !fields.next()?.ends_with(":0000");
+        let is_local = fields.next()? == local;
+        let is_listener = fields.next()?.ends_with(":0000");
         let (_, queue) = fields.nth(1)?.split_once(':')?;
-        is_connection.then(|| u64::from_str_radix(queue, 16).ok()).flatten()
+        let is_counted = is_local && is_listener == of_listeners;
+        is_counted.then(|| u64::from_str_radix(queue, 16).ok()).flatten()
     };
     table.lines().filter_map(unread).sum()
 }
--- a/crates/proofs/tests/misbehaving_callers.rs
+++ b/crates/proofs/tests/misbehaving_callers.rs
@@ -7,7 +7,7 @@
 use proofs::{
     BodyForm, CallerCrowd, CrowdRequest, Installation, LeafProcess, NodeProcess, ProcessUsage,
     QueryRequest, fixed_latency, long_deadline_service, send_request, start_leaf_with_all_shards,
-    unread_bytes, wait_until,
+    unread_bytes, wait_until, waiting_connections,
 };
 use serde_json::json;
 use tokio::sync::{Mutex, MutexGuard};
@@ -30,6 +30,12 @@
 const RECEIVE_MS: u64 = 60_000;
 /// Time that an upstream takes, longer than a test, in milliseconds.
 const ENDLESS_MS: u64 = 60_000;
+/// Descriptors of a node in the tests of its connections.
+const FEW_FDS: usize = 400;
+/// Descriptors that callers leave to files, upstreams, the store and other nodes.
+const RESERVED_FDS: usize = 200;
+/// Connections of a crowd that takes all of these.
+const CONNECTION_CROWD: usize = 500;
 const SERVICE: &str = "shopfront-01";
 
 /// One test runs at a time, so that none takes the processor from another's nodes.
@@ -41,9 +47,9 @@
 
 /// Starts nodes, and an upstream that accepts so few connections that one of the nodes is the home of its
 /// service.
-async fn start_nodes(count: usize) -> (Installation, LeafProcess) {
+async fn start_nodes(count: usize, max_descriptors: Option<usize>) -> (Installation, LeafProcess) {
     let settings = json!({ "caller_limits": { "receive_ms": RECEIVE_MS } });
-    let installation = Installation::start_with(count, &settings).await;
+    let installation = Installation::start_limited(count, &settings, max_descriptors).await;
     let leaf = start_leaf_with_all_shards(&installation, 1).await;
     let mut service = long_deadline_service(SERVICE, &[&leaf]);
     service["limits"]["connections_per_upstream"] = json!(6);
@@ -103,7 +109,7 @@
 /// Presses a node with a crowd of `count` callers that each begin `request`, and checks it during the
 /// crowd and after it.
 async fn press_node(count: usize, request: CrowdRequest) {
-    let (installation, _leaf) = start_nodes(1).await;
+    let (installation, _leaf) = start_nodes(1, None).await;
 
     let mut crowd = CallerCrowd::connect(installation.nodes[0].addresses.caller, count).await;
     crowd.begin_requests(&request).await;
@@ -121,7 +127,7 @@
     nodes: usize,
     choose: impl AsyncFn(&Installation) -> &NodeProcess,
 ) {
-    let (installation, leaf) = start_nodes(nodes).await;
+    let (installation, leaf) = start_nodes(nodes, None).await;
     let address = choose(&installation).await.addresses.caller;
     leaf.set_behaviour(&json!({ "latency": fixed_latency(ENDLESS_MS) })).await;
 
@@ -198,12 +204,58 @@
     .await;
 }
 
+/// Presses a node that has few descriptors with connections on which callers send `bytes` and no more.
+async fn press_with_connections(bytes: &[u8]) {
+    let (installation, _leaf) = start_nodes(1, Some(FEW_FDS)).await;
+    let address = installation.nodes[0].addresses.caller;
+
+    let mut crowd = CallerCrowd::connect(address, CONNECTION_CROWD).await;
+    crowd.send(bytes).await;
+
+    let mut sockets = 0;
+    wait_until(&installation.timer, "all connections are accepted", async || {
+        let usage = ProcessUsage::read(&installation.nodes[0].process).expect("the process lives");
+        sockets = sockets.max(usage.sockets);
+        (waiting_connections(address) == 0).then_some(())
+    })
+    .await;
+    println!("{sockets} sockets");
+    expect_that!(sockets, le(FEW_FDS - RESERVED_FDS));
+    wait_for_ordinary_answers(&installation).await;
+    drop(crowd);
+    wait_for_ordinary_answers(&installation).await;
+    expect_within_limits(&installation);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_accepts_connections_beside_silent_ones() {
+    let _turn = take_turn().await;
+    press_with_connections(b"").await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_accepts_connections_beside_unfinished_heads() {
+    let _turn = take_turn().await;
+    let request = whole(100, BodyForm::Sized { pieces: 1 });
+    press_with_connections(request.head.as_bytes()).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn node_accepts_connections_beside_unfinished_short_bodies() {
+    let _turn = take_turn().await;
+    let head = whole(100, BodyForm::Sized { pieces: 1 }).head;
+    press_with_connections(format!("{head}content-length: 100\r\n\r\n{{").as_bytes()).await;
+}
+
 /// A single query inside the limits is served, whatever the form of its body.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn node_serves_a_single_body_of_the_largest_size_in_calm() {
     let _turn = take_turn().await;
-    let (installation, _leaf) = start_nodes(1).await;
+    let (installation, _leaf) = start_nodes(1, None).await;
     let address = installation.nodes[0].addresses.caller;
 
     for form in [
--- a/crates/proofs/tests/nodes_store_faults.rs
+++ b/crates/proofs/tests/nodes_store_faults.rs
@@ -133,7 +133,7 @@
     });
     let addresses = NodeAddresses::allocate();
     let other_installation_node =
-        NodeProcess::start(&installation.directory, "stranger", addresses, &settings);
+        NodeProcess::start(&installation.directory, "stranger", addresses, &settings, None);
     wait_until(&installation.timer, "the other installation's node responds", async || {
         other_installation_node.operator_client.status().await
     })
