Limit callers' connections by the descriptors and the memory of a node

What callers saw: connections that stay silent, or stop within a head or a short body, took all descriptors; others waited in the queue of the listener until those timed out.

Cause: the listener accepted until descriptors ran out and then tried again every 20 ms; nothing was left to upstreams, the store and other nodes, and nothing bounded what connections buffer.

Change: a table of connections with the phase of each (waiting, receiving a body, running a request). Beyond the limit, those that have waited for the longest time are closed, else those whose body began a second ago or more; never one with a request under way, which the phase and its start in one atomic value ensure. A new connection is closed only if there are none. The limit is three quarters of the descriptors less 200 (MaxFds; for `mustardmux node` those of the process), at the edge also four tenths of MemoryMb over what a connection buffers. Without descriptors, one gives way as well. Gauges, one bounded log line, and at `mustardmux node` an error at start if its setting asks for more than its descriptors allow.

--- a/crates/edge/src/caller/request_server.rs
+++ b/crates/edge/src/caller/request_server.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, header, request::Parts};
 use http_body_util::Full;
 use hyper::body::{Body, Incoming};
 use mux_config::traffic::{RequestLimits, RouteTable};
@@ -71,7 +71,7 @@
         let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
         return Err(failure_answer(status, "rejected", "the head of the request is too long"));
     }
-    let body = read_body(edge, body, limits, time_left).await?;
+    let body = read_body(edge, &head, body, limits, time_left).await?;
     Ok(CallerRequest {
         method: head.method,
         uri: head.uri,
@@ -86,6 +86,7 @@
 
 async fn read_body(
     edge: &EdgeState,
+    head: &Parts,
     body: Incoming,
     limits: Option<RequestLimits>,
     time_left: Option<Duration>,
@@ -98,7 +99,7 @@
         return Ok(Bytes::new());
     };
     let limits = BodyLimits { max_bytes: limits.body_bytes, receive_time: limits.idle_timeout };
-    let received = receive_body(&edge.timer, &edge.body_buffers, body, limits).await;
+    let received = receive_body(&edge.timer, &edge.body_buffers, head, body, limits).await;
     received.map_err(|error| match error {
         BodyError::TooLong => {
             let status = StatusCode::PAYLOAD_TOO_LARGE;
--- a/crates/edge/src/edge_metrics.rs
+++ b/crates/edge/src/edge_metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use mux_buffers::BufferMetrics;
+use mux_http::ConnectionMetrics;
 use mux_routing::balancer::BalancerReport;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -147,6 +148,7 @@
     pub(crate) rate_limit_changes: Family<ChangeLabel, Counter>,
     pub(crate) rate_limited_upstreams: Gauge,
     pub(crate) body_buffers: BufferMetrics,
+    pub(crate) connections: ConnectionMetrics,
     pub(crate) reply_buffer_bytes: Gauge,
     pub(crate) lost_reservations: Counter,
     pub(crate) rate_share: Gauge<f64, AtomicU64>,
@@ -191,6 +193,7 @@
             rate_limit_changes: Family::default(),
             rate_limited_upstreams: Gauge::default(),
             body_buffers: BufferMetrics::default(),
+            connections: ConnectionMetrics::default(),
             reply_buffer_bytes: Gauge::default(),
             lost_reservations: Counter::default(),
             rate_share: Gauge::default(),
@@ -271,6 +274,7 @@
             registry.register(name, format!("{help}, by kind of bound"), family.clone());
         }
         self.body_buffers.register(registry);
+        self.connections.register(registry);
         registry.register(
             "reply_buffer_bytes",
             "Memory used by the bodies of upstreams' replies",
--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -2,6 +2,7 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use mux_http::connections_within;
 use mux_logs::LogSettings;
 use mux_placement::NodeRecord;
 use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
@@ -27,22 +28,44 @@
 pub struct ProcessLimits {
     /// Memory, in bytes.
     pub memory_bytes: usize,
+    /// Open descriptors.
+    pub descriptors: usize,
 }
 
 impl ProcessLimits {
     /// Share of the memory for the bodies of requests, in percent.
     const BODY_SHARE_PERCENT: usize = 25;
+    /// Share of the memory for the connections of callers, in percent.
+    const CONNECTION_SHARE_PERCENT: usize = 40;
+    /// Connections that callers may have open whatever the memory.
+    const MIN_CONNECTIONS: usize = 16;
+    /// Buffers of the longest head that a connection fills at most: the one that is read into, one that
+    /// waits for the reader of a body, and one whose bytes are being copied.
+    const READ_BUFFERS: usize = 3;
+    /// Memory of a connection besides these, in bytes.
+    const IDLE_CONNECTION_BYTES: usize = 16 * 1_024;
 
     /// Returns the memory for the bodies of requests, in bytes.
     pub(crate) fn body_bytes(&self) -> usize {
         self.memory_bytes / 100 * Self::BODY_SHARE_PERCENT
     }
+
+    /// Returns the number of connections that callers may have open, each of which buffers up to
+    /// `buffer_bytes` at a time.
+    pub(crate) fn connections(&self, buffer_bytes: usize) -> usize {
+        let memory = self.memory_bytes / 100 * Self::CONNECTION_SHARE_PERCENT;
+        let connection_bytes = Self::READ_BUFFERS
+            .saturating_mul(buffer_bytes)
+            .saturating_add(Self::IDLE_CONNECTION_BYTES);
+        let within_memory = (memory / connection_bytes).max(Self::MIN_CONNECTIONS);
+        connections_within(self.descriptors).min(within_memory)
+    }
 }
 
 impl Default for ProcessLimits {
     /// Returns the limits of a small machine.
     fn default() -> Self {
-        Self { memory_bytes: 256 << 20 }
+        Self { memory_bytes: 256 << 20, descriptors: 4_096 }
     }
 }
 
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -380,6 +380,7 @@
         self.metrics.suspect_requests.set(i64::try_from(suspects).unwrap_or(i64::MAX));
         self.metrics.quarantined_requests.set(i64::try_from(quarantined).unwrap_or(i64::MAX));
         self.metrics.body_buffers.set(self.body_buffers.usage());
+        self.metrics.connections.set(self.connection_tracker.counts(), self.max_connections());
         let buffered_bytes = i64::try_from(self.reply_buffers.used_bytes()).unwrap_or(i64::MAX);
         self.metrics.reply_buffer_bytes.set(buffered_bytes);
         self.metrics.rate_limited_upstreams.set(i64::try_from(rate_limited).unwrap_or(i64::MAX));
@@ -452,6 +453,11 @@
         self.route_table().map_or(DEFAULT_HEADER_BYTES, |it| it.request_limits().header_bytes)
     }
 
+    fn max_connections(&self) -> usize {
+        let buffer_bytes = mux_http::buffer_bytes(self.max_header_bytes());
+        self.limits().process.connections(buffer_bytes)
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
         &self.connection_tracker
     }
--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -1,11 +1,15 @@
 //! Accepts connections and serves HTTP/1.1 on them.
 
-use std::{convert::Infallible, io, net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mux_timer::TimerService;
 use slog::{Logger, warn};
@@ -15,7 +19,11 @@
     sync::Notify,
 };
 
-use crate::{ConnectionTracker, connection_tracker::ConnectionGuard};
+use crate::{
+    ConnectionTracker,
+    connection_table::ConnectionPhase,
+    connection_tracker::{ConnectionGuard, RequestProgress},
+};
 
 /// Length of the queue of connections to accept; callers' retries arrive in bursts.
 const BACKLOG: i32 = 1_024;
@@ -28,6 +36,12 @@
 /// head.
 const REQUEST_LINE_BYTES: usize = 8 * 1_024;
 
+/// Returns the size of the buffers of a connection whose requests have headers of up to
+/// `max_header_bytes`; it fills up to three of them while a body arrives.
+pub fn buffer_bytes(max_header_bytes: usize) -> usize {
+    max_header_bytes.saturating_add(REQUEST_LINE_BYTES)
+}
+
 /// State of the process that its listeners share.
 pub trait ListenerContext: Send + Sync + 'static {
     /// Returns the timer.
@@ -43,6 +57,9 @@
     /// Returns the longest headers of a request, in bytes. A connection reads ahead a few times as much.
     fn max_header_bytes(&self) -> usize;
 
+    /// Returns the number of open connections above which idle ones are closed.
+    fn max_connections(&self) -> usize;
+
     /// Returns the tracker of the open connections.
     fn connection_tracker(&self) -> &ConnectionTracker;
 }
@@ -88,9 +105,15 @@
         R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
     {
         // The listener counts as open until the last connection in its queue is accepted.
-        let mut guard = context.connection_tracker().track();
+        let mut guard = context.connection_tracker().track_listener();
         let spawn = |stream: TcpStream, caller: SocketAddr| {
-            let guard = context.connection_tracker().track();
+            let now = context.timer().now();
+            let limit = context.max_connections();
+            let admitted = context.connection_tracker().admit(context.logger(), now, limit);
+            // Without room for it, the connection is closed.
+            let Some(guard) = admitted else {
+                return;
+            };
             let context = Arc::clone(&context);
             tokio::spawn(serve_connection(context, stream, caller, handler.clone(), guard));
         };
@@ -103,6 +126,8 @@
                 Ok((stream, caller)) => spawn(stream, caller),
                 Err(error) => {
                     log_accept_error(&*context, &error);
+                    let now = context.timer().now();
+                    context.connection_tracker().displace(context.logger(), now);
                     context.timer().sleep(ACCEPT_RETRY_DELAY).await;
                 }
             }
@@ -147,14 +172,32 @@
     // If the option cannot be set because the socket is already closed, the first read fails.
     let _ = stream.set_nodelay(true);
     let header_timeout = context.header_timeout();
-    let buffer_bytes = context.max_header_bytes().saturating_add(REQUEST_LINE_BYTES);
+    let buffer_bytes = buffer_bytes(context.max_header_bytes());
     let timer = context.timer().clone();
     let first_request = Arc::new(Notify::new());
     let received = Arc::clone(&first_request);
-    let service = service_fn(move |request| {
+    let entry = guard.entry();
+    let service = service_fn(move |mut request: Request<Incoming>| {
         received.notify_one();
-        let response = handler(Arc::clone(&context), caller, request);
-        async move { Ok::<_, Infallible>(response.await) }
+        let (context, entry) = (Arc::clone(&context), Arc::clone(&entry));
+        let now = context.timer().now();
+        let is_open = match request.body().is_end_stream() {
+            true => entry.set_phase(now, ConnectionPhase::Running),
+            false => {
+                request.extensions_mut().insert(RequestProgress::new(Arc::clone(&entry)));
+                entry.set_phase(now, ConnectionPhase::Receiving)
+            }
+        };
+        // A request that crosses the close of its connection is not handled.
+        let response = is_open.then(|| handler(Arc::clone(&context), caller, request));
+        async move {
+            let Some(response) = response else {
+                return future::pending().await;
+            };
+            let response = response.await;
+            entry.set_phase(context.timer().now(), ConnectionPhase::Waiting);
+            Ok::<_, Infallible>(response)
+        }
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
@@ -162,17 +205,23 @@
         .max_buf_size(buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
+    let entry = guard.entry();
     tokio::select! {
         // An error also ends the connection, so nothing is left to do.
         _ = connection.as_mut() => return,
+        () = entry.wait_until_closing() => return,
         () = guard.wait_for_shutdown() => {}
     }
     // Without a request so far, the connection would be closed at once.
     tokio::select! {
         _ = connection.as_mut() => return,
+        () = entry.wait_until_closing() => return,
         () = first_request.notified() => {}
         () = timer.sleep(FIRST_REQUEST_TIME) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    tokio::select! {
+        _ = connection => {}
+        () = entry.wait_until_closing() => {}
+    }
 }
--- a/crates/http/src/request_body.rs
+++ b/crates/http/src/request_body.rs
@@ -3,11 +3,14 @@
 use std::{fmt, time::Duration};
 
 use bytes::Bytes;
+use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use mux_buffers::{BufferAccount, BufferError};
 use mux_timer::TimerService;
 
+use crate::connection_tracker::RequestProgress;
+
 /// Time for which the rest of a body that is not accepted is still read. A connection that is closed with
 /// unread bytes is reset, and the caller might lose the response.
 const DISCARD_TIME: Duration = Duration::from_secs(1);
@@ -53,7 +56,7 @@
     }
 }
 
-/// Receives a body into memory that counts in `account` until the returned value is dropped.
+/// Receives the body of the request with this `head` into memory that counts in `account` until the returned value is dropped.
 ///
 /// # Errors
 ///
@@ -62,6 +65,7 @@
 pub async fn receive_body(
     timer: &TimerService,
     account: &BufferAccount,
+    head: &Parts,
     mut body: Incoming,
     limits: BodyLimits,
 ) -> Result<Bytes, BodyError> {
@@ -71,6 +75,13 @@
     let collecting = collect_body(timer, account, &mut body, limits.max_bytes);
     let received =
         timer.timeout(limits.receive_time, collecting).await.unwrap_or(Err(BodyError::TimedOut));
+    if received.is_ok()
+        && let Some(progress) = head.extensions.get::<RequestProgress>()
+        && !progress.end_body(timer.now())
+    {
+        // The connection is being closed, so the request must not run.
+        return Err(BufferError::Displaced.into());
+    }
     if let Err(BodyError::TooLong | BodyError::NoMemory(_)) = received {
         discard_rest(timer.clone(), body);
     }
--- a/crates/http/tests/connection_shutdown.rs
+++ b/crates/http/tests/connection_shutdown.rs
@@ -21,6 +21,7 @@
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: a\r\n\r\n";
 const HEADER_TIMEOUT: Duration = Duration::from_secs(20);
 const MAX_HEADER_BYTES: usize = 16 * 1_024;
+const MAX_CONNECTIONS: usize = 100;
 
 /// Listener context whose handler waits for `release` before it responds.
 struct BlockingContext {
@@ -58,6 +59,10 @@
         MAX_HEADER_BYTES
     }
 
+    fn max_connections(&self) -> usize {
+        MAX_CONNECTIONS
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
         &self.connection_tracker
     }
--- a/crates/node/src/caller/caller_server.rs
+++ b/crates/node/src/caller/caller_server.rs
@@ -42,7 +42,6 @@
     node: Arc<Node>,
     limiter: Arc<RequestLimiter>,
     limits: CallerLimits,
-    connections: ConnectionTracker,
 }
 
 enum Route<'a> {
@@ -54,7 +53,7 @@
     /// Creates a server for the callers of `node`.
     pub(crate) fn new(node: Arc<Node>, limits: CallerLimits) -> Self {
         let limiter = Arc::new(RequestLimiter::new(limits.requests, limits.requests_per_ip));
-        Self { node, limiter, limits, connections: ConnectionTracker::new() }
+        Self { node, limiter, limits }
     }
 
     /// Listens on `address` until the process ends, and serves until [`Self::stop`] is called.
@@ -71,9 +70,10 @@
     /// Closes each connection after its request in flight, and waits at most `limit` for the last.
     pub(crate) async fn stop(&self, limit: Duration) {
         let timer = self.node.timer();
-        self.connections.start_shutdown();
+        let connections = self.node.caller_connections();
+        connections.start_shutdown();
         let end = timer.now() + limit;
-        while 0 < self.connections.open_count() && timer.now() < end {
+        while 0 < connections.open_count() && timer.now() < end {
             timer.sleep(STOP_CHECK_PERIOD).await;
         }
     }
@@ -117,7 +117,7 @@
         body: Incoming,
     ) -> Result<Reply, QueryProblem> {
         check_content_type(head)?;
-        let body = self.receive_body(body).await?;
+        let body = self.receive_body(head, body).await?;
         let request = QueryRequest::parse(&body)?;
         let command = QueryCommand {
             request: RequestId::random(),
@@ -166,13 +166,14 @@
         })
     }
 
-    async fn receive_body(&self, body: Incoming) -> Result<Bytes, QueryProblem> {
+    async fn receive_body(&self, head: &Parts, body: Incoming) -> Result<Bytes, QueryProblem> {
         let limits = BodyLimits {
             max_bytes: self.limits.body_bytes,
             receive_time: Duration::from_millis(self.limits.receive_ms),
         };
-        let received = receive_body(self.node.timer(), self.node.body_buffers(), body, limits);
-        received.await.map_err(|error| match error {
+        let (timer, account) = (self.node.timer(), self.node.body_buffers());
+        let received = receive_body(timer, account, head, body, limits).await;
+        received.map_err(|error| match error {
             BodyError::TooLong => {
                 let message = format!("the body is larger than {} bytes", self.limits.body_bytes);
                 QueryProblem::not_run(ProblemCode::BodyTooLarge, message)
@@ -207,8 +208,12 @@
         MAX_HEADER_BYTES
     }
 
+    fn max_connections(&self) -> usize {
+        self.node.max_caller_connections()
+    }
+
     fn connection_tracker(&self) -> &ConnectionTracker {
-        &self.connections
+        self.node.caller_connections()
     }
 }
 
--- a/crates/node/src/conf/node_settings.rs
+++ b/crates/node/src/conf/node_settings.rs
@@ -121,6 +121,9 @@
     pub body_bytes: usize,
     /// Memory for the bodies of all requests, in bytes; 1048576 to 17179869184, and at least `body_bytes`.
     pub body_memory_bytes: usize,
+    /// Open connections of callers, 16 to 1000000; by default 4096, or as many as the descriptors of the
+    /// process leave to callers if these are fewer.
+    pub connections: Option<u32>,
     /// Time limit for receiving the head of a request, idle time included, and again for its body,
     /// in milliseconds; 100 to 60000.
     pub receive_ms: u64,
@@ -135,6 +138,7 @@
         Self {
             body_bytes: 262_144,
             body_memory_bytes: 48 << 20,
+            connections: None,
             receive_ms: 5_000,
             requests_per_ip: 2_048,
             requests: 8_192,
@@ -309,6 +313,11 @@
                 allowed: "caller_limits.body_bytes or more",
             });
         }
+        if let Some(connections) = self.connections {
+            let range = 16..=1_000_000;
+            let connections = u64::from(connections);
+            check_range("caller_limits.connections", connections, range, "16 to 1000000")?;
+        }
         check_range("caller_limits.receive_ms", self.receive_ms, 100..=60_000, "100 to 60000")?;
         check_range(
             "caller_limits.requests_per_ip",
--- a/crates/node/src/errors.rs
+++ b/crates/node/src/errors.rs
@@ -18,6 +18,15 @@
         /// Cause.
         source: io::Error,
     },
+    /// The settings allow more connections than the descriptors of the process.
+    TooFewDescriptors {
+        /// Connections that `caller_limits.connections` allows.
+        connections: usize,
+        /// Connections that the descriptors allow.
+        allowed: usize,
+        /// Descriptors of the process.
+        descriptors: usize,
+    },
     /// Gossip could not be started.
     Gossip(GossipError),
 }
@@ -33,6 +42,11 @@
                 f,
                 "cannot listen on {address} ({key}): {source}; choose a free address of this VM"
             ),
+            Self::TooFewDescriptors { connections, allowed, descriptors } => write!(
+                f,
+                "caller_limits.connections is {connections}, but the limit of {descriptors} open \
+                 descriptors leaves {allowed} to callers; lower the one or raise the other"
+            ),
             Self::Gossip(source) => write!(f, "cannot start gossip on listen.peer: {source}"),
         }
     }
--- a/crates/node/src/metrics/node_metrics.rs
+++ b/crates/node/src/metrics/node_metrics.rs
@@ -6,6 +6,7 @@
 };
 
 use mux_buffers::BufferMetrics;
+use mux_http::ConnectionMetrics;
 use mux_model::{Coverage, ServiceName};
 use prometheus_client::{
     encoding::{EncodeLabelSet, text},
@@ -78,6 +79,8 @@
     pub(crate) members: Family<StateLabel, Gauge>,
     /// Memory for the bodies of requests.
     pub(crate) body_buffers: BufferMetrics,
+    /// Connections of callers.
+    pub(crate) connections: ConnectionMetrics,
     /// Queries in flight.
     pub(crate) queries_in_flight: Gauge,
     /// Gossip datagrams sent since the start.
@@ -210,6 +213,7 @@
         registry.register("draining", "Whether the node is stopping", it.draining.clone());
         registry.register("members", "Members by state", it.members.clone());
         it.body_buffers.register(registry);
+        it.connections.register(registry);
         registry.register("queries_in_flight", "Queries in flight", it.queries_in_flight.clone());
         registry.register(
             "gossip_datagrams_out",
--- a/crates/node/src/node/mod.rs
+++ b/crates/node/src/node/mod.rs
@@ -22,6 +22,7 @@
 use mux_adapter::KvClient;
 use mux_buffers::BufferAccount;
 use mux_config::{ConfigReplica, FreshnessGuard};
+use mux_http::ConnectionTracker;
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
 use mux_model::{AvailabilityZone, NodeId, TimePoint};
@@ -68,6 +69,8 @@
     rejection_throttle: LogThrottle,
     quarantine: SharedLedger,
     body_buffers: BufferAccount,
+    caller_connections: ConnectionTracker,
+    max_caller_connections: usize,
 }
 
 /// Times of the last replies from the store and from a peer.
@@ -104,6 +107,16 @@
         &self.settings
     }
 
+    /// Returns the tracker of callers' connections.
+    pub(crate) fn caller_connections(&self) -> &ConnectionTracker {
+        &self.caller_connections
+    }
+
+    /// Returns the number of connections that callers may have open.
+    pub(crate) fn max_caller_connections(&self) -> usize {
+        self.max_caller_connections
+    }
+
     /// Returns the memory for the bodies of requests.
     pub(crate) fn body_buffers(&self) -> &BufferAccount {
         &self.body_buffers
--- a/crates/node/src/node/node_parts.rs
+++ b/crates/node/src/node/node_parts.rs
@@ -8,6 +8,7 @@
 use mux_adapter::{KvClient, KvSettings};
 use mux_buffers::BufferAccount;
 use mux_config::{ConfigReplica, FreshnessGuard, FreshnessLimits};
+use mux_http::ConnectionTracker;
 use mux_logs::LogThrottle;
 use mux_membership::GossipService;
 use mux_model::NodeIncarnation;
@@ -44,12 +45,14 @@
     pub(crate) incarnation: NodeIncarnation,
     /// Gossip.
     pub(crate) gossip: GossipService,
+    /// Number of connections that callers may have open.
+    pub(crate) max_caller_connections: usize,
 }
 
 impl NodeParts {
     /// Builds the node.
     pub(crate) fn assemble(self) -> Arc<Node> {
-        let Self { settings, timer, logger, incarnation, gossip } = self;
+        let Self { settings, timer, logger, incarnation, gossip, max_caller_connections } = self;
         let store = KvClient::new(
             timer.clone(),
             KvSettings {
@@ -79,6 +82,8 @@
                 SessionLedger::new(mint, LedgerLimits::default()),
                 Arc::clone(&peers),
             ),
+            caller_connections: ConnectionTracker::new(),
+            max_caller_connections,
             body_buffers: BufferAccount::new(settings.caller_limits.body_memory_bytes),
             settings,
             timer,
--- a/crates/node/src/node/telemetry.rs
+++ b/crates/node/src/node/telemetry.rs
@@ -92,6 +92,7 @@
 
     fn fill_node_gauges(&self, gauges: &NodeGauges) {
         gauges.body_buffers.set(self.body_buffers.usage());
+        gauges.connections.set(self.caller_connections.counts(), self.max_caller_connections);
         let now = self.timer.now();
         let last_contacts = self.last_contacts();
         let age = |it: Option<_>| it.map_or(f64::NAN, |at| now.since(at).as_secs_f64());
--- a/crates/node/src/run_node.rs
+++ b/crates/node/src/run_node.rs
@@ -2,6 +2,7 @@
 
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 
+use mux_http::{connections_within, process_descriptors};
 use mux_membership::{GossipEvent, GossipService, GossipSettings, NodeIdentity};
 use mux_model::NodeIncarnation;
 use mux_timer::{TimerService, unix_millis};
@@ -18,6 +19,10 @@
 };
 
 const HTTP_STOP_TIMEOUT: Duration = Duration::from_secs(2);
+/// Descriptors of the process if the operating system does not tell.
+const DEFAULT_DESCRIPTORS: usize = 1_024;
+/// Connections that callers may have open unless the settings tell.
+const DEFAULT_CONNECTIONS: usize = 4_096;
 
 /// Runs a node until its planned stop ends, which SIGTERM, SIGINT or an operator's request starts.
 ///
@@ -63,6 +68,20 @@
     Ok(())
 }
 
+/// Returns the number of connections that callers may have open.
+fn max_caller_connections(settings: &NodeSettings) -> Result<usize, StartError> {
+    let descriptors = process_descriptors().unwrap_or(DEFAULT_DESCRIPTORS);
+    let allowed = connections_within(descriptors);
+    let wanted = settings.caller_limits.connections.and_then(|it| usize::try_from(it).ok());
+    match wanted {
+        Some(connections) if allowed < connections => {
+            Err(StartError::TooFewDescriptors { connections, allowed, descriptors })
+        }
+        Some(connections) => Ok(connections),
+        None => Ok(allowed.min(DEFAULT_CONNECTIONS)),
+    }
+}
+
 fn start_node(
     settings: NodeSettings,
     logger: Logger,
@@ -83,7 +102,9 @@
     let (gossip, events) =
         GossipService::start(gossip_settings, identity, incarnation, timer.clone(), logger.clone())
             .map_err(StartError::Gossip)?;
-    let node = NodeParts { settings, timer, logger, incarnation, gossip }.assemble();
+    let max_caller_connections = max_caller_connections(&settings)?;
+    let parts = NodeParts { settings, timer, logger, incarnation, gossip, max_caller_connections };
+    let node = parts.assemble();
     Ok((node, events))
 }
 
