Count the whole memory of a reply, until its caller has read the answer

Cause: a reply was counted by its length, but held by its capacity, up to twice as much, and three times as much while it moved to a larger memory. The reservation ended as the answer was handed to the listener, so that answers which callers do not read were not counted.

Change: `ReplyBody` counts its capacity and, during a move, both memories; the reservation belongs to the bytes and ends with the last copy of them. The limits stay as they are.

--- a/crates/edge/src/upstream/connection_pool.rs
+++ b/crates/edge/src/upstream/connection_pool.rs
@@ -2,11 +2,11 @@
 
 use std::{
     io,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -16,8 +16,8 @@
 use mux_upstream::ProcessProbe;
 
 use super::{
-    BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, UpstreamReply,
-    announcements::record_announcements, open_connection::OpenConnection,
+    MAX_REPLY_BYTES, ReplyBuffers, UpstreamReply, announcements::record_announcements,
+    open_connection::OpenConnection, reply_body::ReplyBody,
 };
 use crate::{
     QuietRequest, ReplyIdentity, ReplyKind, ReplyMetadata, WireProtocol,
@@ -312,7 +312,7 @@
     buffers: &ReplyBuffers,
 ) -> Result<UpstreamReply, CallFailure> {
     let (mut head, body) = response.into_parts();
-    let (body, buffer) = collect_body(body, buffers).await?;
+    let body = collect_body(body, buffers).await?;
     strip_hop_by_hop_headers(&mut head.headers);
     W::remove_private_headers(&mut head.headers);
     Ok(UpstreamReply {
@@ -320,30 +320,24 @@
         headers: head.headers,
         signature: metadata.signature.clone(),
         body,
-        _buffer: Arc::new(buffer),
     })
 }
 
-/// Collects a body, and returns it with the memory that it uses.
-async fn collect_body(
-    mut body: Incoming,
-    buffers: &ReplyBuffers,
-) -> Result<(Bytes, BufferReservation), CallFailure> {
-    let mut buffer = buffers.reserve();
+/// Collects a body.
+async fn collect_body(mut body: Incoming, buffers: &ReplyBuffers) -> Result<Bytes, CallFailure> {
     if body.size_hint().exact().is_some_and(|it| (MAX_REPLY_BYTES as u64) < it) {
         return Err(CallFailure::BadReply);
     }
-    let mut collected = BytesMut::new();
+    let mut collected = ReplyBody::new(buffers);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| CallFailure::ConnectionLost)?;
-        if let Ok(data) = frame.into_data() {
-            if !buffer.try_grow(data.len()) {
-                return Err(CallFailure::BadReply);
-            }
-            collected.extend_from_slice(&data);
+        if let Ok(data) = frame.into_data()
+            && !collected.try_append(&data)
+        {
+            return Err(CallFailure::BadReply);
         }
     }
-    Ok((collected.freeze(), buffer))
+    Ok(collected.finish())
 }
 
 fn classify(reply: UpstreamReply, metadata: &ReplyMetadata) -> Result<UpstreamReply, CallFailure> {
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 mod connection_pools;
 mod limited_stream;
 mod open_connection;
+mod reply_body;
 mod reply_buffers;
 mod reservation_task;
 mod upstream_reply;
--- a/crates/edge/src/upstream/reply_buffers.rs
+++ b/crates/edge/src/upstream/reply_buffers.rs
@@ -29,13 +29,16 @@
 #[derive(Debug)]
 pub struct BufferReservation {
     buffers: ReplyBuffers,
-    bytes: usize,
+    /// Bytes that the pieces of the body count for.
+    piece_bytes: usize,
+    /// Bytes held, which are at least as many.
+    held_bytes: usize,
 }
 
 impl ReplyBuffers {
     /// Returns a reservation of no bytes.
     pub fn reserve(&self) -> BufferReservation {
-        BufferReservation { buffers: self.clone(), bytes: 0 }
+        BufferReservation { buffers: self.clone(), piece_bytes: 0, held_bytes: 0 }
     }
 
     /// Returns the number of bytes in use.
@@ -49,20 +52,47 @@
     /// [`MAX_REPLY_BYTES`] or, unless it is short, than the memory that is free.
     #[must_use]
     pub fn try_grow(&mut self, bytes: usize) -> bool {
-        let bytes = bytes.max(MIN_PIECE_BYTES);
-        let grown = self.bytes.saturating_add(bytes);
-        let free = BUFFERED_BYTES_LIMIT.saturating_sub(self.buffers.used_bytes());
-        if MAX_REPLY_BYTES < grown || free.max(SHORT_REPLY_BYTES) < grown {
+        let grown = self.piece_bytes.saturating_add(bytes.max(MIN_PIECE_BYTES));
+        if MAX_REPLY_BYTES < grown || !self.has_room(grown) {
             return false;
         }
-        self.buffers.used_bytes.fetch_add(bytes, Ordering::Relaxed);
-        self.bytes = grown;
+        self.piece_bytes = grown;
+        self.hold(self.held_bytes.max(grown));
         true
     }
+
+    /// Begins to move the body from a memory of `from` bytes to one of `to`, and holds both; returns `false`
+    /// without doing so if the latter is not free. [`Self::end_move`] gives the former back.
+    #[must_use]
+    pub fn try_move(&mut self, from: usize, to: usize) -> bool {
+        let has_room = self.has_room(to);
+        if has_room {
+            self.hold(self.held_bytes.max(from.saturating_add(to)));
+        }
+        has_room
+    }
+
+    /// Holds the memory of `bytes` to which the body was moved, and no other.
+    pub fn end_move(&mut self, bytes: usize) {
+        self.hold(self.piece_bytes.max(bytes));
+    }
+
+    /// Returns whether a body may use `bytes`.
+    fn has_room(&self, bytes: usize) -> bool {
+        let free = BUFFERED_BYTES_LIMIT.saturating_sub(self.buffers.used_bytes());
+        bytes <= free.max(SHORT_REPLY_BYTES)
+    }
+
+    fn hold(&mut self, bytes: usize) {
+        let used = &self.buffers.used_bytes;
+        used.fetch_add(bytes.saturating_sub(self.held_bytes), Ordering::Relaxed);
+        used.fetch_sub(self.held_bytes.saturating_sub(bytes), Ordering::Relaxed);
+        self.held_bytes = bytes;
+    }
 }
 
 impl Drop for BufferReservation {
     fn drop(&mut self) {
-        self.buffers.used_bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+        self.buffers.used_bytes.fetch_sub(self.held_bytes, Ordering::Relaxed);
     }
 }
--- a/crates/edge/src/upstream/upstream_reply.rs
+++ b/crates/edge/src/upstream/upstream_reply.rs
@@ -1,12 +1,8 @@
 //! A complete reply of an upstream.
 
-use std::sync::Arc;
-
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, StatusCode};
 
-use super::BufferReservation;
-
 /// A complete reply that was verified to belong to its request.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamReply {
@@ -16,8 +12,6 @@
     pub(crate) headers: HeaderMap,
     /// The upstream's signature of the reply.
     pub(crate) signature: Option<HeaderValue>,
-    /// The complete body.
+    /// The complete body, which counts in the memory for replies.
     pub(crate) body: Bytes,
-    /// Counts the memory of the body.
-    pub(super) _buffer: Arc<BufferReservation>,
 }
