Close the connection of a caller that does not read its response

What callers saw: those that read no answer kept its memory, its connection and, during a planned stop, the process for as long as they liked.

Cause: nothing bounds the time of a write: the time-out of the listener covers heads only.

Change: TCP_USER_TIMEOUT on callers' connections, with the idle time-out of the limits. It counts the time without any progress, so that slow readers are served.

--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mux_timer::TimerService;
 use slog::{Logger, warn};
-use socket2::{Domain, Protocol, Socket, Type};
+use socket2::{Domain, Protocol, SockRef, Socket, Type};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::Notify,
@@ -51,7 +51,7 @@
     fn logger(&self) -> &Logger;
 
     /// Returns the time within which the head of the next request must arrive on a connection,
-    /// idle time included.
+    /// idle time included, and within which the caller must go on reading a response.
     fn header_timeout(&self) -> Duration;
 
     /// Returns the longest headers of a request, in bytes. A connection reads ahead a few times as much.
@@ -169,9 +169,11 @@
     F: Fn(Arc<H>, SocketAddr, Request<Incoming>) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response<Full<Bytes>>> + Send + 'static,
 {
-    // If the option cannot be set because the socket is already closed, the first read fails.
-    let _ = stream.set_nodelay(true);
     let header_timeout = context.header_timeout();
+    // If an option cannot be set because the socket is already closed, the first read fails.
+    let _ = stream.set_nodelay(true);
+    // Closes the connection of a caller that does not read its response.
+    let _ = SockRef::from(&stream).set_tcp_user_timeout(Some(header_timeout));
     let buffer_bytes = buffer_bytes(context.max_header_bytes());
     let timer = context.timer().clone();
     let first_request = Arc::new(Notify::new());
