--- a/crates/http/tests/unread_response.rs
+++ b/crates/http/tests/unread_response.rs
@@ -2,6 +2,8 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed step fails the test")]
 
+mod support;
+
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
@@ -9,9 +11,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use mux_http::{ConnectionTracker, HttpListener, ListenerContext};
-use mux_timer::TimerService;
-use slog::{Discard, Logger, o};
+use support::TestContext;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -20,69 +20,17 @@
 /// Length of the response, more than the operating system buffers.
 const RESPONSE_BYTES: usize = 32 << 20;
 const IDLE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that is far longer than a connection takes to close on a slow machine.
-const WAIT_LIMIT: Duration = Duration::from_secs(60);
-const POLL_PERIOD: Duration = Duration::from_millis(20);
-
-struct ResponseContext {
-    timer: TimerService,
-    logger: Logger,
-    connections: ConnectionTracker,
-}
-
-impl ListenerContext for ResponseContext {
-    fn timer(&self) -> &TimerService {
-        &self.timer
-    }
-
-    fn logger(&self) -> &Logger {
-        &self.logger
-    }
-
-    fn header_timeout(&self) -> Duration {
-        IDLE_TIMEOUT
-    }
-
-    fn max_header_bytes(&self) -> usize {
-        16 * 1_024
-    }
-
-    fn max_connections(&self) -> usize {
-        100
-    }
-
-    fn connection_tracker(&self) -> &ConnectionTracker {
-        &self.connections
-    }
-}
 
 async fn respond(
-    _context: Arc<ResponseContext>,
+    _context: Arc<TestContext>,
     _caller: SocketAddr,
     _request: Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     Response::new(Full::new(Bytes::from(vec![b'r'; RESPONSE_BYTES])))
 }
 
-fn start_listener() -> (Arc<ResponseContext>, SocketAddr) {
-    let context = Arc::new(ResponseContext {
-        timer: TimerService::start(Duration::from_secs(5)),
-        logger: Logger::root(Discard, o!()),
-        connections: ConnectionTracker::new(),
-    });
-    let listener = HttpListener::bind("127.0.0.1:0".parse().unwrap()).unwrap();
-    let address = listener.local_address().unwrap();
-    tokio::spawn(listener.serve(Arc::clone(&context), respond));
-    (context, address)
-}
-
-async fn wait_for_connections(context: &ResponseContext, count: usize) {
-    let poll = async {
-        while context.connections.counts().open != count {
-            context.timer.sleep(POLL_PERIOD).await;
-        }
-    };
-    context.timer.timeout(WAIT_LIMIT, poll).await.unwrap();
+fn start_listener() -> (Arc<TestContext>, SocketAddr) {
+    TestContext::listen(IDLE_TIMEOUT, 100, respond)
 }
 
 /// The answers of callers that read none of them would use memory for as long as they like.
@@ -93,8 +41,8 @@
     let mut caller = TcpStream::connect(address).await.unwrap();
     caller.write_all(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n").await.unwrap();
 
-    wait_for_connections(&context, 1).await;
-    wait_for_connections(&context, 0).await;
+    context.wait_until(|it| it.connections.counts().open == 1).await;
+    context.wait_until(|it| it.connections.counts().open == 0).await;
 }
 
 /// A slow reader makes progress, and takes longer than the time-out in all.
