Let the memory for replies follow the memory of the node

Cause: replies had 32 MiB whatever the settings, which with the shares of bodies and connections is more than the smallest machines have (112 MiB).

Change: the smaller of 32 MiB and a quarter of Limits.MemoryMb, applied at SIGHUP too; connections have 35 percent in place of 40, so that all limits together are 85 percent.

--- a/crates/edge/src/edge_settings.rs
+++ b/crates/edge/src/edge_settings.rs
@@ -8,6 +8,8 @@
 use mux_routing::balancer::{RetryBudgetLimits, WarmUpBounds};
 use mux_workspaces::QuotaBounds;
 
+use crate::upstream::BUFFERED_BYTES_LIMIT;
+
 /// Addresses that a node listens on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ListenAddresses {
@@ -36,7 +38,9 @@
     /// Share of the memory for the bodies of requests, in percent.
     const BODY_SHARE_PERCENT: usize = 25;
     /// Share of the memory for the connections of callers, in percent.
-    const CONNECTION_SHARE_PERCENT: usize = 40;
+    const CONNECTION_SHARE_PERCENT: usize = 35;
+    /// Share of the memory for the bodies of replies, in percent.
+    const REPLY_SHARE_PERCENT: usize = 25;
     /// Connections that callers may have open whatever the memory.
     const MIN_CONNECTIONS: usize = 16;
     /// Buffers of the longest head that a connection fills at most: the one that is read into, one that
@@ -50,6 +54,11 @@
         self.memory_bytes / 100 * Self::BODY_SHARE_PERCENT
     }
 
+    /// Returns the memory for the bodies of replies, in bytes.
+    pub(crate) fn reply_bytes(&self) -> usize {
+        BUFFERED_BYTES_LIMIT.min(self.memory_bytes / 100 * Self::REPLY_SHARE_PERCENT)
+    }
+
     /// Returns the number of connections that callers may have open, each of which buffers up to
     /// `buffer_bytes` at a time.
     pub(crate) fn connections(&self, buffer_bytes: usize) -> usize {
--- a/crates/edge/src/edge_state.rs
+++ b/crates/edge/src/edge_state.rs
@@ -116,6 +116,8 @@
         let zone = settings.node.availability_zone.clone();
         let balancers = BalancerTable::new(zone, timer.now());
         let body_buffers = BufferAccount::new(settings.limits.process.body_bytes());
+        let reply_buffers = ReplyBuffers::default();
+        reply_buffers.set_limit(settings.limits.process.reply_bytes());
         let mut upstreams = UpstreamRegistry::default();
         upstreams.set_obeys_evacuations(settings.limits.evacuation.is_some());
         Self {
@@ -126,7 +128,7 @@
             metrics: EdgeMetrics::new(),
             connection_pools: ConnectionPools::new(),
             body_buffers,
-            reply_buffers: ReplyBuffers::default(),
+            reply_buffers,
             stop_phase: watch::Sender::new(StopPhase::Serving),
             connection_tracker: ConnectionTracker::new(),
             request_log: LogThrottle::new(REQUEST_LOG_LINES, REQUEST_LOG_PERIOD),
@@ -166,6 +168,7 @@
         let change = SettingsChange::between(&current, changed);
         *self.limits.write().unwrap_or_else(PoisonError::into_inner) = changed.limits;
         self.body_buffers.set_limit(changed.limits.process.body_bytes());
+        self.reply_buffers.set_limit(changed.limits.process.reply_bytes());
         self.balancers.for_each(|it| {
             it.set_retry_limits(changed.limits.retry);
             it.set_drain_limit(changed.limits.drain_limit);
--- a/crates/edge/src/upstream/mod.rs
+++ b/crates/edge/src/upstream/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) use connection_pool::is_final_status;
 pub(crate) use connection_pools::ConnectionPools;
 pub use limited_stream::LimitedStream;
+pub(crate) use reply_buffers::BUFFERED_BYTES_LIMIT;
 pub use reply_buffers::{BufferReservation, MAX_REPLY_BYTES, ReplyBuffers, SHORT_REPLY_BYTES};
 pub(crate) use reservation_task::release_lost_reservations;
 pub(crate) use upstream_reply::UpstreamReply;
--- a/crates/edge/src/upstream/reply_buffers.rs
+++ b/crates/edge/src/upstream/reply_buffers.rs
@@ -12,17 +12,17 @@
 /// Bytes that a piece of a body counts for at least. Without it, an endless body of tiny chunks would
 /// take seconds of processor time until it reached its limit.
 const MIN_PIECE_BYTES: usize = 256;
-/// Memory for the bodies of all replies of a node, in bytes; a part of what the smallest nodes have.
-/// Short replies may exceed it.
-const BUFFERED_BYTES_LIMIT: usize = 32 * 1_024 * 1_024;
+/// Memory for the bodies of all replies of a node unless it has less, in bytes. Short replies may exceed it.
+pub(crate) const BUFFERED_BYTES_LIMIT: usize = 32 * 1_024 * 1_024;
 
 /// Memory that the bodies of replies share.
 ///
 /// A body may grow to the size of what is free, so that each of many endless replies is cut off early.
 /// Short replies are always accepted.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone)]
 pub struct ReplyBuffers {
     used_bytes: Arc<AtomicUsize>,
+    limit_bytes: Arc<AtomicUsize>,
 }
 
 /// The part of the memory that one body uses; released when it is dropped.
@@ -35,7 +35,21 @@
     held_bytes: usize,
 }
 
+impl Default for ReplyBuffers {
+    fn default() -> Self {
+        Self {
+            used_bytes: Arc::default(),
+            limit_bytes: Arc::new(AtomicUsize::new(BUFFERED_BYTES_LIMIT)),
+        }
+    }
+}
+
 impl ReplyBuffers {
+    /// Changes the memory for all bodies, in bytes; what is in use stays so.
+    pub fn set_limit(&self, bytes: usize) {
+        self.limit_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// Returns a reservation of no bytes.
     pub fn reserve(&self) -> BufferReservation {
         BufferReservation { buffers: self.clone(), piece_bytes: 0, held_bytes: 0 }
@@ -79,7 +93,8 @@
 
     /// Returns whether a body may use `bytes`.
     fn has_room(&self, bytes: usize) -> bool {
-        let free = BUFFERED_BYTES_LIMIT.saturating_sub(self.buffers.used_bytes());
+        let limit = self.buffers.limit_bytes.load(Ordering::Relaxed);
+        let free = limit.saturating_sub(self.buffers.used_bytes());
         bytes <= free.max(SHORT_REPLY_BYTES)
     }
 
