Wait for displaced connections to end before others are admitted

Cause: a displaced connection left the table as soon as it was told to close. Its descriptor is in use until its task has run, and the listener, which went on accepting, ran ahead of these tasks.

Change: it counts until its task has ended; the listener waits for the next end if room is being made, and refuses only if there is none to come.

--- a/crates/http/src/connection_table.rs
+++ b/crates/http/src/connection_table.rs
@@ -45,12 +45,26 @@
 /// The open connections of a process.
 #[derive(Debug, Default)]
 pub(crate) struct ConnectionTable {
+    /// All connections, those included that are being closed: their descriptors are still in use.
     connections: FastMap<ConnectionKey, Arc<ConnectionEntry>>,
+    /// Number of those that are being closed.
+    closing: usize,
     next_key: ConnectionKey,
     displaced: u64,
     refused: u64,
 }
 
+/// Result of asking for room for a new connection.
+#[derive(Debug)]
+pub(crate) enum Admission {
+    /// There is room.
+    Admitted(ConnectionKey, Arc<ConnectionEntry>),
+    /// There will be room when the next connection has been closed.
+    Pending,
+    /// Requests are under way on all connections.
+    Refused,
+}
+
 /// Numbers of connections.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ConnectionCounts {
@@ -114,30 +128,28 @@
 
 impl ConnectionTable {
     /// Adds a connection. If there are `limit` or more, others that have waited for the longest time are
-    /// closed, or else such whose request has begun a while ago and is not complete. Returns `None` if
-    /// requests are under way on all of them.
-    pub(crate) fn admit(
-        &mut self,
-        now: TimePoint,
-        limit: usize,
-    ) -> Option<(ConnectionKey, Arc<ConnectionEntry>)> {
-        if limit <= self.connections.len() {
+    /// closed, or else such whose request has begun a while ago and is not complete.
+    pub(crate) fn admit(&mut self, now: TimePoint, limit: usize) -> Admission {
+        if self.connections.len() < limit {
+            let key = self.next_key;
+            self.next_key += 1;
+            let entry = Arc::new(ConnectionEntry::new(now));
+            self.connections.insert(key, Arc::clone(&entry));
+            return Admission::Admitted(key, entry);
+        }
+        if limit <= self.connections.len() - self.closing {
             self.displace(now, limit);
         }
-        if limit <= self.connections.len() {
-            self.refused += 1;
-            return None;
+        if 0 < self.closing {
+            return Admission::Pending;
         }
-        let key = self.next_key;
-        self.next_key += 1;
-        let entry = Arc::new(ConnectionEntry::new(now));
-        self.connections.insert(key, Arc::clone(&entry));
-        Some((key, entry))
+        self.refused += 1;
+        Admission::Refused
     }
 
-    /// Closes some connections so that fewer than `limit` are left; returns how many.
+    /// Begins to close some connections so that fewer than `limit` are left; returns how many.
     pub(crate) fn displace(&mut self, now: TimePoint, limit: usize) -> usize {
-        let surplus = (self.connections.len() + 1).saturating_sub(limit);
+        let surplus = (self.connections.len() - self.closing + 1).saturating_sub(limit);
         let wanted = surplus.max(limit / DISPLACED_DIVISOR).max(1);
         let displaced =
             match self.close_longest(wanted, |phase, _| phase == ConnectionPhase::Waiting) {
@@ -152,7 +164,13 @@
 
     /// Removes a connection that has ended.
     pub(crate) fn remove(&mut self, key: ConnectionKey) {
-        self.connections.remove(&key);
+        let is_closing = |it: Arc<ConnectionEntry>| {
+            let (phase, _) = ConnectionPhase::unpack(it.state());
+            phase == ConnectionPhase::Closing
+        };
+        if self.connections.remove(&key).is_some_and(is_closing) {
+            self.closing -= 1;
+        }
     }
 
     pub(crate) fn counts(&self) -> ConnectionCounts {
@@ -183,10 +201,10 @@
         let mut closed = 0;
         for (state, key) in candidates {
             if self.connections.get(&key).is_some_and(|it| it.try_close(state)) {
-                self.connections.remove(&key);
                 closed += 1;
             }
         }
+        self.closing += closed;
         closed
     }
 }
--- a/crates/http/src/connection_tracker.rs
+++ b/crates/http/src/connection_tracker.rs
@@ -7,11 +7,12 @@
 
 use mux_logs::LogThrottle;
 use mux_model::TimePoint;
+use mux_timer::TimerService;
 use slog::{Logger, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 use crate::connection_table::{
-    ConnectionCounts, ConnectionEntry, ConnectionKey, ConnectionPhase, ConnectionTable,
+    Admission, ConnectionCounts, ConnectionEntry, ConnectionKey, ConnectionPhase, ConnectionTable,
 };
 
 /// Maximum number of log lines about the limit in one [`LIMIT_LOG_PERIOD`].
@@ -24,6 +25,8 @@
 pub struct ConnectionTracker {
     shutdown_started: watch::Sender<bool>,
     table: Arc<Mutex<ConnectionTable>>,
+    /// Notified when a connection has ended.
+    ended: Arc<Notify>,
     limit_log: LogThrottle,
 }
 
@@ -38,6 +41,7 @@
 pub(crate) struct ConnectionGuard {
     shutdown: ListenerGuard,
     table: Arc<Mutex<ConnectionTable>>,
+    ended: Arc<Notify>,
     key: ConnectionKey,
     entry: Arc<ConnectionEntry>,
 }
@@ -54,6 +58,7 @@
         Self {
             shutdown_started: watch::Sender::new(false),
             table: Arc::default(),
+            ended: Arc::default(),
             limit_log: LogThrottle::new(LIMIT_LOG_LINES, LIMIT_LOG_PERIOD),
         }
     }
@@ -80,29 +85,41 @@
     }
 
     /// Counts a connection until the returned guard is dropped. If there are `limit` or more, others are
-    /// closed; returns `None` if none of them can be.
-    pub(crate) fn admit(
+    /// closed, for the end of which it waits; returns `None` if none of them can be.
+    pub(crate) async fn admit(
         &self,
         logger: &Logger,
-        now: TimePoint,
+        timer: &TimerService,
         limit: usize,
     ) -> Option<ConnectionGuard> {
-        let (admitted, counts) = {
+        loop {
+            let ended = self.ended.notified();
+            match self.try_admit(logger, timer.now(), limit) {
+                Admission::Admitted(key, entry) => {
+                    let (table, ended) = (Arc::clone(&self.table), Arc::clone(&self.ended));
+                    let shutdown = self.track_listener();
+                    return Some(ConnectionGuard { shutdown, table, ended, key, entry });
+                }
+                Admission::Pending => ended.await,
+                Admission::Refused => return None,
+            }
+        }
+    }
+
+    fn try_admit(&self, logger: &Logger, now: TimePoint, limit: usize) -> Admission {
+        let (admission, counts) = {
             let mut table = lock(&self.table);
             let before = table.counts();
-            let admitted = table.admit(now, limit);
+            let admission = table.admit(now, limit);
             let counts = table.counts();
-            (
-                admitted,
-                (before != ConnectionCounts { open: before.open, ..counts }).then_some(counts),
-            )
+            let is_changed =
+                (before.displaced, before.refused) != (counts.displaced, counts.refused);
+            (admission, is_changed.then_some(counts))
         };
         if let Some(counts) = counts {
             self.log_limit(logger, now, limit, counts);
         }
-        let (key, entry) = admitted?;
-        let table = Arc::clone(&self.table);
-        Some(ConnectionGuard { shutdown: self.track_listener(), table, key, entry })
+        admission
     }
 
     /// Closes some connections, as the process has no descriptors left.
@@ -154,6 +171,7 @@
 impl Drop for ConnectionGuard {
     fn drop(&mut self) {
         lock(&self.table).remove(self.key);
+        self.ended.notify_waiters();
     }
 }
 
--- a/crates/http/src/http_listener.rs
+++ b/crates/http/src/http_listener.rs
@@ -107,15 +107,16 @@
         // The listener counts as open until the last connection in its queue is accepted.
         let mut guard = context.connection_tracker().track_listener();
         let spawn = |stream: TcpStream, caller: SocketAddr| {
-            let now = context.timer().now();
-            let limit = context.max_connections();
-            let admitted = context.connection_tracker().admit(context.logger(), now, limit);
-            // Without room for it, the connection is closed.
-            let Some(guard) = admitted else {
-                return;
-            };
-            let context = Arc::clone(&context);
-            tokio::spawn(serve_connection(context, stream, caller, handler.clone(), guard));
+            let (context, handler) = (Arc::clone(&context), handler.clone());
+            async move {
+                let limit = context.max_connections();
+                let tracker = context.connection_tracker();
+                let admitted = tracker.admit(context.logger(), context.timer(), limit).await;
+                // Without room for it, the connection is closed.
+                if let Some(guard) = admitted {
+                    tokio::spawn(serve_connection(context, stream, caller, handler, guard));
+                }
+            }
         };
         loop {
             let accepted = tokio::select! {
@@ -123,7 +124,7 @@
                 () = guard.wait_for_shutdown() => break,
             };
             match accepted {
-                Ok((stream, caller)) => spawn(stream, caller),
+                Ok((stream, caller)) => spawn(stream, caller).await,
                 Err(error) => {
                     log_accept_error(&*context, &error);
                     let now = context.timer().now();
@@ -133,20 +134,24 @@
             }
         }
         // Closing the socket resets the connections in its queue.
-        if let Err(error) = accept_queued(self.listener, spawn) {
+        if let Err(error) = accept_queued(self.listener, spawn).await {
             log_accept_error(&*context, &error);
         }
     }
 }
 
 /// Accepts the connections that are in the queue of `listener`, and closes it.
-fn accept_queued(listener: TcpListener, spawn: impl Fn(TcpStream, SocketAddr)) -> io::Result<()> {
+async fn accept_queued<F, R>(listener: TcpListener, spawn: F) -> io::Result<()>
+where
+    F: Fn(TcpStream, SocketAddr) -> R,
+    R: Future<Output = ()>,
+{
     let listener = listener.into_std()?;
     loop {
         match listener.accept() {
             Ok((stream, caller)) => {
                 stream.set_nonblocking(true)?;
-                spawn(TcpStream::from_std(stream)?, caller);
+                spawn(TcpStream::from_std(stream)?, caller).await;
             }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
             Err(error) => return Err(error),
