--- a/review/harness-3/src/cases.rs
+++ b/review/harness-3/src/cases.rs
@@ -7,7 +7,7 @@
 };
 
 use crate::{
-    fleet::{Callers, Network, Node, NodeSettings, folders},
+    fleet::{self, Callers, Network, Node, NodeSettings, folders},
     leaf::Leaf,
     link::StoreLink,
     record::Record,
@@ -29,6 +29,8 @@
 const CLOCK_STEP_MS: u64 = 2_400;
 /// Time for which a node is cut from the store.
 const CUT: Duration = Duration::from_millis(5_500);
+/// Number of changes of the configuration.
+const ROUNDS: u64 = 10;
 /// Number of leafs that leave one after the other, of twelve.
 const LEAVING_LEAFS: usize = 5;
 /// Number of entries of another writer.
@@ -105,6 +107,28 @@
         Node::start(&root, &folder, &self.network, number, &NodeSettings { store })
     }
 
+    /// Returns the index of the node to which the directory sends no caller.
+    fn hidden_node(&self) -> usize {
+        let request =
+            "GET /api/resolve?Name=shop.example&Region=r&Zone=a HTTP/1.1\r\nHost: d\r\n\r\n";
+        let answer = fleet::call(self.nodes[0].directory, request, 1_000);
+        let Ok(answer) = answer else { fleet::cannot_run("the directory does not answer") };
+        let named = String::from_utf8_lossy(&answer.body).into_owned();
+        let hidden = self.nodes.iter().position(|it| !named.contains(&it.callers.to_string()));
+        hidden.unwrap_or_else(|| fleet::cannot_run("callers are directed to all nodes"))
+    }
+
+    /// Returns the index of the peer whose copy of the store a node reads, by its log.
+    fn peer_of(&self, node: usize) -> Option<usize> {
+        let (_, folder) = folders();
+        let log = folder.join(format!("front-a-{}.log", node + 1));
+        let log = std::fs::read_to_string(log).ok()?;
+        let line = log.lines().rfind(|it| it.contains("relay: reading the copy of a peer"))?;
+        let name = line.split("\"peer\":\"front-a-").nth(1)?;
+        let number: usize = name.split('"').next()?.parse().ok()?;
+        number.checked_sub(1)
+    }
+
     fn callers(&self, record: &Record, count: usize, period_ms: u64) -> Callers {
         let nodes = self.nodes.iter().map(|it| it.callers).collect();
         Callers::start(count, nodes, HOST, "/x/", 2_500, Duration::from_millis(period_ms), record)
@@ -299,3 +323,67 @@
     ));
     !late.is_empty()
 }
+
+/// A node that callers are not directed to reads the copy of a peer. The store forgets its history while the
+/// configuration changes, and the peer is cut from the store before its watch is cut.
+pub fn lost_watch(record: &Record, has_trouble: bool) -> bool {
+    let installation = Installation::start(record, 2, 2, 10, 4, |store, leafs| {
+        for leaf in leafs {
+            leaf.start(0);
+            leaf.register(store, "ready");
+        }
+    });
+    let Installation { store, leafs, nodes, links, .. } = &installation;
+    thread::sleep(Duration::from_secs(4));
+    let hidden = installation.hidden_node();
+    record.result(&format!("callers are not directed to front-a-{}", hidden + 1));
+    let nodes_called = vec![nodes[hidden].callers];
+    let callers =
+        Callers::start(4, nodes_called, HOST, "/x/", 2_500, Duration::from_millis(100), record);
+    let mut late = 0;
+    let mut latest = 0;
+    for round in 1..=ROUNDS {
+        let Some(peer) = installation.peer_of(hidden) else {
+            fleet::cannot_run("the node reads no peer's copy");
+        };
+        let service = if round % 2 == 0 { SERVICE } else { OTHER_SERVICE };
+        let text = config(1 + round, &route("/x/", "idempotent", service));
+        record.line(&format!(
+            "the store forgets its history; peer of the node: front-a-{}",
+            peer + 1
+        ));
+        let deaf_at = store.compact();
+        thread::sleep(Duration::from_millis(50));
+        let accepted = store.write("op/config", &text);
+        record.line(&format!("store accepts op/config {text}"));
+        thread::sleep(Duration::from_millis(900).saturating_sub(deaf_at.elapsed()));
+        if has_trouble {
+            record.line(&format!("front-a-{} is cut from the store", peer + 1));
+            links[peer].cut_silently();
+        }
+        thread::sleep(CUT);
+        links[peer].heal();
+        record.line(&format!("front-a-{} reaches the store again", peer + 1));
+        thread::sleep(Duration::from_millis(3_400));
+        let old_leafs = if round % 2 == 0 { &leafs[2..] } else { &leafs[..2] };
+        for exchange in callers.exchanges.lock().unwrap().iter() {
+            let ran =
+                |it: &Arc<Leaf>| it.runs.lock().unwrap().iter().any(|it| it.id == exchange.id);
+            if accepted + CONFIG_APPLY < exchange.sent && old_leafs.iter().any(ran) {
+                let after = exchange.sent.duration_since(accepted).as_millis();
+                record.line(&format!("old: {} sent {after} ms after", exchange.id));
+                late += 1;
+                latest = latest.max(after);
+            }
+        }
+        callers.exchanges.lock().unwrap().clear();
+        leafs.iter().for_each(|it| it.runs.lock().unwrap().clear());
+    }
+    drop(callers.stop());
+    record.result(&format!(
+        "{late} requests sent later than {} ms after the store had accepted a version ran at the service \
+         of an older one; the last one was sent {latest} ms after",
+        CONFIG_APPLY.as_millis()
+    ));
+    0 < late
+}
--- a/review/harness-3/src/fleet.rs
+++ b/review/harness-3/src/fleet.rs
@@ -64,6 +64,7 @@
 /// A running node; its process ends when the value is dropped.
 pub struct Node {
     pub callers: SocketAddr,
+    pub directory: SocketAddr,
     ready: SocketAddr,
     child: Child,
 }
@@ -120,6 +121,7 @@
             .unwrap_or_else(|error| cannot_run(&format!("the program does not start: {error}")));
         Self {
             callers: SocketAddr::new(ip, CALLERS_PORT),
+            directory: SocketAddr::new(ip, DIRECTORY_PORT),
             ready: SocketAddr::new(ip, READY_PORT),
             child,
         }
--- a/review/harness-3/src/link.rs
+++ b/review/harness-3/src/link.rs
@@ -8,21 +8,28 @@
         atomic::{AtomicBool, Ordering},
     },
     thread,
+    time::Duration,
 };
 
-/// Passes connections on to the store. While it is cut, open connections are closed, and new ones are
-/// closed at once.
+/// Passes connections on to the store. While it is cut with resets, open connections are closed, and new
+/// ones are closed at once; while it is cut silently, nothing passes in either direction.
 #[derive(Clone)]
 pub struct StoreLink {
     pub address: SocketAddr,
     is_cut: Arc<AtomicBool>,
+    is_silent: Arc<AtomicBool>,
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl StoreLink {
     pub fn start(listener: TcpListener, store: SocketAddr) -> Self {
         let address = listener.local_addr().unwrap();
-        let link = Self { address, is_cut: Arc::default(), streams: Arc::default() };
+        let link = Self {
+            address,
+            is_cut: Arc::default(),
+            is_silent: Arc::default(),
+            streams: Arc::default(),
+        };
         let accepting = link.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -43,7 +50,12 @@
         }
     }
 
+    pub fn cut_silently(&self) {
+        self.is_silent.store(true, Ordering::Release);
+    }
+
     pub fn heal(&self) {
+        self.is_silent.store(false, Ordering::Release);
         self.is_cut.store(false, Ordering::Release);
     }
 
@@ -54,9 +66,13 @@
         for (from, to) in [(&stream, &target), (&target, &stream)] {
             let (mut from, mut to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
             streams.push(from.try_clone().unwrap());
+            let is_silent = Arc::clone(&self.is_silent);
             thread::spawn(move || {
                 let mut buffer = vec![0; 65_536];
                 while let Ok(count) = from.read(&mut buffer) {
+                    while is_silent.load(Ordering::Acquire) {
+                        thread::sleep(Duration::from_millis(5));
+                    }
                     if count == 0 || to.write_all(&buffer[..count]).is_err() {
                         break;
                     }
--- a/review/harness-3/src/main.rs
+++ b/review/harness-3/src/main.rs
@@ -32,6 +32,7 @@
     let run: fn(&Record, bool) -> bool = match case.as_str() {
         "lost-removal" => cases::lost_removal,
         "large-entries" => cases::large_entries,
+        "lost-watch" => cases::lost_watch,
         "clock-back" => cases::clock_back,
         "watch-cut" => cases::watch_cut,
         _ => fleet::cannot_run("no such case"),
--- a/review/harness-3/src/store.rs
+++ b/review/harness-3/src/store.rs
@@ -51,6 +51,9 @@
     dropped_until: u64,
     watch_cut: Option<(u64, u64)>,
     cut_watches: u64,
+    is_deaf: bool,
+    /// Number of times that the history was dropped and the waiting watches were cut.
+    compactions: u64,
     calls: u64,
 }
 
@@ -93,6 +96,24 @@
         self.lock().watch_cut = watch_cut;
     }
 
+    /// Forgets the history: watches hear nothing for a second, then the history is dropped, and the watches
+    /// that wait are cut. Returns when they begin to hear nothing.
+    pub fn compact(&self) -> Instant {
+        self.lock().is_deaf = true;
+        let store = self.clone();
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(1));
+            let mut state = store.lock();
+            state.is_deaf = false;
+            state.compactions += 1;
+            state.dropped_until = state.revision;
+            state.events.clear();
+            drop(state);
+            store.shared.1.notify_all();
+        });
+        Instant::now()
+    }
+
     pub fn cut_watches(&self) -> u64 {
         self.lock().cut_watches
     }
@@ -182,14 +203,22 @@
         let started = Instant::now();
         let wait = Duration::from_millis(wait);
         let mut state = self.lock();
+        let compactions = state.compactions;
         let cut = state.watch_cut.map(|(least, most)| {
             let span = (most - least).max(1);
             Duration::from_millis(least + RandomState::new().build_hasher().finish() % span)
         });
         loop {
+            if state.compactions != compactions {
+                return None;
+            }
             if after < state.dropped_until {
                 return Some(("410 Gone", "{}".to_owned()));
             }
+            if state.is_deaf {
+                state = self.shared.1.wait_timeout(state, Duration::from_millis(10)).unwrap().0;
+                continue;
+            }
             let events: Vec<&str> = state
                 .events
                 .iter()
